--- /dev/null
+++ b/dunlinpoint/agent/server.py
@@ -0,0 +1,350 @@
+"""The agent's thrift handler, its heartbeats to control, and its drain.
+
+Orders from entries:
+
+- ``start`` opens a stream and forwards the request to the local engine;
+  ``read`` returns the tokens from an offset, waiting up to ``wait_ms`` for
+  new ones; ``cancel`` stops it.
+- ``call`` forwards one plain-service call; non-idempotent operations go
+  through the :mod:`keys` table so each key runs at most once.
+
+While draining, new ``start`` and ``call`` orders are refused with
+``Refused`` (certainly not run) and a ``retry_after_ms``, so the entry can
+send them elsewhere at once; work in flight finishes.
+"""
+
+from __future__ import annotations
+
+import json
+
+import attrs
+import treq
+from twisted.internet import defer, error, task
+from twisted.web import _newclient
+from zope.interface import implementer
+
+from dunlinpoint import clock, logs, metrics
+from dunlinpoint.agent import keys, streams
+from dunlinpoint.wire import errors, rpc
+from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
+
+log = logs.logger("agent")
+
+HEARTBEAT_MS = 300
+CONTROL_TIMEOUT_MS = 1000
+SERVICE_TIMEOUT_MS = 5000
+DRAIN_RETRY_AFTER_MS = 200
+RESUME_TRIES = 3
+NON_IDEMPOTENT = frozenset({"slot_confirm", "slot_release", "dues_charge"})
+
+
+@attrs.define
+class Settings:
+    """What one agent needs to know at start; all checked by the CLI."""
+
+    endpoint_id: str
+    zone: str
+    host: str
+    port: int
+    kind: str
+    backend: str
+    controls: list
+    group: str = ""
+    drain_timeout_ms: int = 30000
+    incarnation: int = 0
+
+
+@attrs.define
+class State:
+    """An agent's mutable state."""
+
+    settings: Settings
+    clock: clock.Clock
+    counters: metrics.Counters
+    links: list
+    streams: streams.Streams = attrs.field(factory=streams.Streams)
+    keys: keys.Keys = attrs.field(factory=keys.Keys)
+    calls_in_flight: int = 0
+    draining: bool = False
+    document: ttypes.Document = attrs.field(
+        factory=lambda: ttypes.Document(version=0, change_id="", body_json="{}")
+    )
+    highest_fence: int = 0
+    lease_ms: int = 0
+    control_index: int = 0
+
+    @classmethod
+    def from_config(cls, settings, reactor, counters):
+        """An agent that has not yet been heard by control."""
+        links = [
+            rpc.Link(reactor, host, port, Control.Client, CONTROL_TIMEOUT_MS)
+            for host, port in settings.controls
+        ]
+        return cls(settings, clock.Clock(reactor), counters, links)
+
+    def load(self):
+        """Work in flight: open streams plus calls."""
+        return self.streams.in_flight() + self.calls_in_flight
+
+
+def refuse(state, reason, retry_after_ms=DRAIN_RETRY_AFTER_MS):
+    """Count and raise a certain refusal."""
+    state.counters.refused(reason)
+    raise ttypes.Refused(reason=reason, retry_after_ms=retry_after_ms)
+
+
+@implementer(Agent.Iface)
+@attrs.define
+class Handler:
+    """Thrift methods of the ``Agent`` service."""
+
+    state: State
+    reactor: object
+
+    def start(self, order):
+        state = self.state
+        if order.request_id in state.streams.by_id:
+            return None
+        if state.draining:
+            refuse(state, "draining")
+        if state.settings.kind != "engine":
+            refuse(state, "not_an_engine")
+        stream = state.streams.open(order.request_id)
+        state.counters.incr("started")
+        pump(self.reactor, state, order, stream)
+        return None
+
+    @defer.inlineCallbacks
+    def read(self, request_id, offset, wait_ms):
+        stream = self.state.streams.by_id.get(request_id)
+        if stream is None:
+            refuse(self.state, "unknown_request", 0)
+        if offset >= len(stream.tokens) and not stream.done:
+            changed = stream.changed()
+            timer = self.reactor.callLater(
+                clock.seconds(wait_ms), lambda: changed.called or changed.callback(None)
+            )
+            yield changed
+            if timer.active():
+                timer.cancel()
+        return ttypes.Chunk(
+            request_id=request_id,
+            offset=offset,
+            tokens=stream.tokens[offset:],
+            done=stream.done,
+            error=stream.error,
+        )
+
+    @defer.inlineCallbacks
+    def cancel(self, request_id):
+        url = f"{self.state.settings.backend}/cancel/{request_id}"
+        try:
+            response = yield treq.post(url, timeout=1)
+            yield response.content()
+        except Exception:
+            self.state.counters.incr("cancel_failed")
+
+    @defer.inlineCallbacks
+    def call(self, order):
+        state = self.state
+        if state.draining:
+            refuse(state, "draining")
+        idempotent = order.operation not in NON_IDEMPOTENT
+        if not idempotent:
+            if not order.idempotency_key:
+                refuse(state, "missing_idempotency_key", 0)
+            prior = state.keys.claim(order.idempotency_key)
+            if prior is not None:
+                state.counters.incr(f"replayed.{prior.state}")
+                return replay(order, prior)
+        state.calls_in_flight += 1
+        try:
+            result = yield forward(state, order)
+        finally:
+            state.calls_in_flight -= 1
+        if not idempotent:
+            if result.outcome == "done":
+                state.keys.finish(
+                    order.idempotency_key, result.status, result.body_json
+                )
+            elif result.outcome == "not_run":
+                state.keys.release(order.idempotency_key)
+            else:
+                state.keys.lose(order.idempotency_key)
+        return result
+
+
+def replay(order, record):
+    """The answer to a repeated non-idempotent call, without running it."""
+    if record.state == keys.DONE:
+        return ttypes.CallResult(
+            order.request_id, "done", record.body_json, record.status
+        )
+    return ttypes.CallResult(order.request_id, "unknown", "{}", 0)
+
+
+@defer.inlineCallbacks
+def forward(state, order):
+    """Send one call to the local service; a ``CallResult``.
+
+    ``not_run`` only when the connection was refused: the service never saw
+    the call. Any failure after the request may have been written is
+    ``unknown``, since the service may have done the deed.
+    """
+    url = f"{state.settings.backend}/call/{order.operation}"
+    headers = {"Idempotency-Key": order.idempotency_key or order.request_id}
+    try:
+        response = yield treq.post(
+            url,
+            data=order.body_json.encode(),
+            headers=headers,
+            timeout=clock.seconds(SERVICE_TIMEOUT_MS),
+        )
+        body = yield response.text()
+    except (error.ConnectionRefusedError, error.ConnectError):
+        state.counters.incr("service_refused_connection")
+        return ttypes.CallResult(order.request_id, "not_run", "{}", 0)
+    except (
+        _newclient.ResponseNeverReceived,
+        _newclient.ResponseFailed,
+        defer.CancelledError,
+        error.TimeoutError,
+    ):
+        state.counters.incr("service_lost")
+        return ttypes.CallResult(order.request_id, "unknown", "{}", 0)
+    return ttypes.CallResult(order.request_id, "done", body, response.code)
+
+
+def pump(reactor, state, order, stream):
+    """Feed *stream* from the engine, resuming after a broken connection.
+
+    A dropped engine connection would otherwise leave the caller with half an
+    answer; the engine's streams are resumable from an offset, so the agent
+    asks again from the tokens it already has, a few times, before it ends
+    the stream with an error.
+    """
+
+    @defer.inlineCallbacks
+    def run():
+        for _ in range(RESUME_TRIES):
+            try:
+                yield read_engine(state, order, stream)
+                return
+            except Exception as exc:
+                state.counters.retried("engine_stream_broken")
+                last = exc
+                yield task.deferLater(reactor, 0.05, lambda: None)
+        stream.finish(error=f"engine: {last}")
+
+    run()
+
+
+@defer.inlineCallbacks
+def read_engine(state, order, stream):
+    """One streamed POST to the engine from ``len(stream.tokens)``."""
+    payload = {
+        "request_id": order.request_id,
+        "prompt": order.prompt,
+        "max_tokens": order.max_tokens,
+        "priority": order.priority,
+        "topic": topic_of(order),
+        "resume_from": len(stream.tokens),
+    }
+    response = yield treq.post(
+        f"{state.settings.backend}/generate",
+        data=json.dumps(payload).encode(),
+        headers={"content-type": "application/json"},
+    )
+    pending = bytearray()
+    ended = []
+
+    def collect(data):
+        pending.extend(data)
+        while b"\n" in pending:
+            line, _, rest = bytes(pending).partition(b"\n")
+            pending[:] = rest
+            piece = json.loads(line)
+            if piece.get("done"):
+                ended.append(piece)
+            elif piece["i"] == len(stream.tokens):
+                stream.add([piece["t"]])
+
+    yield treq.collect(response, collect)
+    if not ended:
+        raise errors.Lost("engine stream ended early")
+    stream.finish()
+
+
+def topic_of(order):
+    """The expert topic a request leans to, from its workspace and prompt."""
+    head = order.prompt.split(" ", 1)[0]
+    return int(head[1:]) if head.startswith("#") and head[1:].isdigit() else 0
+
+
+@defer.inlineCallbacks
+def heartbeat(state):
+    """Send one heartbeat; rotate to the next control on failure."""
+    settings = state.settings
+    beat = ttypes.Heartbeat(
+        endpoint_id=settings.endpoint_id,
+        zone=settings.zone,
+        host=settings.host,
+        port=settings.port,
+        kind=settings.kind,
+        load=state.load(),
+        draining=state.draining,
+        config_version=state.document.version,
+        incarnation=settings.incarnation,
+        group=settings.group,
+    )
+    link = state.links[state.control_index % len(state.links)]
+    try:
+        reply = yield link.call("heartbeat", beat)
+    except (errors.WireError, ttypes.Refused):
+        state.counters.retried("heartbeat_failed")
+        state.control_index += 1
+        return
+    state.lease_ms = reply.lease_ms
+    take_document(state, reply.document)
+
+
+def take_document(state, document):
+    """Adopt *document* if it is newer than the one in force; never go back."""
+    if document is None or document.version <= state.document.version:
+        return
+    state.document = document
+    log.info("document_in_force", version=document.version)
+
+
+def heartbeats(reactor, state):
+    """Heartbeat every ``HEARTBEAT_MS`` until the reactor stops."""
+    loop = task.LoopingCall(heartbeat, state)
+    loop.clock = reactor
+    loop.start(clock.seconds(HEARTBEAT_MS))
+    return loop
+
+
+@defer.inlineCallbacks
+def drain(reactor, state):
+    """Stop taking work, tell control at once, let work in flight finish."""
+    if state.draining:
+        return
+    state.draining = True
+    log.info("draining", in_flight=state.load())
+    yield heartbeat(state)
+    deadline = state.clock.now() + state.settings.drain_timeout_ms
+    while state.load() and state.clock.now() < deadline:
+        yield task.deferLater(reactor, 0.05, lambda: None)
+    yield heartbeat(state)
+    log.info("drained", left=state.load())
+
+
+def run(reactor, settings, counters):
+    """Start an agent: its thrift server and its heartbeats; returns its state."""
+    state = State.from_config(settings, reactor, counters)
+    rpc.serve(
+        reactor, Agent.Processor(Handler(state, reactor)), settings.port, settings.host
+    )
+    heartbeats(reactor, state)
+    log.info("started", endpoint_id=settings.endpoint_id, zone=settings.zone)
+    return state
--- /dev/null
+++ b/dunlinpoint/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines: the ``dunlinpoint`` daemon and the ``dunlinctl`` operator tool."""
--- /dev/null
+++ b/dunlinpoint/cli/checks.py
@@ -0,0 +1,71 @@
+"""Checks of settings given as flags or environment variables.
+
+Each check turns a raw string into a value or raises :class:`SettingError`
+naming the setting, what was given and what is wanted, so a daemon with a
+bad setting stops at once with one clear line instead of failing later.
+"""
+
+import os
+
+
+class SettingError(ValueError):
+    """A setting with a value that cannot be used."""
+
+
+def port(value, name="port"):
+    """A TCP port number (1-65535) from *value*."""
+    try:
+        number = int(value)
+    except (TypeError, ValueError):
+        raise SettingError(f"{name}: {value!r} is not a port number") from None
+    if not 1 <= number <= 65535:
+        raise SettingError(f"{name}: {number} is not within 1-65535")
+    return number
+
+
+def address(value, name="address"):
+    """``(host, port)`` from ``"host:port"``."""
+    host, sep, number = str(value).rpartition(":")
+    if not sep or not host:
+        raise SettingError(f"{name}: {value!r} is not host:port")
+    return host, port(number, name)
+
+
+def addresses(value, name="addresses"):
+    """A list of ``(host, port)`` from ``"h:p,h:p"``; at least one."""
+    items = [item.strip() for item in str(value).split(",") if item.strip()]
+    if not items:
+        raise SettingError(f"{name}: at least one host:port is needed")
+    return [address(item, name) for item in items]
+
+
+def optional_addresses(value, name="addresses"):
+    """Like :func:`addresses`, but an empty value gives ``[]``."""
+    return addresses(value, name) if str(value or "").strip() else []
+
+
+def name(value, setting):
+    """A non-empty name without spaces."""
+    text = str(value or "").strip()
+    if not text or " " in text:
+        raise SettingError(f"{setting}: {value!r} must be a non-empty word")
+    return text
+
+
+def folder(value, setting="data"):
+    """A data folder that exists or can be made, or ``None`` for none."""
+    if not value:
+        return None
+    try:
+        os.makedirs(value, exist_ok=True)
+    except OSError as exc:
+        raise SettingError(f"{setting}: cannot use {value!r}: {exc}") from None
+    return value
+
+
+def choice(value, allowed, setting):
+    """*value* if it is one of *allowed*."""
+    if value not in allowed:
+        wanted = ", ".join(sorted(allowed))
+        raise SettingError(f"{setting}: {value!r} is not one of {wanted}")
+    return value
--- /dev/null
+++ b/dunlinpoint/cli/daemon.py
@@ -0,0 +1,242 @@
+"""The ``dunlinpoint`` daemon: one process, its role chosen by subcommand.
+
+Roles: ``entry``, ``agent``, ``control``, and the stand-ins ``engine``,
+``service``, ``weights``, and the fault-injecting ``proxy``. Every setting is
+a flag with an environment variable beside it (``DUNLIN_<NAME>``); all are
+checked before the process listens, and a bad one stops it with exit code 2
+and a line naming the setting.
+
+SIGTERM is a planned stop: the process stops taking work, lets what is in
+flight finish, tells control, and exits.
+"""
+
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from twisted.internet import defer, reactor, task
+from twisted.web import server
+
+from dunlinpoint import logs, metrics
+from dunlinpoint.agent import server as agent_server
+from dunlinpoint.cli import checks
+from dunlinpoint.control import server as control_server
+from dunlinpoint.entry import app as entry_app
+from dunlinpoint.standins import engine as engine_standin
+from dunlinpoint.standins import service as service_standin
+from dunlinpoint.standins import weights as weights_standin
+
+ENTRY_DRAIN_MS = 30000
+
+
+def flag(env, help, default=None):
+    """A long flag with environment variable *env* behind it."""
+    if default is None:
+        return cappa.Arg(long=True, default=cappa.Env(env), help=help)
+    return cappa.Arg(long=True, default=cappa.Env(env, default=str(default)), help=help)
+
+
+def counters(statsd, prefix):
+    return metrics.Counters.from_config(statsd, prefix)
+
+
+def listen_http(port, host, web):
+    return reactor.listenTCP(port, server.Site(web.resource()), interface=host)
+
+
+@defer.inlineCallbacks
+def wait_idle(busy, deadline_ms):
+    """Wait until ``busy()`` is 0 or *deadline_ms* passed."""
+    waited = 0
+    while busy() and waited < deadline_ms:
+        yield task.deferLater(reactor, 0.05, lambda: None)
+        waited += 50
+
+
+@dataclass
+class Entry:
+    """Callers' HTTP front: routes requests to endpoint agents."""
+
+    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone of this entry")]
+    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port for callers", 8080)]
+    controls: Annotated[str, flag("DUNLIN_CONTROLS", "control host:port list")]
+    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+    statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
+
+    def __call__(self):
+        zone = checks.name(self.zone, "zone")
+        port = checks.port(self.port)
+        controls = checks.addresses(self.controls, "controls")
+        checks.address(self.statsd, "statsd")
+        logs.setup()
+        entry = entry_app.Entry.from_config(
+            reactor, zone, controls, counters(self.statsd, "entry")
+        )
+        entry.view.follow(reactor)
+        listen_http(port, self.host, entry_app.make_app(entry))
+
+        def stop():
+            entry.draining = True
+            return wait_idle(lambda: entry.in_flight, ENTRY_DRAIN_MS)
+
+        reactor.addSystemEventTrigger("before", "shutdown", stop)
+        entry_app.log.info("started", zone=zone, port=port)
+        reactor.run()
+
+
+@dataclass
+class Agent:
+    """The agent beside one endpoint instance."""
+
+    endpoint_id: Annotated[str, flag("DUNLIN_ENDPOINT_ID", "this endpoint's id")]
+    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone of the endpoint")]
+    port: Annotated[str, flag("DUNLIN_PORT", "thrift port for entries")]
+    backend: Annotated[str, flag("DUNLIN_BACKEND", "the local engine or service URL")]
+    controls: Annotated[str, flag("DUNLIN_CONTROLS", "control host:port list")]
+    kind: Annotated[str, flag("DUNLIN_KIND", "engine or service", "engine")]
+    group: Annotated[str, flag("DUNLIN_GROUP", "model group of an engine", "")]
+    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+    incarnation: Annotated[str, flag("DUNLIN_INCARNATION", "restart counter", 0)]
+    statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
+
+    def __call__(self):
+        if not self.backend.startswith("http"):
+            raise checks.SettingError(f"backend: {self.backend!r} is not an http URL")
+        settings = agent_server.Settings(
+            endpoint_id=checks.name(self.endpoint_id, "endpoint-id"),
+            zone=checks.name(self.zone, "zone"),
+            host=self.host,
+            port=checks.port(self.port),
+            kind=checks.choice(self.kind, {"engine", "service"}, "kind"),
+            backend=self.backend.rstrip("/"),
+            controls=checks.addresses(self.controls, "controls"),
+            group=self.group,
+            incarnation=int(self.incarnation),
+        )
+        logs.setup()
+        state = agent_server.run(reactor, settings, counters(self.statsd, "agent"))
+        reactor.addSystemEventTrigger(
+            "before", "shutdown", agent_server.drain, reactor, state
+        )
+        reactor.run()
+
+
+@dataclass
+class Control:
+    """A control instance: document, membership, agreement."""
+
+    control_id: Annotated[str, flag("DUNLIN_CONTROL_ID", "this instance's id")]
+    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
+    port: Annotated[str, flag("DUNLIN_PORT", "thrift port")]
+    index: Annotated[str, flag("DUNLIN_INDEX", "this acceptor's place, 0 up", 0)]
+    peers: Annotated[str, flag("DUNLIN_PEERS", "other controls' host:port", "")]
+    data: Annotated[str, flag("DUNLIN_DATA", "data folder (none: memory only)", "")]
+    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+    statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
+
+    def __call__(self):
+        settings = control_server.Settings(
+            control_id=checks.name(self.control_id, "control-id"),
+            zone=checks.name(self.zone, "zone"),
+            host=self.host,
+            port=checks.port(self.port),
+            data=checks.folder(self.data),
+            peers=checks.optional_addresses(self.peers, "peers"),
+            index=int(self.index),
+        )
+        logs.setup()
+        control_server.run(reactor, settings, counters(self.statsd, "control"))
+        reactor.run()
+
+
+@dataclass
+class Engine:
+    """Stand-in: a model engine, a group of ranks on one expert map."""
+
+    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port")]
+    ranks: Annotated[int, flag("DUNLIN_RANKS", "ranks in the group", 4)]
+    experts: Annotated[int, flag("DUNLIN_EXPERTS", "experts a layer", 16)]
+    ignore_fence: Annotated[
+        bool, cappa.Arg(long=True, default=False, help="obey stale orders")
+    ]
+    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+
+    def __call__(self):
+        settings = engine_standin.Settings(
+            ranks=int(self.ranks),
+            experts=int(self.experts),
+            honours_fence=not self.ignore_fence,
+        )
+        engine = engine_standin.Engine.from_config(settings, reactor)
+        listen_http(checks.port(self.port), self.host, engine_standin.app(engine))
+        reactor.run()
+
+
+@dataclass
+class Service:
+    """Stand-in: a plain service with non-idempotent calls."""
+
+    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port")]
+    record: Annotated[str, flag("DUNLIN_RECORD", "file of executions", "")]
+    delay_ms: Annotated[int, flag("DUNLIN_DELAY_MS", "time a call takes", 0)]
+    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+
+    def __call__(self):
+        service = service_standin.Service(self.record or None, int(self.delay_ms))
+        web = service_standin.app(service, reactor)
+        listen_http(checks.port(self.port), self.host, web)
+        reactor.run()
+
+
+@dataclass
+class Weights:
+    """Stand-in: the rate-limited weight store."""
+
+    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port")]
+    bytes_per_s: Annotated[int, flag("DUNLIN_BYTES_PER_S", "rate", 4_000_000)]
+    expert_bytes: Annotated[int, flag("DUNLIN_EXPERT_BYTES", "size", 1_000_000)]
+    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+
+    def __call__(self):
+        store = weights_standin.Store.from_config(
+            reactor, int(self.bytes_per_s), int(self.expert_bytes)
+        )
+        listen_http(checks.port(self.port), self.host, weights_standin.app(store))
+        reactor.run()
+
+
+@dataclass
+class Proxy:
+    """Fault-injecting TCP proxy for tests, steered over its own HTTP port."""
+
+    listen: Annotated[str, flag("DUNLIN_LISTEN", "port to accept on")]
+    target: Annotated[str, flag("DUNLIN_TARGET", "host:port to forward to")]
+    steer: Annotated[str, flag("DUNLIN_STEER", "HTTP port for fault orders")]
+
+    def __call__(self):
+        from dunlinpoint.faults import proxy
+
+        fault = proxy.Proxy(target=checks.address(self.target, "target"))
+        reactor.listenTCP(checks.port(self.listen, "listen"), proxy.factory(fault))
+        listen_http(checks.port(self.steer, "steer"), "127.0.0.1", proxy.app(fault))
+        reactor.run()
+
+
+@cappa.command(name="dunlinpoint")
+@dataclass
+class Daemon:
+    """dunlinpoint: run one process of the load balancer."""
+
+    role: cappa.Subcommands[
+        Entry | Agent | Control | Engine | Service | Weights | Proxy
+    ]
+
+
+def main(argv=None):
+    """Run the daemon; exit code 2 on a bad setting."""
+    try:
+        cappa.invoke(Daemon, argv=argv)
+    except checks.SettingError as exc:
+        print(f"dunlinpoint: bad setting: {exc}", file=sys.stderr)
+        sys.exit(2)
--- /dev/null
+++ b/dunlinpoint/clock.py
@@ -0,0 +1,30 @@
+"""Time in whole milliseconds, the only clock type in dunlinpoint.
+
+Deadlines, leases and timeouts are ``int`` milliseconds read from a
+:class:`Clock`. It reads the reactor's clock, so tests can drive the same code
+with ``twisted.internet.task.Clock``.
+"""
+
+import attrs
+
+MS_PER_SECOND = 1000
+
+
+@attrs.define
+class Clock:
+    """Milliseconds since an arbitrary start, from a reactor's ``seconds()``."""
+
+    reactor: object
+
+    def now(self):
+        """The current time in milliseconds (``int``)."""
+        return int(self.reactor.seconds() * MS_PER_SECOND)
+
+    def later(self, delay_ms, func, *args):
+        """Call *func* after *delay_ms* milliseconds; returns the delayed call."""
+        return self.reactor.callLater(delay_ms / MS_PER_SECOND, func, *args)
+
+
+def seconds(ms):
+    """Milliseconds as float seconds, for the few library calls that want them."""
+    return ms / MS_PER_SECOND
--- /dev/null
+++ b/dunlinpoint/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' configuration document: its format, validation and errors."""
--- /dev/null
+++ b/dunlinpoint/config/document.py
@@ -0,0 +1,162 @@
+"""The operators' configuration document, format 1.
+
+The console turns an operator's forms into one JSON document::
+
+    {
+      "format": 1,
+      "name": "hoshizora",
+      "groups": [{"name": "planner", "ranks": 4, "experts": 16,
+                  "skew_weight": 0.7}],
+      "services": [{"name": "booking",
+                    "non_idempotent": ["slot_confirm", "slot_release"]}],
+      "workspaces": [{"name": "ws-1", "priority": 1, "max_in_flight": 64}]
+    }
+
+Control assigns the version when it accepts a document; the document itself
+carries none, so an operator cannot write one that looks newer than it is.
+:func:`parse` raises :class:`DocumentError`, an exception group holding one
+:class:`FieldError` per problem, so an operator sees every problem at once.
+"""
+
+import json
+
+import attrs
+import cattrs
+
+FORMAT = 1
+MAX_RANKS = 1024
+MAX_EXPERTS = 4096
+
+
+class FieldError(ValueError):
+    """One problem in a document, at a dotted *path*."""
+
+    def __init__(self, path, problem):
+        super().__init__(f"{path}: {problem}")
+        self.path = path
+        self.problem = problem
+
+
+class DocumentError(ExceptionGroup):
+    """A document that cannot be accepted; ``exceptions`` are ``FieldError``."""
+
+    def __new__(cls, problems):
+        return super().__new__(cls, "invalid document", problems)
+
+    def __init__(self, problems):
+        super().__init__("invalid document", problems)
+
+    def __str__(self):
+        return "; ".join(str(e) for e in self.exceptions)
+
+
+@attrs.frozen
+class Group:
+    """A group of ranks in lock-step on one expert map."""
+
+    name: str
+    ranks: int
+    experts: int
+    skew_weight: float = 0.5
+
+
+@attrs.frozen
+class Service:
+    """A plain service and which of its operations may not be repeated."""
+
+    name: str
+    non_idempotent: list[str] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Workspace:
+    """A customer's workspace, its priority and its limit of requests in flight."""
+
+    name: str
+    priority: int = 0
+    max_in_flight: int = 64
+
+
+@attrs.frozen
+class Document:
+    """One whole configuration, as operators wrote it."""
+
+    format: int
+    name: str
+    groups: list[Group] = attrs.field(factory=list)
+    services: list[Service] = attrs.field(factory=list)
+    workspaces: list[Workspace] = attrs.field(factory=list)
+
+
+converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def _check(doc):
+    problems = []
+    if doc.format != FORMAT:
+        problems.append(FieldError("format", f"must be {FORMAT}, not {doc.format}"))
+    if not doc.name:
+        problems.append(FieldError("name", "must not be empty"))
+    for field, items in (
+        ("groups", doc.groups),
+        ("services", doc.services),
+        ("workspaces", doc.workspaces),
+    ):
+        names = [item.name for item in items]
+        for name in sorted({n for n in names if names.count(n) > 1}):
+            problems.append(FieldError(field, f"name {name!r} appears twice"))
+    for i, group in enumerate(doc.groups):
+        if not 1 <= group.ranks <= MAX_RANKS:
+            problems.append(
+                FieldError(f"groups[{i}].ranks", f"must be 1 to {MAX_RANKS}")
+            )
+        if not 1 <= group.experts <= MAX_EXPERTS:
+            problems.append(
+                FieldError(f"groups[{i}].experts", f"must be 1 to {MAX_EXPERTS}")
+            )
+        if not 0.0 <= group.skew_weight <= 1.0:
+            problems.append(
+                FieldError(f"groups[{i}].skew_weight", "must be 0.0 to 1.0")
+            )
+    for i, workspace in enumerate(doc.workspaces):
+        if workspace.max_in_flight < 1:
+            problems.append(
+                FieldError(f"workspaces[{i}].max_in_flight", "must be at least 1")
+            )
+    return problems
+
+
+def parse(text):
+    """The ``Document`` in JSON *text*; raises ``DocumentError``."""
+    try:
+        raw = json.loads(text)
+    except ValueError as exc:
+        raise DocumentError([FieldError("$", f"not JSON: {exc}")]) from None
+    if not isinstance(raw, dict):
+        raise DocumentError([FieldError("$", "must be a JSON object")])
+    try:
+        doc = converter.structure(raw, Document)
+    except cattrs.BaseValidationError as exc:
+        messages = cattrs.transform_error(exc, path="$")
+        raise DocumentError([FieldError("$", m) for m in messages]) from None
+    problems = _check(doc)
+    if problems:
+        raise DocumentError(problems)
+    return doc
+
+
+def dump(doc):
+    """*doc* as canonical JSON text (sorted keys)."""
+    return json.dumps(converter.unstructure(doc), sort_keys=True)
+
+
+DEFAULT = Document(
+    format=FORMAT,
+    name="local",
+    groups=[Group(name="planner", ranks=4, experts=16, skew_weight=0.7)],
+    services=[
+        Service(name="booking", non_idempotent=["slot_confirm", "slot_release"]),
+        Service(name="dues", non_idempotent=["dues_charge"]),
+    ],
+    workspaces=[Workspace(name=f"ws-{i}", priority=i % 3) for i in range(10)],
+)
--- /dev/null
+++ b/dunlinpoint/entry/app.py
@@ -0,0 +1,263 @@
+"""The entry's HTTP interface for callers.
+
+- ``POST /v1/generate`` ``{workspace, prompt, max_tokens, priority}`` streams
+  newline-delimited JSON: ``{"request_id", "i", "t"}`` per token, then one
+  final line ``{"request_id", "done": true, "outcome": ...}``.
+- ``POST /v1/call/<operation>`` with ``Idempotency-Key`` runs one plain
+  service call.
+- ``GET /v1/status`` shows the zone, the document version and counters.
+
+Answers that end a request early are final and immediate: 503 with
+``Retry-After`` and ``"outcome": "not_run"`` only when no agent started the
+work; 504 with ``"outcome": "unknown"`` when it may have run.
+"""
+
+from __future__ import annotations
+
+import json
+import uuid
+
+import attrs
+from klein import Klein
+from twisted.internet import defer
+
+from dunlinpoint import logs, metrics
+from dunlinpoint.entry import routing, view
+from dunlinpoint.wire import errors, rpc
+from dunlinpoint.wire.gen.dunlin import Agent, ttypes
+
+log = logs.logger("entry")
+
+AGENT_TIMEOUT_MS = 3000
+READ_WAIT_MS = 1000
+START_TRIES = 3
+READ_TRIES = 5
+RETRY_AFTER_S = 1
+
+
+@attrs.define
+class Entry:
+    """An entry's state: its view, links to agents by address, counters."""
+
+    reactor: object
+    zone: str
+    view: view.View
+    counters: metrics.Counters
+    links_by_address: dict = attrs.field(factory=dict)
+    in_flight: int = 0
+    draining: bool = False
+
+    @classmethod
+    def from_config(cls, reactor, zone, controls, counters):
+        """An entry in *zone* following the controls at *controls*."""
+        return cls(
+            reactor, zone, view.View.from_config(reactor, zone, controls), counters
+        )
+
+    def link(self, member):
+        """The thrift link to *member*'s agent."""
+        address = (member.host, member.port)
+        link = self.links_by_address.get(address)
+        if link is None:
+            link = rpc.Link(self.reactor, *address, Agent.Client, AGENT_TIMEOUT_MS)
+            self.links_by_address[address] = link
+        return link
+
+
+def final(request, status, body, retry_after_s=None):
+    """Write a final JSON answer with *status*."""
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/json")
+    if retry_after_s is not None:
+        request.setHeader("retry-after", str(retry_after_s))
+    return json.dumps(body).encode()
+
+
+@defer.inlineCallbacks
+def start(entry, order):
+    """Start *order* on some engine agent; the member that took it, or ``None``.
+
+    Only certain refusals and failed connections are retried on another
+    agent: the work did not start there. A lost answer to ``start`` is
+    retried on the same agent, where starting is idempotent by request id.
+    """
+    tried = set()
+    for _ in range(START_TRIES):
+        members = routing.engines(
+            entry.view.live("engine"), entry.zone, order.prompt, tried
+        )
+        if not members:
+            break
+        member = members[0]
+        tried.add(member.endpoint_id)
+        for _ in range(2):
+            try:
+                yield entry.link(member).call("start", order)
+                return member
+            except ttypes.Refused as refused:
+                entry.counters.retried(refused.reason)
+                break
+            except errors.NotSent:
+                entry.counters.retried("agent_unreachable")
+                break
+            except errors.Lost:
+                entry.counters.retried("start_lost")
+        else:
+            return member
+    return None
+
+
+def make_app(entry):
+    """The Klein app of *entry*."""
+    web = Klein()
+
+    @web.route("/v1/generate", methods=["POST"])
+    @defer.inlineCallbacks
+    def generate(request):
+        if entry.draining:
+            entry.counters.refused("draining")
+            return final(request, 503, {"outcome": "not_run"}, RETRY_AFTER_S)
+        body = json.loads(request.content.read() or b"{}")
+        request_id = request.getHeader("x-request-id") or uuid.uuid4().hex
+        order = ttypes.GenerateOrder(
+            request_id=request_id,
+            workspace=body.get("workspace", ""),
+            prompt=body.get("prompt", ""),
+            max_tokens=int(body.get("max_tokens", 16)),
+            priority=int(body.get("priority", 0)),
+            deadline_ms=0,
+        )
+        entry.in_flight += 1
+        try:
+            member = yield start(entry, order)
+            if member is None:
+                entry.counters.refused("no_engine")
+                answer = {"request_id": request_id, "outcome": "not_run"}
+                return final(request, 503, answer, RETRY_AFTER_S)
+            request.setHeader("content-type", "application/x-ndjson")
+            request.setHeader("x-request-id", request_id)
+            last = yield relay(entry, request, member, request_id)
+            return json.dumps(last).encode() + b"\n"
+        finally:
+            entry.in_flight -= 1
+
+    @web.route("/v1/call/<operation>", methods=["POST"])
+    @defer.inlineCallbacks
+    def call(request, operation):
+        if entry.draining:
+            entry.counters.refused("draining")
+            return final(request, 503, {"outcome": "not_run"}, RETRY_AFTER_S)
+        request_id = request.getHeader("x-request-id") or uuid.uuid4().hex
+        key = request.getHeader("idempotency-key") or ""
+        order = ttypes.CallOrder(
+            request_id=request_id,
+            operation=operation,
+            idempotency_key=key,
+            body_json=(request.content.read() or b"{}").decode(),
+        )
+        entry.in_flight += 1
+        try:
+            status, answer, retry = yield call_service(entry, order)
+        finally:
+            entry.in_flight -= 1
+        answer["request_id"] = request_id
+        return final(request, status, answer, retry)
+
+    @web.route("/v1/status", methods=["GET"])
+    def status(request):
+        request.setHeader("content-type", "application/json")
+        return json.dumps(
+            {
+                "zone": entry.zone,
+                "document_version": entry.view.document.version,
+                "members": len(entry.view.by_id),
+                "counters": entry.counters.snapshot(),
+            }
+        )
+
+    return web
+
+
+@defer.inlineCallbacks
+def relay(entry, request, member, request_id):
+    """Copy the stream of *request_id* to the caller; the final line's dict.
+
+    Each piece is checked for its request id and offset before it is
+    written: a late or repeated read answer carries an offset already sent
+    and is dropped, so the caller sees its own tokens once each, in order.
+    """
+    offset = 0
+    failures = 0
+    link = entry.link(member)
+    while True:
+        try:
+            chunk = yield link.call("read", request_id, offset, READ_WAIT_MS)
+        except (errors.WireError, ttypes.Refused) as exc:
+            failures += 1
+            entry.counters.retried("read_failed")
+            if failures >= READ_TRIES:
+                entry.counters.incr("gave_up.read")
+                return {
+                    "request_id": request_id,
+                    "done": True,
+                    "outcome": "unknown",
+                    "tokens": offset,
+                    "error": str(exc),
+                }
+            continue
+        failures = 0
+        if chunk.request_id != request_id or chunk.offset != offset:
+            entry.counters.incr("dropped.mismatched_chunk")
+            continue
+        for token in chunk.tokens:
+            line = {"request_id": request_id, "i": offset, "t": token}
+            request.write(json.dumps(line).encode() + b"\n")
+            offset += 1
+        if chunk.done:
+            outcome = "error" if chunk.error else "done"
+            entry.counters.incr(f"answered.{outcome}")
+            return {
+                "request_id": request_id,
+                "done": True,
+                "outcome": outcome,
+                "tokens": offset,
+                "error": chunk.error,
+            }
+
+
+@defer.inlineCallbacks
+def call_service(entry, order):
+    """Route one service call; ``(status, answer dict, retry_after or None)``."""
+    members = entry.view.live("service")
+    key = order.idempotency_key or order.request_id
+    member = routing.owner(members, entry.zone, key)
+    if member is None:
+        entry.counters.refused("no_service")
+        return 503, {"outcome": "not_run"}, RETRY_AFTER_S
+    try:
+        result = yield entry.link(member).call("call", order)
+    except ttypes.Refused as refused:
+        entry.counters.refused(refused.reason)
+        retry = (
+            max(1, refused.retry_after_ms // 1000) if refused.retry_after_ms else None
+        )
+        status = 400 if refused.retry_after_ms == 0 else 503
+        return status, {"outcome": "not_run", "reason": refused.reason}, retry
+    except errors.NotSent:
+        entry.counters.refused("agent_unreachable")
+        return 503, {"outcome": "not_run"}, RETRY_AFTER_S
+    except errors.Lost:
+        entry.counters.incr("gave_up.call_lost")
+        return 504, {"outcome": "unknown", "key": key}, RETRY_AFTER_S
+    if result.outcome == "done":
+        entry.counters.incr("answered.call")
+        return (
+            result.status,
+            {"outcome": "done", "body": json.loads(result.body_json)},
+            None,
+        )
+    if result.outcome == "not_run":
+        entry.counters.refused("service_unreachable")
+        return 503, {"outcome": "not_run"}, RETRY_AFTER_S
+    entry.counters.incr("answered.unknown")
+    return 504, {"outcome": "unknown", "key": key}, RETRY_AFTER_S
--- /dev/null
+++ b/dunlinpoint/entry/routing.py
@@ -0,0 +1,40 @@
+"""Which agent gets a request.
+
+- Model requests go to the least loaded live engine agent of the entry's own
+  zone (other zones only when it has none), ties broken by rendezvous hash of
+  the prompt's prefix so that repeated prefixes meet a warm cache.
+- Plain-service calls go to the owner of their idempotency key by rendezvous
+  hash over the live service agents: every entry sends one key to one agent,
+  whose key table then keeps the call at most once.
+"""
+
+import hashlib
+
+PREFIX_CHARS = 32
+
+
+def score(key, endpoint_id):
+    """Rendezvous weight of *key* on *endpoint_id* (``int``, 64 bits)."""
+    digest = hashlib.blake2b(f"{key}|{endpoint_id}".encode(), digest_size=8)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def local_first(members, zone):
+    """Members of *zone*, or all of them when the zone has none."""
+    own = [m for m in members if m.zone == zone]
+    return own or list(members)
+
+
+def engines(members, zone, prompt, exclude=()):
+    """Engine agents in the order to try for *prompt*."""
+    pool = [m for m in local_first(members, zone) if m.endpoint_id not in exclude]
+    prefix = prompt[:PREFIX_CHARS]
+    return sorted(pool, key=lambda m: (m.load, -score(prefix, m.endpoint_id)))
+
+
+def owner(members, zone, key):
+    """The service agent that owns *key*, or ``None``."""
+    pool = local_first(members, zone)
+    if not pool:
+        return None
+    return max(pool, key=lambda m: score(key, m.endpoint_id))
--- /dev/null
+++ b/dunlinpoint/lab/deploy.py
@@ -0,0 +1,183 @@
+"""The processes of one local deployment on loopback.
+
+A profile names zones and how many entries, engine agents and service
+agents each has, and how many control instances there are (with disks).
+Every process gets free ports from the kernel, its own log file under the
+deployment's folder, and is stopped by its pid.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import attrs
+
+READY_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 20
+
+
+def free_port():
+    """A TCP port on 127.0.0.1 that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def listening(port):
+    """Whether something accepts connections on 127.0.0.1:*port*."""
+    try:
+        with socket.create_connection(("127.0.0.1", port), timeout=0.2):
+            return True
+    except OSError:
+        return False
+
+
+@attrs.define
+class Process:
+    """One started process of the deployment."""
+
+    name: str
+    argv: list
+    port: int
+    log_path: str
+    popen: subprocess.Popen | None = None
+
+    def start(self):
+        log = open(self.log_path, "ab")
+        self.popen = subprocess.Popen(
+            [sys.executable, "-m", "dunlinpoint", *self.argv],
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+        log.close()
+
+    def signal(self, number):
+        if self.popen is not None and self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def wait(self, timeout_s=STOP_TIMEOUT_S):
+        """The exit code, or ``None`` if it is still running after *timeout_s*."""
+        try:
+            return self.popen.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+
+@attrs.define
+class Deployment:
+    """Processes by name, and the addresses callers and tools need."""
+
+    folder: str
+    by_name: dict = attrs.field(factory=dict)
+    controls: list = attrs.field(factory=list)
+    entries_by_zone: dict = attrs.field(factory=dict)
+
+    @classmethod
+    def from_profile(cls, profile, folder):
+        """A deployment laid out from *profile* (dict), not yet started."""
+        os.makedirs(folder, exist_ok=True)
+        deployment = cls(folder)
+        zones = profile["zones"]
+        control_ports = [free_port() for _ in range(profile.get("controls", 3))]
+        deployment.controls = [("127.0.0.1", p) for p in control_ports]
+        controls_flag = ",".join(f"127.0.0.1:{p}" for p in control_ports)
+        for i, port in enumerate(control_ports):
+            peers = ",".join(
+                f"127.0.0.1:{p}" for j, p in enumerate(control_ports) if j != i
+            )
+            deployment.add(
+                f"control-{i}",
+                port,
+                ["control", "--control-id", f"c{i}", "--zone", zones[i % len(zones)]]
+                + ["--port", str(port), "--index", str(i), "--peers", peers]
+                + ["--data", os.path.join(folder, f"control-{i}")],
+            )
+        for zone in zones:
+            for i in range(profile.get("engines", 2)):
+                deployment.add_endpoint(zone, "engine", i, controls_flag, profile)
+            for i in range(profile.get("services", 1)):
+                deployment.add_endpoint(zone, "service", i, controls_flag, profile)
+            for i in range(profile.get("entries", 1)):
+                port = free_port()
+                deployment.entries_by_zone.setdefault(zone, []).append(port)
+                deployment.add(
+                    f"entry-{zone}-{i}",
+                    port,
+                    ["entry", "--zone", zone, "--port", str(port)]
+                    + ["--controls", controls_flag],
+                )
+        return deployment
+
+    def add(self, name, port, argv):
+        log_path = os.path.join(self.folder, f"{name}.log")
+        self.by_name[name] = Process(name, argv, port, log_path)
+
+    def add_endpoint(self, zone, kind, i, controls_flag, profile):
+        backend_port = free_port()
+        name = f"{kind}-{zone}-{i}"
+        if kind == "engine":
+            argv = ["engine", "--port", str(backend_port)]
+            argv += ["--ranks", str(profile.get("ranks", 4))]
+            argv += ["--experts", str(profile.get("experts", 16))]
+        else:
+            record = os.path.join(self.folder, f"{name}.executions")
+            argv = ["service", "--port", str(backend_port), "--record", record]
+        self.add(f"{name}-backend", backend_port, argv)
+        port = free_port()
+        self.add(
+            f"agent-{name}",
+            port,
+            ["agent", "--endpoint-id", name, "--zone", zone, "--port", str(port)]
+            + ["--kind", kind, "--backend", f"http://127.0.0.1:{backend_port}"]
+            + ["--controls", controls_flag, "--group", "planner"],
+        )
+
+    def start(self):
+        """Start every process and wait until each listens."""
+        for process in self.by_name.values():
+            process.start()
+        self.wait_listening(self.by_name.values())
+
+    def wait_listening(self, processes):
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        for process in processes:
+            while not listening(process.port):
+                if process.popen.poll() is not None:
+                    raise RuntimeError(f"{process.name} exited: see {process.log_path}")
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{process.name} is not listening")
+                time.sleep(0.05)
+
+    def restart(self, name):
+        """Start process *name* again after it stopped."""
+        process = self.by_name[name]
+        process.start()
+        self.wait_listening([process])
+
+    def stop(self, name, number=signal.SIGTERM):
+        """Send *number* to process *name*; its exit code once it ends."""
+        process = self.by_name[name]
+        process.signal(number)
+        return process.wait()
+
+    def stop_all(self):
+        """End every process this deployment started, by pid."""
+        for process in self.by_name.values():
+            process.signal(signal.SIGTERM)
+        for process in self.by_name.values():
+            if process.popen is not None and process.wait(5) is None:
+                process.signal(signal.SIGKILL)
+                process.wait(5)
+
+    def executions(self):
+        """Every execution the service stand-ins recorded, in file order."""
+        found = []
+        for name in sorted(os.listdir(self.folder)):
+            if name.endswith(".executions"):
+                with open(os.path.join(self.folder, name)) as record:
+                    found += [json.loads(line) for line in record if line.strip()]
+        return found
--- /dev/null
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -0,0 +1,127 @@
+// Messages between dunlinpoint's own processes: entry -> agent, agent and
+// entry -> control, control <-> control. Times are milliseconds, versions and
+// fencing numbers are counters that only grow. Generated Python lives in
+// dunlinpoint/wire/gen and is committed; regenerate with
+//   thrift --gen py:twisted -out dunlinpoint/wire/gen dunlinpoint/wire/dunlin.thrift
+
+namespace py dunlin
+
+// A refusal that is certain: the work did not start. retry_after_ms says when
+// the caller may come back.
+exception Refused {
+  1: string reason,
+  2: i64 retry_after_ms,
+}
+
+// -- entry -> agent ---------------------------------------------------------
+
+struct GenerateOrder {
+  1: string request_id,
+  2: string workspace,
+  3: string prompt,
+  4: i32 max_tokens,
+  5: i32 priority,
+  6: i64 deadline_ms,
+}
+
+// One piece of a streamed answer. offset counts tokens already sent before
+// this piece, so the reader can tell a late or repeated piece from the next.
+struct Chunk {
+  1: string request_id,
+  2: i32 offset,
+  3: list<string> tokens,
+  4: bool done,
+  5: string error,
+}
+
+struct CallOrder {
+  1: string request_id,
+  2: string operation,
+  3: string idempotency_key,
+  4: string body_json,
+}
+
+// outcome is one of "done", "not_run", "unknown".
+struct CallResult {
+  1: string request_id,
+  2: string outcome,
+  3: string body_json,
+  4: i32 status,
+}
+
+service Agent {
+  void start(1: GenerateOrder order) throws (1: Refused refused),
+  Chunk read(1: string request_id, 2: i32 offset, 3: i32 wait_ms) throws (1: Refused refused),
+  void cancel(1: string request_id),
+  CallResult call(1: CallOrder order) throws (1: Refused refused),
+}
+
+// -- agent, entry, operator tool -> control ---------------------------------
+
+struct Heartbeat {
+  1: string endpoint_id,
+  2: string zone,
+  3: string host,
+  4: i32 port,
+  5: string kind,
+  6: i64 load,
+  7: bool draining,
+  8: i64 config_version,
+  9: i64 incarnation,
+  10: string group,
+}
+
+struct Member {
+  1: string endpoint_id,
+  2: string zone,
+  3: string host,
+  4: i32 port,
+  5: string kind,
+  6: i64 load,
+  7: bool draining,
+  8: i64 lease_left_ms,
+  9: string group,
+}
+
+// The configuration document in force at one control instance.
+struct Document {
+  1: i64 version,
+  2: string change_id,
+  3: string body_json,
+}
+
+struct HeartbeatReply {
+  1: i64 lease_ms,
+  2: Document document,
+}
+
+struct View {
+  1: list<Member> members,
+  2: Document document,
+  3: string control_id,
+}
+
+struct ApplyResult {
+  1: bool accepted,
+  2: i64 version,
+  3: string reason,
+}
+
+// -- control <-> control: one agreement round per document version ----------
+
+struct Promise {
+  1: bool ok,
+  2: i64 promised,
+  3: i64 accepted_ballot,
+  4: Document accepted,
+  5: Document committed,
+}
+
+service Control {
+  HeartbeatReply heartbeat(1: Heartbeat beat) throws (1: Refused refused),
+  View view(1: string zone),
+  ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
+  Promise prepare(1: i64 version, 2: i64 ballot),
+  bool accept(1: i64 version, 2: i64 ballot, 3: Document document),
+  void learn(1: Document document),
+}
--- /dev/null
+++ b/dunlinpoint/wire/errors.py
@@ -0,0 +1,16 @@
+"""Errors of the wire layer: what a caller can know about a failed call."""
+
+
+class WireError(Exception):
+    """A call between our processes did not get an answer."""
+
+
+class NotSent(WireError):
+    """The call never left: no connection could be made. The peer did nothing."""
+
+
+class Lost(WireError):
+    """The call was sent but no answer came (connection lost or timeout).
+
+    The peer may or may not have acted on it.
+    """
--- /dev/null
+++ b/dunlinpoint/wire/gen/dunlin/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Agent', 'Control']
--- /dev/null
+++ b/dunlinpoint/wire/rpc.py
@@ -0,0 +1,126 @@
+"""Thrift links and servers over TCP on the Twisted reactor.
+
+A :class:`Link` is one lazily opened connection to a peer's service; calls on
+it return Deferreds that fail only with :mod:`dunlinpoint.wire.errors` or the
+service's own declared exceptions (``Refused``).
+"""
+
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTwisted
+from twisted.internet import defer, endpoints, error
+
+from dunlinpoint import clock
+from dunlinpoint.wire import errors
+
+CONNECT_TIMEOUT_MS = 1000
+PROTOCOL = TBinaryProtocol.TBinaryProtocolAcceleratedFactory()
+
+
+def serve(reactor, processor, port, host="127.0.0.1"):
+    """Listen on *host*:*port* for thrift calls handled by *processor*."""
+    factory = TTwisted.ThriftServerFactory(processor, PROTOCOL)
+    return reactor.listenTCP(port, factory, interface=host)
+
+
+class Link:
+    """One connection to a thrift service at ``host:port``, reopened after loss.
+
+    Calls that find no connection fail with ``NotSent``; calls whose
+    connection drops or whose answer takes longer than *timeout_ms* fail with
+    ``Lost``. A late answer after a timeout is dropped by the client: the
+    request stays registered until then, so the thrift client never meets a
+    reply it does not know, which would otherwise close the connection for
+    every call sharing it.
+    """
+
+    def __init__(self, reactor, host, port, client_class, timeout_ms):
+        self.reactor = reactor
+        self.host = host
+        self.port = port
+        self.client_class = client_class
+        self.timeout_ms = timeout_ms
+        self._protocol = None
+        self._connecting = None
+
+    @property
+    def address(self):
+        """``"host:port"`` of the peer."""
+        return f"{self.host}:{self.port}"
+
+    def _connect(self):
+        if self._protocol is not None and self._protocol.client is not None:
+            return defer.succeed(self._protocol.client)
+        if self._connecting is None:
+            endpoint = endpoints.TCP4ClientEndpoint(
+                self.reactor,
+                self.host,
+                self.port,
+                timeout=clock.seconds(CONNECT_TIMEOUT_MS),
+            )
+            protocol = TTwisted.ThriftClientProtocol(self.client_class, PROTOCOL)
+            self._connecting = endpoints.connectProtocol(endpoint, protocol)
+            self._connecting.addBoth(self._connected)
+        waiter = defer.Deferred()
+        self._connecting.addBoth(lambda result: (waiter.callback(result), result)[1])
+        return waiter
+
+    def _connected(self, result):
+        self._connecting = None
+        if isinstance(result, TTwisted.ThriftClientProtocol):
+            self._protocol = result
+            return result.client
+        return errors.NotSent(f"{self.address}: {result.getErrorMessage()}")
+
+    def call(self, method, *args, timeout_ms=None):
+        """Call *method* on the peer; a Deferred of its result."""
+        outer = defer.Deferred()
+        timeout_ms = self.timeout_ms if timeout_ms is None else timeout_ms
+        timer = self.reactor.callLater(
+            clock.seconds(timeout_ms),
+            self._give_up,
+            outer,
+            errors.Lost(f"{self.address}: {method} timed out after {timeout_ms} ms"),
+        )
+
+        def send(client):
+            if isinstance(client, errors.NotSent):
+                raise client
+            if client is None:
+                raise errors.NotSent(f"{self.address}: connection closed")
+            return getattr(client, method)(*args)
+
+        def done(result):
+            if timer.active():
+                timer.cancel()
+            if not outer.called:
+                outer.callback(result)
+
+        def failed(failure):
+            if timer.active():
+                timer.cancel()
+            if outer.called:
+                return None
+            if failure.check(errors.WireError):
+                outer.errback(failure)
+            elif failure.check(
+                TTwisted.TTransport.TTransportException, error.ConnectionDone
+            ):
+                outer.errback(errors.Lost(f"{self.address}: {method}: connection lost"))
+            else:
+                outer.errback(failure)
+            return None
+
+        d = self._connect()
+        d.addCallback(send)
+        d.addCallbacks(done, failed)
+        return outer
+
+    def _give_up(self, outer, exc):
+        if not outer.called:
+            outer.errback(exc)
+
+    def close(self):
+        """Drop the connection; later calls open a new one."""
+        if self._protocol is not None and self._protocol.transport is not None:
+            self._protocol.transport.loseConnection()
+        self._protocol = None
--- /dev/null
+++ b/tests/integration/conftest.py
@@ -0,0 +1,46 @@
+"""A local deployment of real processes for each integration test module."""
+
+import time
+
+import pytest
+
+from dunlinpoint.lab import client, deploy
+
+SMALL = {
+    "zones": ["z1", "z2"],
+    "controls": 3,
+    "entries": 1,
+    "engines": 2,
+    "services": 1,
+}
+
+
+def wait_for(check, timeout_s=15, every_s=0.05):
+    """Wait until ``check()`` is true; its value, or fail the test at the bound."""
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        value = check()
+        if value:
+            return value
+        time.sleep(every_s)
+    raise AssertionError(f"not true within {timeout_s} s: {check}")
+
+
+def members_seen(port):
+    return client.get(port, "/v1/status")["members"]
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    """A started deployment of the SMALL profile; every entry sees all agents."""
+    folder = str(tmp_path_factory.mktemp("deployment"))
+    running = deploy.Deployment.from_profile(SMALL, folder)
+    running.start()
+    agents = sum(1 for name in running.by_name if name.startswith("agent-"))
+    try:
+        for ports in running.entries_by_zone.values():
+            for port in ports:
+                wait_for(lambda port=port: members_seen(port) >= agents)
+        yield running
+    finally:
+        running.stop_all()
