--- /dev/null
+++ b/dunlinpoint/cli/ctl.py
@@ -0,0 +1,191 @@
+"""``dunlinctl``: the operators' tool.
+
+- ``dunlinctl validate FILE`` checks a document and lists every problem.
+- ``dunlinctl apply FILE --expect N --controls H:P,...`` proposes the
+  document as the version after ``N``; a change id (``--change-id``, by
+  default the document's hash with ``N``) makes a resend after a lost answer
+  safe: control recognises it instead of applying it twice.
+- ``dunlinctl show --controls ...`` prints each control's version in force.
+- ``dunlinctl members --controls ...`` lists the endpoints control knows.
+
+Exit codes: 0 done, 1 refused (conflict, invalid, no quorum), 2 bad usage.
+"""
+
+import hashlib
+import json
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from twisted.internet import defer, task
+
+from dunlinpoint.cli import checks
+from dunlinpoint.config import document as config
+from dunlinpoint.wire import errors, rpc
+from dunlinpoint.wire.gen.dunlin import Control, ttypes
+
+TIMEOUT_MS = 5000
+
+
+def on_reactor(main):
+    """Run ``main(reactor)`` (a Deferred of an exit code) and exit with it."""
+
+    @defer.inlineCallbacks
+    def run(reactor):
+        code = yield main(reactor)
+        if code:
+            raise SystemExit(code)
+
+    task.react(run)
+
+
+def links(reactor, controls):
+    """Links to every control at *controls* (``"h:p,..."``)."""
+    return [
+        rpc.Link(reactor, host, port, Control.Client, TIMEOUT_MS)
+        for host, port in checks.addresses(controls, "controls")
+    ]
+
+
+def controls_flag():
+    return cappa.Arg(
+        long=True, default=cappa.Env("DUNLIN_CONTROLS"), help="host:port,..."
+    )
+
+
+@dataclass
+class Validate:
+    """Check a document file and print every problem."""
+
+    file: str
+
+    def __call__(self):
+        with open(self.file) as source:
+            text = source.read()
+        try:
+            config.parse(text)
+        except config.DocumentError as exc:
+            for problem in exc.exceptions:
+                print(problem)
+            sys.exit(1)
+        print("valid")
+
+
+def change_id_of(text, expected):
+    return hashlib.sha256(f"{expected}\n{text}".encode()).hexdigest()[:24]
+
+
+@dataclass
+class Apply:
+    """Propose a document as the version after --expect."""
+
+    file: str
+    expect: Annotated[int, cappa.Arg(long=True, help="version it was written on")]
+    controls: Annotated[str, controls_flag()]
+    change_id: Annotated[str, cappa.Arg(long=True, default="", help="resend key")]
+
+    def __call__(self):
+        with open(self.file) as source:
+            text = source.read()
+        try:
+            body = config.dump(config.parse(text))
+        except config.DocumentError as exc:
+            print(f"invalid: {exc}")
+            sys.exit(1)
+        change_id = self.change_id or change_id_of(body, self.expect)
+        on_reactor(lambda reactor: self.send(reactor, change_id, body))
+
+    @defer.inlineCallbacks
+    def send(self, reactor, change_id, body):
+        """Try each control in turn until one answers."""
+        reasons = []
+        for link in links(reactor, self.controls):
+            try:
+                result = yield link.call("apply", self.expect, change_id, body)
+            except ttypes.Refused as refused:
+                reasons.append(f"{link.address}: {refused.reason}")
+                continue
+            except errors.WireError as exc:
+                reasons.append(f"{link.address}: {exc}")
+                continue
+            answer = {"accepted": result.accepted, "version": result.version}
+            answer.update(reason=result.reason, change_id=change_id)
+            print(json.dumps(answer))
+            return 0 if result.accepted else 1
+        print(json.dumps({"accepted": False, "reasons": reasons}))
+        return 1
+
+
+@defer.inlineCallbacks
+def views(reactor, controls):
+    """``(address, View or error)`` from every control."""
+    found = []
+    for link in links(reactor, controls):
+        try:
+            shown = yield link.call("view", "")
+        except errors.WireError as exc:
+            shown = exc
+        found.append((link.address, shown))
+    return found
+
+
+@dataclass
+class Show:
+    """Print the version in force at each control."""
+
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        on_reactor(self.show)
+
+    @defer.inlineCallbacks
+    def show(self, reactor):
+        for address, shown in (yield views(reactor, self.controls)):
+            if isinstance(shown, Exception):
+                print(json.dumps({"control": address, "error": str(shown)}))
+                continue
+            line = {"control": address, "id": shown.control_id}
+            line["version"] = shown.document.version
+            line["members"] = len(shown.members)
+            print(json.dumps(line))
+        return 0
+
+
+@dataclass
+class Members:
+    """List the endpoints each control knows."""
+
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        on_reactor(self.members)
+
+    @defer.inlineCallbacks
+    def members(self, reactor):
+        for address, shown in (yield views(reactor, self.controls)):
+            if isinstance(shown, Exception):
+                continue
+            for member in shown.members:
+                line = {"control": address, "endpoint_id": member.endpoint_id}
+                line.update(zone=member.zone, kind=member.kind)
+                line.update(draining=member.draining, version=member.config_version)
+                print(json.dumps(line))
+        return 0
+
+
+@cappa.command(name="dunlinctl")
+@dataclass
+class Ctl:
+    """dunlinctl: steer dunlinpoint through its configuration document."""
+
+    command: cappa.Subcommands[Validate | Apply | Show | Members]
+
+
+def main(argv=None):
+    """Run the operators' tool."""
+    try:
+        cappa.invoke(Ctl, argv=argv)
+    except checks.SettingError as exc:
+        print(f"dunlinctl: bad setting: {exc}", file=sys.stderr)
+        sys.exit(2)
--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -56,6 +56,7 @@
                 draining=b.draining,
                 lease_left_ms=lease.expires_ms - now,
                 group=b.group,
+                config_version=b.config_version,
             )
             for lease in self.by_id.values()
             if lease.expires_ms > now
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -81,6 +81,7 @@
   7: bool draining,
   8: i64 lease_left_ms,
   9: string group,
+  10: i64 config_version,
 }
 
 // The configuration document in force at one control instance.
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -671,11 +671,12 @@
      - draining
      - lease_left_ms
      - group
+     - config_version
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -685,6 +686,7 @@
         self.draining = draining
         self.lease_left_ms = lease_left_ms
         self.group = group
+        self.config_version = config_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -740,6 +742,11 @@
                     self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -786,6 +793,10 @@
             oprot.writeFieldBegin('group', TType.STRING, 9)
             oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
             oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 10)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1288,6 +1299,7 @@
     (7, TType.BOOL, 'draining', None, None, ),  # 7
     (8, TType.I64, 'lease_left_ms', None, None, ),  # 8
     (9, TType.STRING, 'group', 'UTF8', None, ),  # 9
+    (10, TType.I64, 'config_version', None, None, ),  # 10
 )
 all_structs.append(Document)
 Document.thrift_spec = (
