--- /dev/null
+++ b/dunlinpoint/cli/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m dunlinpoint.cli`` runs the daemon."""
+
+from dunlinpoint.cli import daemon
+
+daemon.main()
--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -189,3 +189,7 @@
     except checks.SettingError as exc:
         print(f"dunlinctl: bad setting: {exc}", file=sys.stderr)
         sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
