Tidy: one settings-error exit for both CLIs, members awaited not slept, no dead proxy role

The role is removed until the proxy exists (docs/PROMISES.md lists it as not built). - duplicates showed both mains repeating the SettingError catch; it is now cli.checks.invoke. - The lab slept a fixed 1.5 s before sending load; it now waits, bounded at 15 s, until every entry sees every agent.

--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -24,11 +24,13 @@
     deployment = deploy.Deployment.from_profile(profile, tempfile.mkdtemp())
     deployment.start()
     try:
-        time.sleep(1.5)
+        load.wait_members(deployment)
 
         def pids(prefix):
             return [
-                p.popen.pid for n, p in deployment.by_name.items() if n.startswith(prefix)
+                p.popen.pid
+                for n, p in deployment.by_name.items()
+                if n.startswith(prefix)
             ]
 
         roles = {"entry": pids("entry-"), "agent": pids("agent-engine")}
--- a/dunlinpoint/cli/checks.py
+++ b/dunlinpoint/cli/checks.py
@@ -6,6 +6,9 @@
 """
 
 import os
+import sys
+
+import cappa
 
 
 class SettingError(ValueError):
@@ -69,3 +72,12 @@
         wanted = ", ".join(sorted(allowed))
         raise SettingError(f"{setting}: {value!r} is not one of {wanted}")
     return value
+
+
+def invoke(command, argv, program):
+    """Run a cappa *command*; a ``SettingError`` exits 2 with one clear line."""
+    try:
+        cappa.invoke(command, argv=argv)
+    except SettingError as exc:
+        print(f"{program}: bad setting: {exc}", file=sys.stderr)
+        sys.exit(2)
--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -184,11 +184,7 @@
 
 def main(argv=None):
     """Run the operators' tool."""
-    try:
-        cappa.invoke(Ctl, argv=argv)
-    except checks.SettingError as exc:
-        print(f"dunlinctl: bad setting: {exc}", file=sys.stderr)
-        sys.exit(2)
+    checks.invoke(Ctl, argv, "dunlinctl")
 
 
 if __name__ == "__main__":
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -1,7 +1,7 @@
 """The ``dunlinpoint`` daemon: one process, its role chosen by subcommand.
 
 Roles: ``entry``, ``agent``, ``control``, and the stand-ins ``engine``,
-``service``, ``weights``, and the fault-injecting ``proxy``. Every setting is
+``service`` and ``weights``. Every setting is
 a flag with an environment variable beside it (``DUNLIN_<NAME>``); all are
 checked before the process listens, and a bad one stops it with exit code 2
 and a line naming the setting.
@@ -10,7 +10,6 @@
 flight finish, tells control, and exits.
 """
 
-import sys
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -206,37 +205,14 @@
         reactor.run()
 
 
-@dataclass
-class Proxy:
-    """Fault-injecting TCP proxy for tests, steered over its own HTTP port."""
-
-    listen: Annotated[str, flag("DUNLIN_LISTEN", "port to accept on")]
-    target: Annotated[str, flag("DUNLIN_TARGET", "host:port to forward to")]
-    steer: Annotated[str, flag("DUNLIN_STEER", "HTTP port for fault orders")]
-
-    def __call__(self):
-        from dunlinpoint.faults import proxy
-
-        fault = proxy.Proxy(target=checks.address(self.target, "target"))
-        reactor.listenTCP(checks.port(self.listen, "listen"), proxy.factory(fault))
-        listen_http(checks.port(self.steer, "steer"), "127.0.0.1", proxy.app(fault))
-        reactor.run()
-
-
 @cappa.command(name="dunlinpoint")
 @dataclass
 class Daemon:
     """dunlinpoint: run one process of the load balancer."""
 
-    role: cappa.Subcommands[
-        Entry | Agent | Control | Engine | Service | Weights | Proxy
-    ]
+    role: cappa.Subcommands[Entry | Agent | Control | Engine | Service | Weights]
 
 
 def main(argv=None):
     """Run the daemon; exit code 2 on a bad setting."""
-    try:
-        cappa.invoke(Daemon, argv=argv)
-    except checks.SettingError as exc:
-        print(f"dunlinpoint: bad setting: {exc}", file=sys.stderr)
-        sys.exit(2)
+    checks.invoke(Daemon, argv, "dunlinpoint")
--- a/dunlinpoint/faults/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The fault-injecting TCP proxy used by the integration tests."""
--- a/dunlinpoint/lab/load.py
+++ b/dunlinpoint/lab/load.py
@@ -142,6 +142,18 @@
     }
 
 
+def wait_members(deployment, bound_s=15):
+    """Wait until every entry sees every agent, at most *bound_s* seconds."""
+    agents = sum(1 for name in deployment.by_name if name.startswith("agent-"))
+    ports = [p for ps in deployment.entries_by_zone.values() for p in ps]
+    deadline = time.monotonic() + bound_s
+    while time.monotonic() < deadline:
+        if all(client.get(p, "/v1/status")["members"] >= agents for p in ports):
+            return
+        time.sleep(0.05)
+    raise RuntimeError(f"entries did not see {agents} agents in {bound_s} s")
+
+
 def main(argv=None):
     """Parse the tool's flags, run the experiment, print the summary."""
     parser = argparse.ArgumentParser(prog="dunlinpoint-lab")
@@ -155,7 +167,7 @@
     deployment = deploy.Deployment.from_profile(profile, folder)
     deployment.start()
     try:
-        time.sleep(1.5)
+        wait_members(deployment)
         print(json.dumps(summary(deployment, profile, args.requests), indent=2))
     finally:
         deployment.stop_all()
