Key owner chosen over every zone's service agents: a retry via another zone ran twice

Cause: tests/integration/test_at_most_once.py sent a slot_confirm through the z1 entry and the same idempotency key through the z2 entry, as the platform's balancer may do with a retry.

Ruled out: sharing key tables between agents (a new replication path for every call, and still racy); a zone prefix in the key (callers do not control which zone's entry they reach).

While a zone cut hides the owner the call is refused as not run, with Retry-After: at most once goes before availability for non-idempotent calls.

Conclusion: at most once across entries and zones holds for this case.

--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -230,7 +230,7 @@
     """Route one service call; ``(status, answer dict, retry_after or None)``."""
     members = entry.view.live("service")
     key = order.idempotency_key or order.request_id
-    member = routing.owner(members, entry.zone, key)
+    member = routing.owner(members, key)
     if member is None:
         entry.counters.refused("no_service")
         return 503, {"outcome": "not_run"}, RETRY_AFTER_S
--- a/dunlinpoint/entry/routing.py
+++ b/dunlinpoint/entry/routing.py
@@ -4,8 +4,12 @@
   zone (other zones only when it has none), ties broken by rendezvous hash of
   the prompt's prefix so that repeated prefixes meet a warm cache.
 - Plain-service calls go to the owner of their idempotency key by rendezvous
-  hash over the live service agents: every entry sends one key to one agent,
-  whose key table then keeps the call at most once.
+  hash over all live service agents, in every zone: every entry sends one
+  key to one agent, whose key table then keeps the call at most once. The
+  owner is not chosen within the entry's zone, because the platform's
+  balancer may send a retry to another zone's entry, whose zone-local owner
+  would run the call a second time. While a cut hides the owner, the call is
+  refused as not run: at most once goes before availability.
 """
 
 import hashlib
@@ -32,9 +36,8 @@
     return sorted(pool, key=lambda m: (m.load, -score(prefix, m.endpoint_id)))
 
 
-def owner(members, zone, key):
+def owner(members, key):
     """The service agent that owns *key*, or ``None``."""
-    pool = local_first(members, zone)
-    if not pool:
+    if not members:
         return None
-    return max(pool, key=lambda m: score(key, m.endpoint_id))
+    return max(members, key=lambda m: score(key, m.endpoint_id))
--- /dev/null
+++ b/tests/integration/test_at_most_once.py
@@ -0,0 +1,31 @@
+"""Non-idempotent calls run at most once, whichever entry a retry reaches."""
+
+from dunlinpoint.lab import client
+
+
+def runs(deployment, key):
+    return [e for e in deployment.executions() if e["key"] == key]
+
+
+def test_retry_through_another_zone_does_not_run_twice(deployment):
+    # Symptom: a slot is confirmed twice, booking an antenna for two
+    # customers. Sequence: a caller's slot_confirm goes through an entry in
+    # z1; the answer is lost; the platform's balancer sends the retry, with
+    # the same idempotency key, to an entry in z2. Cause: each entry chose
+    # the key's owner among its own zone's service agents only, so the two
+    # tries met two different key tables.
+    z1 = deployment.entries_by_zone["z1"][0]
+    z2 = deployment.entries_by_zone["z2"][0]
+    first = client.call(z1, "slot_confirm", "cross-zone-1", {"slot": "oita-3"})
+    again = client.call(z2, "slot_confirm", "cross-zone-1", {"slot": "oita-3"})
+    assert first.final["outcome"] == again.final["outcome"] == "done"
+    assert again.final["body"] == first.final["body"]
+    assert len(runs(deployment, "cross-zone-1")) == 1
+
+
+def test_missing_key_is_refused_not_run(deployment):
+    port = deployment.entries_by_zone["z1"][0]
+    answer = client.post(port, "/v1/call/dues_charge", {"vessel": "trawler-9"})
+    assert answer.status == 400
+    assert answer.final["outcome"] == "not_run"
+    assert runs(deployment, "") == []
