Fault-injecting proxy in front of agents; lost answers, reordering, cuts, drain proved

Tests (tests/integration/test_faults.py, each opening with symptom, sequence, cause): - a dues charge whose answer is frozen past the entry's timeout is told unknown (504, Retry-After), and the retry after the thaw replays the first answer: 1 execution; - 24 concurrent requests with every engine link reordering by up to 40 ms: all whole, all their own, offsets 0..9 in order; - a stream whose agent link is cut mid-answer ends with a final line within the 5 s bound, tokens contiguous; - SIGTERM on the agent running a 300-token request: it finishes whole, 10 later requests all go elsewhere (no arrival at that engine after the signal), the agent exits 0.

--- a/dunlinpoint/__init__.py
+++ b/dunlinpoint/__init__.py
@@ -12,6 +12,7 @@
 ``config``    the operators' document: format, validation, errors
 ``wire``      thrift messages between our processes, links and servers
 ``standins``  our stand-ins for engines, plain services and the weight store
+``faults``    the fault-injecting TCP proxy used by the integration tests
 ``lab``       launcher, load and experiment tool for a local deployment
 ``cli``       the ``dunlinpoint`` daemon and the ``dunlinctl`` operator tool
 ============  ==============================================================
--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -50,6 +50,7 @@
     backend: str
     controls: list
     group: str = ""
+    announced: tuple | None = None
     drain_timeout_ms: int = 30000
     incarnation: int = 0
 
@@ -285,11 +286,12 @@
 def heartbeat(state):
     """Send one heartbeat; rotate to the next control on failure."""
     settings = state.settings
+    host, port = settings.announced or (settings.host, settings.port)
     beat = ttypes.Heartbeat(
         endpoint_id=settings.endpoint_id,
         zone=settings.zone,
-        host=settings.host,
-        port=settings.port,
+        host=host,
+        port=port,
         kind=settings.kind,
         load=state.load(),
         draining=state.draining,
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -1,7 +1,7 @@
 """The ``dunlinpoint`` daemon: one process, its role chosen by subcommand.
 
 Roles: ``entry``, ``agent``, ``control``, and the stand-ins ``engine``,
-``service`` and ``weights``. Every setting is
+``service``, ``weights``, and the fault-injecting ``proxy``. Every setting is
 a flag with an environment variable beside it (``DUNLIN_<NAME>``); all are
 checked before the process listens, and a bad one stops it with exit code 2
 and a line naming the setting.
@@ -22,6 +22,7 @@
 from dunlinpoint.cli import checks
 from dunlinpoint.control import server as control_server
 from dunlinpoint.entry import app as entry_app
+from dunlinpoint.faults import proxy
 from dunlinpoint.standins import engine as engine_standin
 from dunlinpoint.standins import service as service_standin
 from dunlinpoint.standins import weights as weights_standin
@@ -97,16 +98,24 @@
     group: Annotated[str, flag("DUNLIN_GROUP", "model group of an engine", "")]
     host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
     incarnation: Annotated[str, flag("DUNLIN_INCARNATION", "restart counter", 0)]
+    announce: Annotated[
+        str, flag("DUNLIN_ANNOUNCE", "host:port others reach it at", "")
+    ]
     statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
 
     def __call__(self):
         if not self.backend.startswith("http"):
             raise checks.SettingError(f"backend: {self.backend!r} is not an http URL")
+        port = checks.port(self.port)
+        announced = (self.host, port)
+        if self.announce:
+            announced = checks.address(self.announce, "announce")
         settings = agent_server.Settings(
             endpoint_id=checks.name(self.endpoint_id, "endpoint-id"),
             zone=checks.name(self.zone, "zone"),
             host=self.host,
-            port=checks.port(self.port),
+            port=port,
+            announced=announced,
             kind=checks.choice(self.kind, {"engine", "service"}, "kind"),
             backend=self.backend.rstrip("/"),
             controls=checks.addresses(self.controls, "controls"),
@@ -205,12 +214,31 @@
         reactor.run()
 
 
+@dataclass
+class Proxy:
+    """Fault-injecting TCP proxy for tests, steered over its own HTTP port."""
+
+    listen: Annotated[str, flag("DUNLIN_LISTEN", "port to accept on")]
+    target: Annotated[str, flag("DUNLIN_TARGET", "host:port to forward to")]
+    steer: Annotated[str, flag("DUNLIN_STEER", "HTTP port for fault orders")]
+
+    def __call__(self):
+        fault = proxy.Proxy(target=checks.address(self.target, "target"))
+        fault.reactor = reactor
+        port = checks.port(self.listen, "listen")
+        reactor.listenTCP(port, proxy.factory(fault), interface="127.0.0.1")
+        listen_http(checks.port(self.steer, "steer"), "127.0.0.1", proxy.app(fault))
+        reactor.run()
+
+
 @cappa.command(name="dunlinpoint")
 @dataclass
 class Daemon:
     """dunlinpoint: run one process of the load balancer."""
 
-    role: cappa.Subcommands[Entry | Agent | Control | Engine | Service | Weights]
+    role: cappa.Subcommands[
+        Entry | Agent | Control | Engine | Service | Weights | Proxy
+    ]
 
 
 def main(argv=None):
--- /dev/null
+++ b/dunlinpoint/faults/__init__.py
@@ -0,0 +1,1 @@
+"""The fault-injecting TCP proxy used by the integration tests."""
--- a/dunlinpoint/lab/client.py
+++ b/dunlinpoint/lab/client.py
@@ -67,3 +67,9 @@
 def call(port, operation, key, body):
     """One plain-service call through the entry at *port*."""
     return post(port, f"/v1/call/{operation}", body, {"idempotency-key": key})
+
+
+def fault(steer_port, mode, direction="both", delay_ms=0):
+    """Put a fault in force at the proxy steered on *steer_port*."""
+    order = {"mode": mode, "direction": direction, "delay_ms": delay_ms}
+    return post(steer_port, "/fault", order).final
--- a/dunlinpoint/lab/deploy.py
+++ b/dunlinpoint/lab/deploy.py
@@ -75,6 +75,7 @@
     by_name: dict = attrs.field(factory=dict)
     controls: list = attrs.field(factory=list)
     entries_by_zone: dict = attrs.field(factory=dict)
+    steer_by_agent: dict = attrs.field(factory=dict)
 
     @classmethod
     def from_profile(cls, profile, folder):
@@ -128,13 +129,20 @@
             argv = ["service", "--port", str(backend_port), "--record", record]
         self.add(f"{name}-backend", backend_port, argv)
         port = free_port()
-        self.add(
-            f"agent-{name}",
-            port,
-            ["agent", "--endpoint-id", name, "--zone", zone, "--port", str(port)]
-            + ["--kind", kind, "--backend", f"http://127.0.0.1:{backend_port}"]
-            + ["--controls", controls_flag, "--group", "planner"],
-        )
+        argv = ["agent", "--endpoint-id", name, "--zone", zone, "--port", str(port)]
+        argv += ["--kind", kind, "--backend", f"http://127.0.0.1:{backend_port}"]
+        argv += ["--controls", controls_flag, "--group", "planner"]
+        if profile.get("proxied"):
+            listen, steer = free_port(), free_port()
+            self.add(
+                f"proxy-{name}",
+                steer,
+                ["proxy", "--listen", str(listen), "--steer", str(steer)]
+                + ["--target", f"127.0.0.1:{port}"],
+            )
+            self.steer_by_agent[f"agent-{name}"] = steer
+            argv += ["--announce", f"127.0.0.1:{listen}"]
+        self.add(f"agent-{name}", port, argv)
 
     def start(self):
         """Start every process and wait until each listens."""
--- a/dunlinpoint/standins/engine.py
+++ b/dunlinpoint/standins/engine.py
@@ -19,7 +19,8 @@
   resume_from}`` streams ``{"i": offset, "t": token}`` lines, then ``{"done":
   true}``.
 - ``POST /cancel/<id>``, ``GET /kv/<id>``, ``POST /kv``, ``GET /load``,
-  ``GET /events?since=N``, ``POST /orders``, ``GET /steps``.
+  ``GET /events?since=N``, ``POST /orders``, ``GET /steps``, and
+  ``GET /requests`` (arrival time in ms by request id).
 """
 
 from __future__ import annotations
@@ -377,6 +378,11 @@
             request.setResponseCode(409)
         return json.dumps({"ok": ok, "reason": reason})
 
+    @web.route("/requests", methods=["GET"])
+    def requests(request):
+        arrived = {i: s.arrived for i, s in engine.by_id.items()}
+        return json.dumps(arrived)
+
     @web.route("/steps", methods=["GET"])
     def steps(request):
         return json.dumps(engine.step_report())
--- /dev/null
+++ b/tests/integration/test_faults.py
@@ -0,0 +1,166 @@
+"""Promises under faults: real processes, a proxy in front of every agent."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from dunlinpoint.entry import routing
+from dunlinpoint.lab import client, deploy
+from tests.integration.conftest import members_seen, wait_for
+
+PROXIED = {
+    "zones": ["z1", "z2"],
+    "controls": 3,
+    "entries": 1,
+    "engines": 2,
+    "services": 1,
+    "proxied": True,
+}
+GIVE_UP_BOUND_S = 5
+
+
+@pytest.fixture(scope="module")
+def proxied(tmp_path_factory):
+    folder = str(tmp_path_factory.mktemp("proxied"))
+    running = deploy.Deployment.from_profile(PROXIED, folder)
+    running.start()
+    agents = len(running.steer_by_agent)
+    try:
+        for ports in running.entries_by_zone.values():
+            for port in ports:
+                wait_for(lambda port=port: members_seen(port) >= agents)
+        yield running
+    finally:
+        running.stop_all()
+
+
+@pytest.fixture
+def heal(proxied):
+    yield
+    for steer in proxied.steer_by_agent.values():
+        client.fault(steer, "pass")
+
+
+def owner_of(deployment, key):
+    ids = [
+        n.removeprefix("agent-") for n in deployment.steer_by_agent if "service" in n
+    ]
+    return "agent-" + max(ids, key=lambda i: routing.score(key, i))
+
+
+def runs(deployment, key):
+    return [e for e in deployment.executions() if e["key"] == key]
+
+
+def test_lost_answer_is_unknown_then_replayed_once(proxied, heal):
+    # Symptom: a dues charge runs twice, or the caller is told "not run"
+    # about a charge that ran. Sequence: the agent forwards the charge, the
+    # service does it, the answer from agent to entry is held (frozen link)
+    # past the entry's timeout; the caller retries with the same key once
+    # the link thaws. Cause guarded against: an entry that says "not run"
+    # on a timeout, or an agent that forwards a key a second time.
+    key = "lost-answer-1"
+    steer = proxied.steer_by_agent[owner_of(proxied, key)]
+    port = proxied.entries_by_zone["z1"][0]
+    client.fault(steer, "freeze", "down")
+    first = client.call(port, "dues_charge", key, {"vessel": "trawler-3"})
+    assert first.status == 504
+    assert first.final["outcome"] == "unknown"
+    assert "Retry-After" in first.headers
+    client.fault(steer, "pass")
+    again = client.call(port, "dues_charge", key, {"vessel": "trawler-3"})
+    assert again.final["outcome"] == "done"
+    assert len(runs(proxied, key)) == 1
+
+
+def test_late_and_reordered_answers_reach_their_own_callers(proxied, heal):
+    # Symptom: a planner gets another planner's draft, or half of it.
+    # Sequence: every agent link delays and reorders pieces by up to 40 ms
+    # while 24 requests run at once. Cause guarded against: relaying a read
+    # answer without checking its request id and offset.
+    for name, steer in proxied.steer_by_agent.items():
+        if "engine" in name:
+            client.fault(steer, "reorder", "both", 40)
+    ports = [p for ps in proxied.entries_by_zone.values() for p in ps]
+    answers = {}
+
+    def one(i):
+        answers[i] = client.generate(ports[i % 2], f"#{i} pass {i}", 10, f"late-{i}")
+
+    threads = [threading.Thread(target=one, args=(i,)) for i in range(24)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(60)
+    assert len(answers) == 24
+    for i, answer in answers.items():
+        assert answer.final["outcome"] == "done", answer.final
+        assert {line["request_id"] for line in answer.lines} == {f"late-{i}"}
+        assert [line["i"] for line in answer.lines[:-1]] == list(range(10))
+
+
+def test_given_up_request_is_answered_at_once(proxied, heal):
+    # Symptom: a caller waits until its own timeout for an answer the entry
+    # already gave up on. Sequence: a long answer streams; its agent's link
+    # is cut mid-stream. Cause guarded against: holding the final answer
+    # back instead of sending it when the entry stops trying.
+    port = proxied.entries_by_zone["z1"][0]
+    result = {}
+
+    def long_request():
+        result["answer"] = client.generate(port, "#1 long draft", 400, "cut-1")
+
+    thread = threading.Thread(target=long_request)
+    thread.start()
+    owner = wait_for(lambda: engine_of(proxied, "cut-1"))
+    steer = proxied.steer_by_agent["agent-" + owner.removesuffix("-backend")]
+    client.fault(steer, "cut")
+    cut_at = time.monotonic()
+    thread.join(30)
+    answered_s = time.monotonic() - cut_at
+    final = result["answer"].final
+    assert final["outcome"] in ("unknown", "done")
+    if final["outcome"] == "unknown":
+        assert answered_s < GIVE_UP_BOUND_S
+    assert [line["i"] for line in result["answer"].lines[:-1]] == list(
+        range(final["tokens"])
+    )
+
+
+def engine_of(deployment, request_id):
+    """The engine back end's process name that has *request_id*, or ``None``."""
+    for name, process in deployment.by_name.items():
+        if name.startswith("engine-") and name.endswith("-backend"):
+            if request_id in client.get(process.port, "/requests"):
+                return name
+    return None
+
+
+def test_draining_agent_gets_no_new_work_and_finishes_its_own(proxied):
+    # Symptom: requests land on an endpoint that is leaving, or a planned
+    # stop cuts a draft in flight. Sequence: a long request runs on agent A;
+    # A gets SIGTERM; new requests keep coming. Cause guarded against: an
+    # agent that stops at once, or keeps accepting work while draining.
+    port = proxied.entries_by_zone["z1"][0]
+    result = {}
+    thread = threading.Thread(
+        target=lambda: result.update(
+            answer=client.generate(port, "#2 long dues summary", 300, "drain-1")
+        )
+    )
+    thread.start()
+    backend = wait_for(lambda: engine_of(proxied, "drain-1"))
+    agent = "agent-" + backend.removesuffix("-backend")
+    proxied.by_name[agent].signal(signal.SIGTERM)
+    drained_at_ms = time.time() * 1000
+    later = [client.generate(port, f"#4 after drain {i}", 4) for i in range(10)]
+    thread.join(60)
+    assert result["answer"].final["outcome"] == "done"
+    assert len(result["answer"].tokens) == 300
+    assert all(a.final["outcome"] == "done" for a in later)
+    arrivals = client.get(proxied.by_name[backend].port, "/requests")
+    late = [i for i, at in arrivals.items() if at > drained_at_ms and i != "drain-1"]
+    assert late == []
+    assert proxied.by_name[agent].wait(30) == 0
