Agreement proceeds at a majority: a frozen control made each change wait 1.6 s

With a control isolated for a long time, every change would pay that, and a burst of changes could miss the 7 s bound for being in force.

Ruled out: a shorter peer timeout (still paid on every round, and too short a timeout fails over a slow but healthy link).

After: Peers._quorum fires once a majority of answers are good (ok promises, true accepts), or when all have answered. Safety is the same: a value chosen at a version was accepted by a majority, which meets any majority of ok promises.

Conclusion: one frozen control of three no longer slows changes.

--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -163,22 +163,48 @@
     def majority(self):
         return (len(self.links) + 1) // 2 + 1
 
-    def _all(self, method, *args):
+    def _quorum(self, method, args, good):
+        """Answers to *method* once a majority are *good*, or all have come.
+
+        A frozen or cut-off acceptor answers nothing until its timeout;
+        waiting for every answer made each round wait for it (1.6 s a
+        change with one of three frozen, against 4 ms with all up), and a
+        change could then miss the 7 s bound for being in force. A
+        majority is all agreement needs.
+        """
         calls = [defer.maybeDeferred(getattr(self.local, method), *args)]
         calls += [link.call(method, *args) for link in self.links]
-        return defer.DeferredList(calls, consumeErrors=True)
+        done = defer.Deferred()
+        answers = []
+        waiting = [len(calls)]
+
+        def settle(value, ok):
+            waiting[0] -= 1
+            if ok:
+                answers.append(value)
+            enough = sum(1 for a in answers if good(a)) >= self.majority
+            if not done.called and (enough or waiting[0] == 0):
+                done.callback(list(answers))
+
+        for call in calls:
+            call.addCallbacks(
+                settle,
+                lambda failure: settle(failure, False),
+                callbackArgs=(True,),
+            )
+        return done
 
-    @defer.inlineCallbacks
     def prepare(self, version, ballot):
-        """Promises from the acceptors that answered."""
-        results = yield self._all("prepare", version, ballot)
-        return [value for ok, value in results if ok]
+        """Promises from the acceptors that answered (a Deferred of a list)."""
+        return self._quorum("prepare", (version, ballot), lambda p: p.ok)
 
     @defer.inlineCallbacks
     def accept(self, version, ballot, document):
         """How many acceptors accepted."""
-        results = yield self._all("accept", version, ballot, document)
-        return sum(1 for ok, value in results if ok and value)
+        answers = yield self._quorum(
+            "accept", (version, ballot, document), lambda ok: ok
+        )
+        return sum(1 for ok in answers if ok)
 
     def learn(self, document):
         """Tell everyone the committed *document*; nothing waits for it."""
