--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -24,13 +24,16 @@
 from zope.interface import implementer
 
 from dunlinpoint import clock, logs, metrics
-from dunlinpoint.agent import keys, streams
+from dunlinpoint.agent import keys, rebalance, streams
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
 
 log = logs.logger("agent")
 
 HEARTBEAT_MS = 300
+REBALANCE_MS = 1000
+FENCE_STRIDE = 1_000_000
+DEFAULT_SKEW_WEIGHT = 0.5
 CONTROL_TIMEOUT_MS = 1000
 SERVICE_TIMEOUT_MS = 5000
 DRAIN_RETRY_AFTER_MS = 200
@@ -51,6 +54,7 @@
     controls: list
     group: str = ""
     announced: tuple | None = None
+    weights: str = ""
     drain_timeout_ms: int = 30000
     incarnation: int = 0
 
@@ -73,6 +77,8 @@
     highest_fence: int = 0
     lease_ms: int = 0
     control_index: int = 0
+    map_version: int = 0
+    fetched: set = attrs.field(factory=set)
 
     @classmethod
     def from_config(cls, settings, reactor, counters):
@@ -341,6 +347,103 @@
     log.info("drained", left=state.load())
 
 
+def skew_weight(state):
+    """The skew weight of this agent's group in the document in force."""
+    try:
+        body = json.loads(state.document.body_json)
+    except ValueError:
+        return DEFAULT_SKEW_WEIGHT
+    for group in body.get("groups", []):
+        if group.get("name") == state.settings.group:
+            return float(group.get("skew_weight", DEFAULT_SKEW_WEIGHT))
+    return DEFAULT_SKEW_WEIGHT
+
+
+@defer.inlineCallbacks
+def fetch_weights(state, old, new):
+    """Load the moved experts' weights; ``False`` when the store says wait.
+
+    The store serves a few experts a second; a map moving more than that
+    would start again from the first expert every round and never finish,
+    so experts already loaded are remembered in ``state.fetched`` until a
+    map is ordered.
+    """
+    if not state.settings.weights:
+        return True
+    for expert, (a, b) in enumerate(zip(old, new, strict=True)):
+        if a == b or (expert, b) in state.fetched:
+            continue
+        url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
+        response = yield treq.get(url, timeout=5)
+        yield response.content()
+        if response.code == 429:
+            state.counters.retried("weights_rate_limited")
+            return False
+        state.fetched.add((expert, b))
+    return True
+
+
+@defer.inlineCallbacks
+def rebalance_once(state):
+    """Read the engine's load, and order a new expert map if worth it.
+
+    The order carries a fencing number above every earlier one of this
+    agent and of its earlier incarnations, so an engine that honours fences
+    refuses a late order from a process that has since been replaced. The
+    engine switches at a step boundary for every rank at once.
+    """
+    if state.draining:
+        return
+    settings = state.settings
+    try:
+        response = yield treq.get(f"{settings.backend}/load", timeout=2)
+        report = yield response.json()
+    except Exception:
+        state.counters.retried("load_report_failed")
+        return
+    placement = report["placement"]
+    ranks = max(placement) + 1
+    proposed = rebalance.decide(
+        report["per_expert"], placement, ranks, skew_weight(state)
+    )
+    if proposed is None:
+        return
+    if not (yield fetch_weights(state, placement, proposed)):
+        return
+    state.fetched.clear()
+    state.map_version = max(state.map_version, report["map_version"]) + 1
+    order = {
+        "kind": "set_map",
+        "version": state.map_version,
+        "placement": proposed,
+        "fence": settings.incarnation * FENCE_STRIDE + state.map_version,
+    }
+    response = yield treq.post(
+        f"{settings.backend}/orders", data=json.dumps(order).encode(), timeout=2
+    )
+    yield response.content()
+    if response.code == 200:
+        state.counters.incr("rebalanced")
+        state.counters.incr("experts_moved", rebalance.moved(placement, proposed))
+        log.info("expert_map", version=state.map_version)
+    else:
+        state.counters.refused("map_order")
+
+
+def rebalancing(reactor, state):
+    """Consider a rebalance every ``REBALANCE_MS``."""
+
+    def attempt():
+        return rebalance_once(state).addErrback(
+            lambda failure: state.counters.retried("rebalance_failed")
+        )
+
+    loop = task.LoopingCall(attempt)
+    loop.clock = reactor
+    loop.start(clock.seconds(REBALANCE_MS), now=False)
+    return loop
+
+
 def run(reactor, settings, counters):
     """Start an agent: its thrift server and its heartbeats; returns its state."""
     state = State.from_config(settings, reactor, counters)
@@ -348,5 +451,7 @@
         reactor, Agent.Processor(Handler(state, reactor)), settings.port, settings.host
     )
     heartbeats(reactor, state)
+    if settings.kind == "engine":
+        rebalancing(reactor, state)
     log.info("started", endpoint_id=settings.endpoint_id, zone=settings.zone)
     return state
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -101,6 +101,7 @@
     announce: Annotated[
         str, flag("DUNLIN_ANNOUNCE", "host:port others reach it at", "")
     ]
+    weights: Annotated[str, flag("DUNLIN_WEIGHTS", "weight store URL", "")]
     statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
 
     def __call__(self):
@@ -116,6 +117,7 @@
             host=self.host,
             port=port,
             announced=announced,
+            weights=self.weights.rstrip("/"),
             kind=checks.choice(self.kind, {"engine", "service"}, "kind"),
             backend=self.backend.rstrip("/"),
             controls=checks.addresses(self.controls, "controls"),
--- a/dunlinpoint/lab/deploy.py
+++ b/dunlinpoint/lab/deploy.py
@@ -97,6 +97,11 @@
                 + ["--port", str(port), "--index", str(i), "--peers", peers]
                 + ["--data", os.path.join(folder, f"control-{i}")],
             )
+        weights_port = free_port()
+        deployment.add(
+            "weights", weights_port, ["weights", "--port", str(weights_port)]
+        )
+        profile = profile | {"weights": f"http://127.0.0.1:{weights_port}"}
         for zone in zones:
             for i in range(profile.get("engines", 2)):
                 deployment.add_endpoint(zone, "engine", i, controls_flag, profile)
@@ -132,6 +137,8 @@
         argv = ["agent", "--endpoint-id", name, "--zone", zone, "--port", str(port)]
         argv += ["--kind", kind, "--backend", f"http://127.0.0.1:{backend_port}"]
         argv += ["--controls", controls_flag, "--group", "planner"]
+        if kind == "engine":
+            argv += ["--weights", profile["weights"]]
         if profile.get("proxied"):
             listen, steer = free_port(), free_port()
             self.add(
--- a/dunlinpoint/standins/engine.py
+++ b/dunlinpoint/standins/engine.py
@@ -41,6 +41,7 @@
 PREFILL_US_PER_CHAR = 20
 PREFIX_CHARS = 32
 STEP_LOG_SIZE = 20000
+WINDOW_MS = 1000
 
 
 @attrs.define
@@ -118,8 +119,9 @@
 
     @classmethod
     def from_config(cls, settings, reactor):
-        """An idle engine with experts spread round robin over the ranks."""
-        placement = [e % settings.ranks for e in range(settings.experts)]
+        """An idle engine with experts in contiguous blocks over the ranks."""
+        block = -(-settings.experts // settings.ranks)
+        placement = [e // block for e in range(settings.experts)]
         return cls(
             settings=settings,
             clock=clock.Clock(reactor),
@@ -224,6 +226,7 @@
             self.running = False
             return
         per_rank = [0] * self.settings.ranks
+        per_expert = [0] * self.settings.experts
         prefill_us = 0
         for seq in batch:
             if not seq.prefilled:
@@ -231,6 +234,7 @@
             index = len(seq.tokens)
             expert = expert_of(seq.topic, seq.prompt, index, self.settings.experts)
             per_rank[self.placement[expert]] += 1
+            per_expert[expert] += 1
             seq.tokens.append(token_of(seq.prompt, index))
         rank_ms = [
             BASE_STEP_MS + (n * TOKEN_COST_US + prefill_us) / 1000 for n in per_rank
@@ -238,7 +242,7 @@
         self.step += 1
         for rank, ms in enumerate(rank_ms):
             self.step_log.append((self.step, rank, self.map_version, ms))
-        self.load_history.append((self.clock.now(), len(batch), per_rank))
+        self.load_history.append((self.clock.now(), len(batch), per_rank, per_expert))
         for seq in batch:
             self._wake(seq)
         self.clock.later(int(max(rank_ms)), self._step)
@@ -278,14 +282,24 @@
     # -- reports -------------------------------------------------------
 
     def load(self):
-        """Load as it was ``load_lag_ms`` ago: batch size and tokens per rank."""
+        """Load as it was ``load_lag_ms`` ago, over one second before that.
+
+        ``per_expert`` counts tokens by expert in that window; ``per_rank``
+        is the last step's tokens by rank; ``batch`` its size.
+        """
         cutoff = self.clock.now() - self.settings.load_lag_ms
+        window = cutoff - WINDOW_MS
         report = {"at": None, "batch": 0, "per_rank": [0] * self.settings.ranks}
-        for at, batch, per_rank in self.load_history:
+        per_expert = [0] * self.settings.experts
+        for at, batch, per_rank, experts in self.load_history:
             if at > cutoff:
                 break
             report = {"at": at, "batch": batch, "per_rank": per_rank}
+            if at > window:
+                per_expert = [a + b for a, b in zip(per_expert, experts, strict=True)]
+        report["per_expert"] = per_expert
         report["map_version"] = self.map_version
+        report["placement"] = list(self.placement)
         return report
 
     def published_events(self, since):
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -1,5 +1,7 @@
 """The whole path through real processes: entry -> agent -> stand-in."""
 
+import threading
+
 from dunlinpoint.lab import client
 from dunlinpoint.standins import engine
 
@@ -21,3 +23,39 @@
     assert answer.final["outcome"] == "done"
     ran = [e for e in deployment.executions() if e["key"] == "key-path-1"]
     assert len(ran) == 1
+
+
+def test_rebalance_keeps_one_map_per_step(deployment):
+    # Symptom: ranks of one group compute a step with different expert
+    # maps. Sequence: traffic leans on one block of experts, the agent
+    # orders a new map while steps run, under load. Cause guarded against:
+    # a map taking effect at a rank mid-step instead of at a step boundary
+    # for all ranks.
+    from tests.integration.conftest import wait_for
+
+    ports = [p for ps in deployment.entries_by_zone.values() for p in ps]
+    engines = [
+        p.port
+        for n, p in deployment.by_name.items()
+        if n.startswith("engine-") and n.endswith("-backend")
+    ]
+
+    def versions():
+        # Concurrent requests fill the batch: a rebalance is worth its cost
+        # only at a load of a few thousand tokens a second on the hot block.
+        threads = [
+            threading.Thread(
+                target=client.generate,
+                args=(ports[i % len(ports)], f"#0 hot block {i}", 40),
+            )
+            for i in range(24)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(30)
+        return [client.get(port, "/steps")["map_version"] for port in engines]
+
+    wait_for(lambda: any(versions()), 30, 0.1)
+    for port in engines:
+        assert client.get(port, "/steps")["mixed_steps"] == []
