--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -25,6 +25,7 @@
 
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.agent import keys, rebalance, streams
+from dunlinpoint.config import document as config
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
 
@@ -38,7 +39,6 @@
 SERVICE_TIMEOUT_MS = 5000
 DRAIN_RETRY_AFTER_MS = 200
 RESUME_TRIES = 3
-NON_IDEMPOTENT = frozenset({"slot_confirm", "slot_release", "dues_charge"})
 
 
 @attrs.define
@@ -156,7 +156,7 @@
         state = self.state
         if state.draining:
             refuse(state, "draining")
-        idempotent = order.operation not in NON_IDEMPOTENT
+        idempotent = order.operation not in config.NON_IDEMPOTENT
         if not idempotent:
             if not order.idempotency_key:
                 refuse(state, "missing_idempotency_key", 0)
--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -24,6 +24,8 @@
 import cattrs
 
 FORMAT = 1
+# Operations that may not be repeated when a document names none.
+NON_IDEMPOTENT = frozenset({"slot_confirm", "slot_release", "dues_charge"})
 MAX_RANKS = 1024
 MAX_EXPERTS = 4096
 
--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -22,6 +22,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs, metrics
+from dunlinpoint.config import document as config
 from dunlinpoint.entry import routing, view
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, ttypes
@@ -227,22 +228,39 @@
 
 @defer.inlineCallbacks
 def call_service(entry, order):
-    """Route one service call; ``(status, answer dict, retry_after or None)``."""
-    members = entry.view.live("service")
+    """Route one service call; ``(status, answer dict, retry_after or None)``.
+
+    A non-idempotent call goes to its key's owner only. An idempotent call
+    whose agent cannot answer is tried on the next agent in the key's
+    rendezvous order: repeating it harms nothing, and a caller should not
+    be told "unknown" about a lookup that another agent can do.
+    """
     key = order.idempotency_key or order.request_id
-    member = routing.owner(members, key)
-    if member is None:
+    ranked = routing.owners(entry.view.live("service"), key)
+    if order.operation in config.NON_IDEMPOTENT:
+        ranked = ranked[:1]
+    answer = 503, {"outcome": "not_run"}, RETRY_AFTER_S
+    if not ranked:
         entry.counters.refused("no_service")
-        return 503, {"outcome": "not_run"}, RETRY_AFTER_S
+    for member in ranked[:START_TRIES]:
+        answer = yield call_one(entry, member, order, key)
+        if answer[1]["outcome"] == "done" or answer[0] == 400:
+            return answer
+        entry.counters.retried(f"call_{answer[1]['outcome']}")
+    return answer
+
+
+@defer.inlineCallbacks
+def call_one(entry, member, order, key):
+    """One try of a service call at *member*."""
     try:
         result = yield entry.link(member).call("call", order)
     except ttypes.Refused as refused:
         entry.counters.refused(refused.reason)
-        retry = (
-            max(1, refused.retry_after_ms // 1000) if refused.retry_after_ms else None
-        )
-        status = 400 if refused.retry_after_ms == 0 else 503
-        return status, {"outcome": "not_run", "reason": refused.reason}, retry
+        if refused.retry_after_ms == 0:
+            return 400, {"outcome": "not_run", "reason": refused.reason}, None
+        retry = max(1, refused.retry_after_ms // 1000)
+        return 503, {"outcome": "not_run", "reason": refused.reason}, retry
     except errors.NotSent:
         entry.counters.refused("agent_unreachable")
         return 503, {"outcome": "not_run"}, RETRY_AFTER_S
@@ -251,11 +269,8 @@
         return 504, {"outcome": "unknown", "key": key}, RETRY_AFTER_S
     if result.outcome == "done":
         entry.counters.incr("answered.call")
-        return (
-            result.status,
-            {"outcome": "done", "body": json.loads(result.body_json)},
-            None,
-        )
+        body = json.loads(result.body_json)
+        return result.status, {"outcome": "done", "body": body}, None
     if result.outcome == "not_run":
         entry.counters.refused("service_unreachable")
         return 503, {"outcome": "not_run"}, RETRY_AFTER_S
--- a/dunlinpoint/entry/routing.py
+++ b/dunlinpoint/entry/routing.py
@@ -9,7 +9,8 @@
   owner is not chosen within the entry's zone, because the platform's
   balancer may send a retry to another zone's entry, whose zone-local owner
   would run the call a second time. While a cut hides the owner, the call is
-  refused as not run: at most once goes before availability.
+  refused as not run: at most once goes before availability. Idempotent
+  calls may go on down the same order to the next agent.
 """
 
 import hashlib
@@ -36,8 +37,6 @@
     return sorted(pool, key=lambda m: (m.load, -score(prefix, m.endpoint_id)))
 
 
-def owner(members, key):
-    """The service agent that owns *key*, or ``None``."""
-    if not members:
-        return None
-    return max(members, key=lambda m: score(key, m.endpoint_id))
+def owners(members, key):
+    """Service agents in rendezvous order for *key*: the owner first."""
+    return sorted(members, key=lambda m: -score(key, m.endpoint_id))
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -1,5 +1,7 @@
 """Non-idempotent calls run at most once, whichever entry a retry reaches."""
 
+import signal
+
 from dunlinpoint.lab import client
 
 
@@ -29,3 +31,29 @@
     assert answer.status == 400
     assert answer.final["outcome"] == "not_run"
     assert runs(deployment, "") == []
+
+
+def test_not_run_means_not_run_when_the_service_is_down(deployment):
+    # Symptom: a caller told "not run" finds the slot confirmed anyway, or
+    # a retry after "not run" is refused as a repeat. Sequence: the
+    # service behind the key's owner is down (SIGKILL); the call is tried,
+    # the service comes back, the caller retries with the same key. Cause
+    # guarded against: saying "not run" after the request may have been
+    # written, and keeping a key claimed when it never reached the service.
+    from dunlinpoint.entry import routing
+
+    key = "down-then-up-1"
+    ids = [n.removeprefix("agent-") for n in deployment.by_name if "agent-service" in n]
+    owner = max(ids, key=lambda i: routing.score(key, i))
+    backend = f"{owner}-backend"
+    deployment.stop(backend, signal.SIGKILL)
+    port = deployment.entries_by_zone["z1"][0]
+    first = client.call(port, "slot_release", key, {"slot": "kagoshima-1"})
+    assert first.status == 503
+    assert first.final["outcome"] == "not_run"
+    assert "Retry-After" in first.headers
+    assert runs(deployment, key) == []
+    deployment.restart(backend)
+    again = client.call(port, "slot_release", key, {"slot": "kagoshima-1"})
+    assert again.final["outcome"] == "done"
+    assert len(runs(deployment, key)) == 1
