--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -139,8 +139,11 @@
     try:
         doc = converter.structure(raw, Document)
     except cattrs.BaseValidationError as exc:
-        messages = cattrs.transform_error(exc, path="$")
-        raise DocumentError([FieldError("$", m) for m in messages]) from None
+        problems = []
+        for line in cattrs.transform_error(exc, path="$"):
+            problem, _, path = line.rpartition(" @ ")
+            problems.append(FieldError(path.removeprefix("$.") or "$", problem))
+        raise DocumentError(problems) from None
     problems = _check(doc)
     if problems:
         raise DocumentError(problems)
