--- a/tests/integration/test_faults.py
+++ b/tests/integration/test_faults.py
@@ -193,3 +193,25 @@
         if answer.final["outcome"] == "not_run":
             assert "Retry-After" in answer.headers
             assert runs(proxied, key) == []
+
+
+def test_planned_stop_of_an_entry_cuts_nothing(proxied, heal):
+    # Symptom: a caller's stream ends early when an entry instance is
+    # stopped for maintenance. Sequence: a long request streams through
+    # the z2 entry; the entry gets SIGTERM. Cause guarded against: an
+    # entry that closes its connections on SIGTERM instead of finishing
+    # what it has in flight.
+    port = proxied.entries_by_zone["z2"][0]
+    result = {}
+    thread = threading.Thread(
+        target=lambda: result.update(
+            answer=client.generate(port, "#6 long clearance", 300, "entry-stop-1")
+        )
+    )
+    thread.start()
+    wait_for(lambda: engine_of(proxied, "entry-stop-1"))
+    proxied.by_name["entry-z2-0"].signal(signal.SIGTERM)
+    thread.join(60)
+    assert result["answer"].final["outcome"] == "done", result["answer"].final
+    assert len(result["answer"].tokens) == 300
+    assert proxied.by_name["entry-z2-0"].wait(30) == 0
