--- a/dunlinpoint/__init__.py
+++ b/dunlinpoint/__init__.py
@@ -9,6 +9,8 @@
 ``entry``     callers' HTTP; routes each request to an endpoint agent
 ``agent``     one per endpoint instance; fronts the local engine or service
 ``control``   configuration document, membership, durable agreement
+``forward``   callers' own HTTP requests to endpoints, unchanged
+``platform``  our users' platform: its names, formats and calls
 ``config``    the operators' document: format, validation, errors
 ``wire``      thrift messages between our processes, links and servers
 ``standins``  our stand-ins for engines, plain services and the weight store
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -23,6 +23,7 @@
 from dunlinpoint.control import server as control_server
 from dunlinpoint.entry import app as entry_app
 from dunlinpoint.faults import proxy
+from dunlinpoint.platform import roles
 from dunlinpoint.standins import engine as engine_standin
 from dunlinpoint.standins import service as service_standin
 from dunlinpoint.standins import weights as weights_standin
@@ -38,7 +39,10 @@
 
 
 def counters(statsd, prefix):
-    return metrics.Counters.from_config(statsd, prefix)
+    """Counters under *prefix*, flushed to *statsd* while the reactor runs."""
+    counted = metrics.Counters.from_config(statsd, prefix)
+    counted.follow(reactor)
+    return counted
 
 
 def listen_http(port, host, web):
@@ -239,7 +243,15 @@
     """dunlinpoint: run one process of the load balancer."""
 
     role: cappa.Subcommands[
-        Entry | Agent | Control | Engine | Service | Weights | Proxy
+        Entry
+        | Agent
+        | Control
+        | Engine
+        | Service
+        | Weights
+        | Proxy
+        | roles.PlatformEntry
+        | roles.PlatformControl
     ]
 
 
--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -9,10 +9,17 @@
                   "skew_weight": 0.7}],
       "services": [{"name": "booking",
                     "non_idempotent": ["slot_confirm", "slot_release"]}],
-      "workspaces": [{"name": "ws-1", "priority": 1, "max_in_flight": 64}]
+      "workspaces": [{"name": "ws-1", "priority": 1, "max_in_flight": 64,
+                      "keys": ["s3cret"]}],
+      "routes": [{"name": "drafts", "host": "plan.example", "prefix": "/drafts/",
+                  "kind": "streaming", "timeout_ms": 8000, "max_attempts": 2,
+                  "split": [{"service": "booking", "weight": 1}]}]
     }
 
-Control assigns the version when it accepts a document; the document itself
+``number`` is the console's own count of its documents, kept beside the
+version and never lowered; ``origin`` is the console's text as it was sent,
+given back unchanged on a read. Control assigns the version when it accepts a
+document; the document itself
 carries none, so an operator cannot write one that looks newer than it is.
 :func:`parse` raises :class:`DocumentError`, an exception group holding one
 :class:`FieldError` per problem, so an operator sees every problem at once.
@@ -26,6 +33,12 @@
 FORMAT = 1
 # Operations that may not be repeated when a document names none.
 NON_IDEMPOTENT = frozenset({"slot_confirm", "slot_release", "dues_charge"})
+IDEMPOTENT = "idempotent"
+NON_IDEMPOTENT_KIND = "non_idempotent"
+STREAMING = "streaming"
+KINDS = frozenset({IDEMPOTENT, NON_IDEMPOTENT_KIND, STREAMING})
+# A workspace limit that no workspace reaches.
+NO_LIMIT = 1 << 30
 MAX_RANKS = 1024
 MAX_EXPERTS = 4096
 
@@ -70,6 +83,48 @@
     non_idempotent: list[str] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class Share:
+    """A service's part of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class Route:
+    """Which service callers' HTTP requests to a host and path prefix go to.
+
+    ``kind`` says what may be repeated: :data:`IDEMPOTENT` requests may run
+    again, :data:`NON_IDEMPOTENT_KIND` ones at most once, :data:`STREAMING`
+    ones only where ``resumable``. ``timeout_ms`` is the longest a caller is
+    kept waiting, ``aim_ms`` the time an answer should take, ``max_attempts``
+    the most endpoints one request may be sent to.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: int
+    split: list[Share]
+    aim_ms: int = 0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+
+@attrs.frozen
+class Limits:
+    """What callers may send, and for how long they may stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 * 1024 * 1024
+    header_ms: int = 3000
+    idle_ms: int = 15000
+
+
 @attrs.frozen
 class Workspace:
     """A customer's workspace, its priority and its limit of requests in flight."""
@@ -77,6 +132,7 @@
     name: str
     priority: int = 0
     max_in_flight: int = 64
+    keys: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -88,6 +144,10 @@
     groups: list[Group] = attrs.field(factory=list)
     services: list[Service] = attrs.field(factory=list)
     workspaces: list[Workspace] = attrs.field(factory=list)
+    routes: list[Route] = attrs.field(factory=list)
+    limits: Limits = attrs.field(factory=Limits)
+    number: int = 0
+    origin: str = ""
 
 
 converter = cattrs.Converter(forbid_extra_keys=True)
@@ -125,6 +185,53 @@
             problems.append(
                 FieldError(f"workspaces[{i}].max_in_flight", "must be at least 1")
             )
+    return problems + _check_routes(doc) + _check_keys(doc)
+
+
+def _check_routes(doc):
+    """Problems of the routes: each must lead somewhere, and only one way."""
+    problems = []
+    services = {service.name for service in doc.services}
+    seen = set()
+    for i, route in enumerate(doc.routes):
+        at = f"routes[{i}]"
+        if route.kind not in KINDS:
+            wanted = ", ".join(sorted(KINDS))
+            problems.append(FieldError(f"{at}.kind", f"must be one of {wanted}"))
+        if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+            problems.append(FieldError(f"{at}.prefix", "must begin and end with /"))
+        if route.timeout_ms < 1:
+            problems.append(FieldError(f"{at}.timeout_ms", "must be at least 1"))
+        if route.max_attempts < 1:
+            problems.append(FieldError(f"{at}.max_attempts", "must be at least 1"))
+        if any(share.weight < 0 for share in route.split):
+            problems.append(FieldError(f"{at}.split", "weights must not be negative"))
+        elif sum(share.weight for share in route.split) <= 0:
+            problems.append(FieldError(f"{at}.split", "weights must not add up to 0"))
+        for share in route.split:
+            if share.service not in services:
+                problems.append(
+                    FieldError(f"{at}.split", f"unknown service {share.service!r}")
+                )
+        if (route.host, route.prefix) in seen:
+            problems.append(
+                FieldError(at, f"{route.host}{route.prefix} is routed twice")
+            )
+        seen.add((route.host, route.prefix))
+    return problems
+
+
+def _check_keys(doc):
+    """Problems of the workspaces' keys: a key must name one workspace."""
+    problems = []
+    holder_by_key = {}
+    for i, workspace in enumerate(doc.workspaces):
+        for key in workspace.keys:
+            holder = holder_by_key.setdefault(key, workspace.name)
+            if holder != workspace.name:
+                problems.append(
+                    FieldError(f"workspaces[{i}].keys", f"shared with {holder!r}")
+                )
     return problems
 
 
--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -17,6 +17,13 @@
 
 Documents are whole, not deltas, so a process that missed hundreds of
 versions catches up by learning the newest one.
+
+An acceptor that lost its disk has lost its promises too. Voting at once, it
+could help a majority choose a second document for a version that a majority
+with its old vote had already chosen. It therefore starts ``recovering`` and
+votes on nothing until it has seen the state of enough other acceptors to
+include one member of every majority it may have been part of
+(:func:`recover`).
 """
 
 from __future__ import annotations
@@ -33,7 +40,19 @@
 
 HISTORY = 1024
 BALLOT_STRIDE = 1024
+READ_ROUNDS = 3
 EMPTY = {"version": 0, "change_id": "", "body_json": "{}"}
+# The fields of an acceptor that are kept on disk.
+SAVED = {
+    "committed",
+    "slot",
+    "promised",
+    "accepted_ballot",
+    "accepted",
+    "highest_ballot",
+    "recent",
+    "recovering",
+}
 
 
 def message(doc):
@@ -71,22 +90,62 @@
     accepted: dict | None = None
     highest_ballot: int = 0
     recent: list = attrs.field(factory=list)
+    recovering: bool = False
+    on_learn: list = attrs.field(factory=list)
 
     @classmethod
-    def from_config(cls, folder):
-        """The acceptor saved under *folder*, or a new one."""
+    def from_config(cls, folder, bootstrap=True):
+        """The acceptor saved under *folder*, or a new one.
+
+        *bootstrap* says that a missing state is a first start; without it,
+        a missing state is a lost disk.
+        """
         acceptor = cls(store.Store(folder))
         saved = acceptor.store.load()
         if saved:
             for name, value in saved.items():
                 setattr(acceptor, name, value)
+        else:
+            acceptor.recovering = not bootstrap
+            acceptor.save()
         return acceptor
 
     def save(self):
         self.store.save(
-            attrs.asdict(self, filter=lambda a, v: a.name != "store", recurse=False)
+            attrs.asdict(self, filter=lambda a, v: a.name in SAVED, recurse=False)
         )
 
+    @property
+    def settled(self):
+        """Whether no accepted document of unknown fate is held."""
+        return self.accepted is None and not self.recovering
+
+    def inspect(self):
+        """The state as it stands, promising nothing."""
+        return ttypes.Promise(
+            ok=not self.recovering,
+            promised=self.promised,
+            accepted_ballot=self.accepted_ballot,
+            accepted=message(self.accepted) if self.accepted else None,
+            committed=message(self.committed),
+            recovering=self.recovering,
+        )
+
+    def adopt(self, states):
+        """Take over the most that the acceptors' *states* hold, and vote again."""
+        for state in states:
+            self.learn(state.committed)
+        for state in states:
+            self.highest_ballot = max(self.highest_ballot, state.promised or 0)
+            if state.committed.version + 1 != self.slot:
+                continue
+            self.promised = max(self.promised, state.promised or 0)
+            if state.accepted and state.accepted_ballot > self.accepted_ballot:
+                self.accepted_ballot = state.accepted_ballot
+                self.accepted = plain(state.accepted)
+        self.recovering = False
+        self.save()
+
     def _move_to(self, version):
         if version > self.slot:
             self.slot = version
@@ -98,6 +157,9 @@
         """Promise *ballot* for *version* if nothing higher was promised."""
         self.highest_ballot = max(self.highest_ballot, ballot)
         promise = ttypes.Promise(ok=False, committed=message(self.committed))
+        if self.recovering:
+            promise.recovering = True
+            return promise
         if version <= self.committed["version"] or version < self.slot:
             promise.promised = self.promised
             return promise
@@ -113,6 +175,8 @@
 
     def accept(self, version, ballot, document):
         """Accept *document* for *version* under *ballot*; ``True`` if done."""
+        if self.recovering:
+            return False
         if version <= self.committed["version"] or version < self.slot:
             return False
         self._move_to(version)
@@ -135,6 +199,8 @@
         self._move_to(document.version + 1)
         self.save()
         log.info("document_in_force", version=document.version)
+        for hear in self.on_learn:
+            hear()
         return True
 
     def version_of(self, change_id):
@@ -194,6 +260,10 @@
             )
         return done
 
+    def inspect(self):
+        """States of a majority that is not recovering, if they answer."""
+        return self._quorum("inspect", (), lambda state: state.ok)
+
     def prepare(self, version, ballot):
         """Promises from the acceptors that answered (a Deferred of a list)."""
         return self._quorum("prepare", (version, ballot), lambda p: p.ok)
@@ -208,7 +278,12 @@
 
     def learn(self, document):
         """Tell everyone the committed *document*; nothing waits for it."""
-        self.local.learn(document)
+        try:
+            self.local.learn(document)
+        except store.StoreError as exc:
+            # A majority holds the document, so it is in force; this disk
+            # being full must not make its operator hear a failure.
+            log.error("learn_not_saved", error=str(exc))
         for link in self.links:
             link.call("learn", document).addErrback(
                 lambda failure: failure.trap(errors.WireError)
@@ -216,40 +291,98 @@
 
 
 @defer.inlineCallbacks
-def propose(peers, expected_version, change_id, body_json):
-    """Try to commit *body_json* as the version after *expected_version*."""
+def recover(peers):
+    """Let a recovering acceptor vote again once it has seen enough.
+
+    With ``n`` acceptors and majorities of ``m``, any majority that counted
+    the lost vote has at least one member among any ``n - m + 1`` of the
+    others. Their promises and acceptances bound what was lost.
+    """
+    local = peers.local
+    if not local.recovering:
+        return
+    calls = [link.call("inspect") for link in peers.links]
+    results = yield defer.DeferredList(calls, consumeErrors=True)
+    states = [state for ok, state in results if ok and not state.recovering]
+    if len(states) >= len(peers.links) + 2 - peers.majority:
+        local.adopt(states)
+        log.info("recovered", version=local.committed["version"])
+
+
+@defer.inlineCallbacks
+def read(peers):
+    """The newest document for certain, or ``None`` when that can't be known.
+
+    A majority must answer. A document accepted somewhere for the next
+    version may have been acknowledged to its operator already, so its round
+    is finished before anything older is shown.
+    """
+    local = peers.local
+    for _ in range(READ_ROUNDS):
+        states = yield peers.inspect()
+        sound = [state for state in states if state.ok]
+        if len(sound) < peers.majority:
+            return None
+        newest = max(sound, key=lambda state: state.committed.version)
+        local.learn(newest.committed)
+        version = local.committed["version"]
+        if not any(s.accepted and s.accepted.version > version for s in sound):
+            return message(local.committed)
+        yield decide(peers, version + 1, None)
+    return None
+
+
+@defer.inlineCallbacks
+def decide(peers, version, mine):
+    """One round for *version*; the chosen ``Document`` or ``None``.
+
+    Proposes *mine* unless some document was already accepted; with *mine*
+    ``None`` it only finishes a round that another proposer began.
+    """
     local = peers.local
-    known = local.version_of(change_id)
-    if known is not None:
-        return Outcome(True, known, "resent")
-    current = local.committed["version"]
-    if expected_version != current:
-        return Outcome(False, current, "version_conflict")
-    version = current + 1
     ballot = local.next_ballot(peers.index)
     promises = yield peers.prepare(version, ballot)
     newest = max(promises, key=lambda p: p.committed.version, default=None)
     if newest is not None and newest.committed.version >= version:
         local.learn(newest.committed)
-        if local.version_of(change_id) is not None:
-            return Outcome(True, local.version_of(change_id), "resent")
-        return Outcome(False, local.committed["version"], "version_conflict")
+        return None
     granted = [p for p in promises if p.ok]
     for promise in promises:
         local.highest_ballot = max(local.highest_ballot, promise.promised or 0)
     if len(granted) < peers.majority:
-        return Outcome(False, current, "no_quorum")
+        return None
     prior = max(
         (p for p in granted if p.accepted is not None),
         key=lambda p: p.accepted_ballot,
         default=None,
     )
-    mine = ttypes.Document(version, change_id, body_json)
     chosen = prior.accepted if prior is not None else mine
+    if chosen is None:
+        return None
     count = yield peers.accept(version, ballot, chosen)
     if count < peers.majority:
-        return Outcome(False, current, "no_quorum")
+        return None
     peers.learn(chosen)
-    if chosen.change_id != change_id:
-        return Outcome(False, version, "version_conflict")
-    return Outcome(True, version)
+    return chosen
+
+
+@defer.inlineCallbacks
+def propose(peers, expected_version, change_id, body_json):
+    """Try to commit *body_json* as the version after *expected_version*."""
+    local = peers.local
+    known = local.version_of(change_id)
+    if known is not None:
+        return Outcome(True, known, "resent")
+    current = local.committed["version"]
+    if expected_version != current:
+        return Outcome(False, current, "version_conflict")
+    mine = ttypes.Document(current + 1, change_id, body_json)
+    chosen = yield decide(peers, current + 1, mine)
+    if chosen is not None and chosen.change_id == change_id:
+        return Outcome(True, current + 1)
+    known = local.version_of(change_id)
+    if known is not None:
+        return Outcome(True, known, "resent")
+    if local.committed["version"] > current:
+        return Outcome(False, local.committed["version"], "version_conflict")
+    return Outcome(False, current, "no_quorum")
--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -1,16 +1,24 @@
 """Endpoints by id, each under a lease that heartbeats renew.
 
 Endpoints announce themselves: the first heartbeat of an id makes it a
-member. A member whose lease runs out is dropped; a heartbeat with an older
-incarnation than the one known is ignored, so a restarted agent's last
-heartbeat from before the restart cannot bring back its old address.
+member. A member whose lease runs out is dropped. ``revision`` grows with
+every change that routing must hear of at once (joined, moved, draining,
+left, lease ran out), so a follower that holds a revision need not be sent
+the list again; a renewal or a new load figure does not change it.
 """
 
+import random
+
 import attrs
 
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 LEASE_MS = 2000
+# How long an endpoint that left is remembered. A heartbeat held up by a cut
+# can arrive after its sender has left; without the record it would bring the
+# endpoint back, and requests would go to an address that may be another's.
+LEFT_MEMORY_MS = 120_000
+REVISION_BITS = 40
 
 
 @attrs.define
@@ -21,30 +29,70 @@
     expires_ms: int
 
 
+def first_revision():
+    """A start for ``revision`` that no earlier life of the process used."""
+    return random.SystemRandom().getrandbits(REVISION_BITS) << 20
+
+
+def routed(beat):
+    """What of a heartbeat routing depends on."""
+    return beat.host, beat.port, beat.draining, beat.gone, beat.slots, beat.service_name
+
+
+def age(beat):
+    """What orders the heartbeats of one endpoint; a left one is the newest."""
+    return beat.incarnation, bool(beat.gone), beat.sequence or 0
+
+
 @attrs.define
 class Membership:
     """Leases by endpoint id."""
 
     lease_ms: int = LEASE_MS
     by_id: dict = attrs.field(factory=dict)
+    revision: int = attrs.field(factory=first_revision)
 
     def renew(self, beat, now):
-        """Take in one heartbeat; ``True`` when it made a new member."""
+        """Take in one heartbeat; ``True`` when routing must hear of it.
+
+        A heartbeat older than the one known, by incarnation and sequence,
+        is ignored: late by seconds, it would undo ``draining`` or move a
+        restarted endpoint back to its old address.
+        """
         lease = self.by_id.get(beat.endpoint_id)
-        if lease is not None and beat.incarnation < lease.beat.incarnation:
+        if lease is not None:
+            if age(beat) < age(lease.beat):
+                return False
+        keep_ms = LEFT_MEMORY_MS if beat.gone else self.lease_ms
+        self.by_id[beat.endpoint_id] = Lease(beat, now + keep_ms)
+        changed = lease is None or routed(lease.beat) != routed(beat)
+        self.revision += changed
+        return changed
+
+    def leave(self, endpoint_id, now):
+        """The endpoint says it has left; ``True`` when that is news."""
+        lease = self.by_id.get(endpoint_id)
+        if lease is None:
+            beat = ttypes.Heartbeat(endpoint_id=endpoint_id, incarnation=0)
+        else:
+            beat = lease.beat
+        if beat.gone:
             return False
-        self.by_id[beat.endpoint_id] = Lease(beat, now + self.lease_ms)
-        return lease is None
+        beat.gone = True
+        self.by_id[endpoint_id] = Lease(beat, now + LEFT_MEMORY_MS)
+        self.revision += 1
+        return True
 
     def expire(self, now):
         """Drop members whose lease ran out; their ids."""
         gone = [i for i, lease in self.by_id.items() if lease.expires_ms <= now]
         for endpoint_id in gone:
             del self.by_id[endpoint_id]
+        self.revision += bool(gone)
         return gone
 
     def members(self, now):
-        """Live members as ``Member`` messages, lease left in ms."""
+        """Live members and those that left, as ``Member`` messages."""
         return [
             ttypes.Member(
                 endpoint_id=b.endpoint_id,
@@ -57,6 +105,10 @@
                 lease_left_ms=lease.expires_ms - now,
                 group=b.group,
                 config_version=b.config_version,
+                service_name=b.service_name,
+                slots=b.slots,
+                sequence=b.sequence,
+                gone=b.gone,
             )
             for lease in self.by_id.values()
             if lease.expires_ms > now
--- /dev/null
+++ b/dunlinpoint/control/operators.py
@@ -0,0 +1,63 @@
+"""Operators' changes that carry the console's own number: the highest wins.
+
+A console that numbers its documents does not write against a version of
+ours; it sends whole documents, again after a lost answer, to any control
+instance, while another operator may do the same. Rules kept here:
+
+- A document with a higher number than the one in force takes its place.
+- One whose number is not higher is acknowledged and changes nothing: it was
+  sent again, or overtaken. Of two with equal numbers the first one decided
+  stays, whatever the other holds.
+- A change is acknowledged only once a majority of acceptors hold it.
+"""
+
+import hashlib
+import json
+import random
+
+import attrs
+from twisted.internet import defer, task
+
+from dunlinpoint import clock
+from dunlinpoint.config import document as config
+from dunlinpoint.control import agreement
+
+ROUNDS = 6
+PAUSE_MS = (30, 120)
+
+
+@attrs.define
+class Numbers:
+    """The console's number of the document in force, read once a version."""
+
+    version: int = 0
+    number: int = 0
+
+    def of(self, document):
+        """The number of *document* (a ``Document`` message)."""
+        if document.version != self.version:
+            self.version = document.version
+            self.number = json.loads(document.body_json).get("number", 0)
+        return self.number
+
+
+@defer.inlineCallbacks
+def replace(reactor, peers, numbers, doc):
+    """Put *doc* in force unless one with as high a number is: an ``Outcome``.
+
+    Two proposers at once can take each other's ballots; each waits a random
+    while before it tries again, so that one of them gets through.
+    """
+    text = config.dump(doc)
+    change_id = hashlib.sha256(text.encode()).hexdigest()[:24]
+    outcome = agreement.Outcome(False, 0, "no_quorum")
+    for _ in range(ROUNDS):
+        current = agreement.message(peers.local.committed)
+        if numbers.of(current) >= doc.number:
+            return agreement.Outcome(True, current.version, "held")
+        outcome = yield agreement.propose(peers, current.version, change_id, text)
+        if outcome.accepted:
+            return outcome
+        pause_ms = random.uniform(*PAUSE_MS)
+        yield task.deferLater(reactor, clock.seconds(pause_ms), lambda: None)
+    return outcome
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -43,6 +43,7 @@
     peers: list
     index: int = 0
     lease_ms: int = membership.LEASE_MS
+    bootstrap: bool = True
 
 
 @attrs.define
@@ -54,27 +55,77 @@
     counters: metrics.Counters
     peers: agreement.Peers
     membership: membership.Membership
+    waiting: list = attrs.field(factory=list)
+    peer_revision_by_address: dict = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, settings, reactor, counters):
         """A control instance, with its acceptor loaded from the data folder."""
-        acceptor = agreement.Acceptor.from_config(settings.data)
+        acceptor = agreement.Acceptor.from_config(settings.data, settings.bootstrap)
         links = [
             rpc.Link(reactor, host, port, Control.Client, PEER_TIMEOUT_MS)
             for host, port in settings.peers
         ]
-        return cls(
+        state = cls(
             settings,
             clock.Clock(reactor),
             counters,
             agreement.Peers(acceptor, settings.index, links),
             membership.Membership(lease_ms=settings.lease_ms),
         )
+        acceptor.on_learn.append(state.changed)
+        return state
 
     @property
     def document(self):
         return agreement.message(self.peers.local.committed)
 
+    def changed(self):
+        """Answer every follower that waits for a change."""
+        waiting, self.waiting = self.waiting, []
+        for waiter in waiting:
+            if not waiter.called:
+                waiter.callback(None)
+
+    def renew(self, beat):
+        """Take in one heartbeat from an endpoint."""
+        self.counters.incr("heartbeats")
+        if self.membership.renew(beat, self.clock.now()):
+            log.info(
+                "member",
+                endpoint_id=beat.endpoint_id,
+                zone=beat.zone,
+                draining=bool(beat.draining),
+            )
+            self.changed()
+
+    def leave(self, endpoint_id):
+        """An endpoint says it has left for good."""
+        if self.membership.leave(endpoint_id, self.clock.now()):
+            log.info("left", endpoint_id=endpoint_id)
+            self.changed()
+
+    def wake(self, waiter):
+        """Answer one follower whose wait ran out."""
+        if waiter in self.waiting:
+            self.waiting.remove(waiter)
+            waiter.callback(None)
+
+    def show(self, revision, config_version):
+        """This instance's ``View`` for a follower that holds these."""
+        now = self.clock.now()
+        unchanged = revision == self.membership.revision
+        document = self.document
+        return ttypes.View(
+            members=[] if unchanged else self.membership.members(now),
+            document=document if document.version > config_version else None,
+            control_id=self.settings.control_id,
+            revision=self.membership.revision,
+            unchanged=unchanged,
+            settled=self.peers.local.settled,
+            lease_ms=self.membership.lease_ms,
+        )
+
 
 @implementer(Control.Iface)
 @attrs.define
@@ -85,10 +136,7 @@
 
     def heartbeat(self, beat):
         state = self.state
-        now = state.clock.now()
-        if state.membership.renew(beat, now):
-            log.info("joined", endpoint_id=beat.endpoint_id, zone=beat.zone)
-        state.counters.incr("heartbeats")
+        state.renew(beat)
         # The whole document rides along only when the endpoint's version is
         # older: sending it on every heartbeat cost 852 reply bytes instead of
         # 43 with the default document, and grows with every workspace.
@@ -97,10 +145,19 @@
             document = None
         return ttypes.HeartbeatReply(state.membership.lease_ms, document)
 
-    def view(self, zone):
+    @defer.inlineCallbacks
+    def view(self, zone, revision, config_version, wait_ms):
         state = self.state
-        members = state.membership.members(state.clock.now())
-        return ttypes.View(members, state.document, state.settings.control_id)
+        shown = state.show(revision, config_version)
+        if wait_ms and shown.unchanged and shown.document is None:
+            changed = defer.Deferred()
+            state.waiting.append(changed)
+            timer = state.clock.later(wait_ms, state.wake, changed)
+            yield changed
+            if timer.active():
+                timer.cancel()
+            shown = state.show(revision, config_version)
+        return shown
 
     @defer.inlineCallbacks
     def apply(self, expected_version, change_id, body_json):
@@ -130,15 +187,31 @@
     def learn(self, document):
         self.state.peers.local.learn(document)
 
+    def inspect(self):
+        return self.state.peers.local.inspect()
+
 
 @defer.inlineCallbacks
 def catch_up(state):
-    """Learn any newer document a peer has."""
-    calls = [link.call("view", state.settings.zone) for link in state.peers.links]
+    """Learn any newer document a peer has; recover from a lost disk."""
+    yield agreement.recover(state.peers)
+    if state.peers.local.accepted is not None:
+        # Its proposer may have died between accept and learn; followers get
+        # no assurance from this instance until the round is finished.
+        yield agreement.read(state.peers)
+    version = state.document.version
+    revisions = state.peer_revision_by_address
+    calls = [
+        link.call(
+            "view", state.settings.zone, revisions.get(link.address, 0), version, 0
+        )
+        for link in state.peers.links
+    ]
     results = yield defer.DeferredList(calls, consumeErrors=True)
-    for ok, shown in results:
+    for link, (ok, shown) in zip(state.peers.links, results, strict=True):
         if ok:
-            if state.peers.local.learn(shown.document):
+            revisions[link.address] = shown.revision
+            if shown.document and state.peers.local.learn(shown.document):
                 state.counters.incr("caught_up")
         elif not shown.check(errors.WireError):
             log.error("catch_up_failed", error=str(shown.value))
@@ -146,8 +219,11 @@
 
 def expire(state):
     """Drop members whose lease ran out."""
-    for endpoint_id in state.membership.expire(state.clock.now()):
-        log.info("left", endpoint_id=endpoint_id)
+    expired = state.membership.expire(state.clock.now())
+    for endpoint_id in expired:
+        log.info("lease_ended", endpoint_id=endpoint_id)
+    if expired:
+        state.changed()
 
 
 def every(reactor, interval_ms, func, *args):
--- a/dunlinpoint/entry/view.py
+++ b/dunlinpoint/entry/view.py
@@ -1,15 +1,24 @@
 """What an entry knows of the deployment: members and the document in force.
 
-Each control instance's view is kept with the time it arrived; a member is
-live while the lease it had then has not run out here. The document is the
-highest version any control has shown: an isolated control showing an older
-one cannot make the entry go back.
+The entry follows every control instance by long polls: each answers at once
+when it knows something the entry does not, and otherwise after ``wait_ms``.
+
+- A member is live while some control still vouches for its lease. When no
+  control has answered for a whole lease, the entry is the one cut off: it
+  keeps the members it last knew and finds out by trying them.
+- The document is the highest version any control has shown: an isolated
+  control showing an older one cannot make the entry go back.
+- ``vouched_ms`` is the last moment at which a majority of the controls are
+  known to have held no newer document. Every accepted document is held by a
+  majority of them before its operator hears of it, so one of those asked
+  would have shown it. Work that a newer document may have forbidden (a key
+  taken away) is refused once that moment is too long ago.
 """
 
 from __future__ import annotations
 
 import attrs
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from dunlinpoint import clock, logs
 from dunlinpoint.wire import errors, rpc
@@ -17,79 +26,167 @@
 
 log = logs.logger("entry")
 
-POLL_MS = 300
+# The longest a control holds a poll. It bounds how often an idle entry asks
+# (bytes between zones) and how old ``vouched_ms`` can grow in calm times.
+WAIT_MS = 800
+# The pause between polls of one control, so that a stream of changes is
+# taken in batches.
+PAUSE_MS = 50
+RETRY_MS = 300
 CONTROL_TIMEOUT_MS = 1000
 
 
 @attrs.define
 class Seen:
-    """One member as last shown, with the local time its lease ends."""
+    """One member as last shown, and until when it is vouched for."""
 
     member: ttypes.Member
     expires_ms: int
 
 
+def newer(member, known):
+    """Whether *member* is not an older state of the endpoint than *known*."""
+    return (bool(member.gone), member.sequence or 0) >= (
+        bool(known.gone),
+        known.sequence or 0,
+    )
+
+
+@attrs.define
+class Follow:
+    """One control instance as this entry follows it."""
+
+    link: rpc.Link
+    revision: int = 0
+    member_ids: list = attrs.field(factory=list)
+    vouched_ms: int | None = None
+    answered_ms: int | None = None
+
+
 @attrs.define
 class View:
     """Members by endpoint id, and the document in force."""
 
     clock: clock.Clock
     zone: str
-    links: list
+    follows: list
     by_id: dict = attrs.field(factory=dict)
     document: ttypes.Document = attrs.field(
         factory=lambda: ttypes.Document(version=0, change_id="", body_json="{}")
     )
-    changes: int = 0
+    on_document: list = attrs.field(factory=list)
+    wait_ms: int = WAIT_MS
+    lease_ms: int = 0
 
     @classmethod
     def from_config(cls, reactor, zone, controls):
         """A view fed by the controls at *controls* (``[(host, port)]``)."""
-        links = [
-            rpc.Link(reactor, host, port, Control.Client, CONTROL_TIMEOUT_MS)
+        follows = [
+            Follow(rpc.Link(reactor, host, port, Control.Client, CONTROL_TIMEOUT_MS))
             for host, port in controls
         ]
-        return cls(clock.Clock(reactor), zone, links)
+        return cls(clock.Clock(reactor), zone, follows)
 
-    def merge(self, shown):
-        """Take in one control's ``View`` message."""
+    def merge(self, follow, shown, asked_ms):
+        """Take in one control's ``View``, asked for at *asked_ms*."""
         now = self.clock.now()
-        for member in shown.members:
-            expires = now + member.lease_left_ms
-            seen = self.by_id.get(member.endpoint_id)
-            if seen is None or expires >= seen.expires_ms:
-                self.by_id[member.endpoint_id] = Seen(member, expires)
+        self.lease_ms = shown.lease_ms
+        follow.answered_ms = now
+        if shown.settled:
+            follow.vouched_ms = asked_ms
+        if shown.unchanged:
+            for endpoint_id in follow.member_ids:
+                seen = self.by_id.get(endpoint_id)
+                if seen is not None:
+                    seen.expires_ms = now + shown.lease_ms
+        else:
+            follow.revision = shown.revision
+            follow.member_ids = [m.endpoint_id for m in shown.members]
+            for member in shown.members:
+                self._take(member, now + member.lease_left_ms)
         document = shown.document
         if document is not None and document.version > self.document.version:
             self.document = document
-            self.changes += 1
             log.info("document_in_force", version=document.version)
+            for hear in self.on_document:
+                hear(document)
+
+    def _take(self, member, expires_ms):
+        seen = self.by_id.get(member.endpoint_id)
+        if seen is None:
+            self.by_id[member.endpoint_id] = Seen(member, expires_ms)
+        elif newer(member, seen.member):
+            seen.member = member
+            seen.expires_ms = max(seen.expires_ms, expires_ms)
+
+    def _forget(self, now):
+        """Drop members nobody vouches for, while some control answers."""
+        answered = [f.answered_ms for f in self.follows if f.answered_ms is not None]
+        if not answered or max(answered) < now - self.lease_ms:
+            return
+        for endpoint_id in [i for i, s in self.by_id.items() if s.expires_ms <= now]:
+            del self.by_id[endpoint_id]
 
     def live(self, kind):
-        """Members of *kind* whose lease runs and who are not draining."""
-        now = self.clock.now()
+        """Members of *kind* that take new work."""
+        self._forget(self.clock.now())
         return [
             seen.member
             for seen in self.by_id.values()
-            if seen.expires_ms > now
-            and not seen.member.draining
+            if not seen.member.draining
+            and not seen.member.gone
             and seen.member.kind == kind
         ]
 
+    @property
+    def vouched_ms(self):
+        """When a majority of controls last held nothing newer, or ``None``."""
+        times = sorted(
+            (f.vouched_ms for f in self.follows if f.vouched_ms is not None),
+            reverse=True,
+        )
+        majority = len(self.follows) // 2 + 1
+        return times[majority - 1] if len(times) >= majority else None
+
     @defer.inlineCallbacks
-    def poll(self):
-        """Ask every control for its view once."""
-        calls = [link.call("view", self.zone) for link in self.links]
-        results = yield defer.DeferredList(calls, consumeErrors=True)
-        for ok, shown in results:
-            if ok:
-                self.merge(shown)
-            elif not shown.check(errors.WireError):
-                log.error("view_failed", error=str(shown.value))
+    def poll(self, follow):
+        """Ask one control once; the pause before the next poll, in ms."""
+        asked_ms = self.clock.now()
+        try:
+            shown = yield follow.link.call(
+                "view",
+                self.zone,
+                follow.revision,
+                self.document.version,
+                self.wait_ms,
+                timeout_ms=self.wait_ms + CONTROL_TIMEOUT_MS,
+            )
+        except errors.WireError:
+            # A connection that went silent answers nothing until it is
+            # closed: reopened, the next poll finds out whether the control
+            # is there.
+            follow.link.close()
+            return RETRY_MS
+        # A long poll that changed nothing vouches for the moment it was
+        # answered; one answered at once, for the moment it was asked. The
+        # earlier of the two is always true.
+        self.merge(follow, shown, asked_ms)
+        return PAUSE_MS
 
     def follow(self, reactor):
-        """Poll every ``POLL_MS`` until the reactor stops."""
-        loop = task.LoopingCall(self.poll)
-        loop.clock = reactor
-        loop.start(clock.seconds(POLL_MS))
-        return loop
+        """Poll every control until the reactor stops."""
+        for follow in self.follows:
+            self._next(follow, 0)
+
+    def _next(self, follow, pause_ms):
+        def again(pause_ms):
+            self._next(follow, pause_ms)
+
+        def run():
+            self.poll(follow).addCallbacks(again, failed)
+
+        def failed(failure):
+            log.error("view_failed", error=failure.getErrorMessage())
+            self._next(follow, RETRY_MS)
+
+        self.clock.later(pause_ms, run)
--- /dev/null
+++ b/dunlinpoint/forward/__init__.py
@@ -0,0 +1,15 @@
+"""Forwarding callers' own HTTP requests to endpoints, unchanged.
+
+==============  ==========================================================
+module          holds
+==============  ==========================================================
+``names``       the header names of a dialect of HTTP
+``routes``      routes and keys of the document in force, looked up fast
+``pool``        connections to endpoints and one exchange on one of them
+``events``      server-sent events: whole ones, their ids, what is repeated
+``pick``        which endpoint gets the next try, and which are avoided
+``budget``      how many tries beyond the first a service may get
+``exchange``    one caller's request from arrival to its final answer
+``site``        the HTTP server that callers connect to
+==============  ==========================================================
+"""
--- /dev/null
+++ b/dunlinpoint/forward/exchange.py
@@ -0,0 +1,450 @@
+"""One caller's request from its arrival to its final answer.
+
+The promises kept here, and how:
+
+- *Whole and own*: an answer counts only with the endpoint's signature and
+  the echoed request id. Plain answers are passed on once whole, streams
+  event by event; one that breaks off is never ended as if complete.
+- *Not run means not run*: 503 is given only if every try was certainly not
+  run. After any try that may have run, the caller is told 502 or 504.
+- *At most once*: a request that may not be repeated goes to another endpoint
+  only after a certain "not run".
+- *At once*: a request given up on is answered there and then, with the time
+  to come back; nothing is held until the caller's deadline.
+- *Nobody waits in vain*: when the caller leaves, the endpoint's connection
+  is closed, so that the endpoint stops.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from twisted.internet import defer
+from twisted.web import http_headers
+
+from dunlinpoint import clock, logs, metrics
+from dunlinpoint.config import document as config
+from dunlinpoint.entry import view
+from dunlinpoint.forward import budget, events, names, pick, pool, routes
+
+log = logs.logger("entry")
+
+HOP_BY_HOP = {
+    b"connection",
+    b"keep-alive",
+    b"proxy-authenticate",
+    b"proxy-authorization",
+    b"proxy-connection",
+    b"te",
+    b"trailer",
+    b"transfer-encoding",
+    b"upgrade",
+}
+OWN_HEADERS = {b"content-length", b"authorization", b"expect"}
+DEFAULT_DEADLINE_MS = 60_000
+# Less than this left is not worth handing to an endpoint.
+LEAST_LEFT_MS = 10
+# An idempotent request's first endpoint gets this part of the time left
+# before another is tried.
+FIRST_TRY_SHARE = 0.6
+RETRY_AFTER_MS = 150
+# The state of one try.
+DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
+
+
+@attrs.define
+class Forward:
+    """What every request at this entry shares."""
+
+    view: view.View
+    clock: clock.Clock
+    counters: metrics.Counters
+    pool: pool.Pool
+    picker: pick.Picker
+    names: names.Names = names.DEFAULT
+    budget: budget.Budget = attrs.field(factory=budget.Budget)
+    table: routes.Table = attrs.field(factory=routes.Table)
+    limits: config.Limits = attrs.field(factory=config.Limits)
+    rng: random.Random = attrs.field(factory=random.Random)
+    key_lease_ms: int = 0
+    in_flight: int = 0
+    draining: bool = False
+
+    @classmethod
+    def from_config(cls, reactor, entry_view, counters, dialect, key_lease_ms=0):
+        """Forwarding at the entry whose view is *entry_view*.
+
+        With *key_lease_ms* above 0, keyed requests are refused once no
+        majority of controls has vouched for the document for so long.
+        """
+        forward = cls(
+            view=entry_view,
+            clock=clock.Clock(reactor),
+            counters=counters,
+            pool=pool.Pool.from_config(reactor),
+            picker=pick.Picker(entry_view.zone),
+            names=dialect,
+            key_lease_ms=key_lease_ms,
+        )
+        entry_view.on_document.append(forward.take)
+        return forward
+
+    def take(self, document):
+        """Put a newer document in force."""
+        doc = config.parse(document.body_json)
+        self.table = routes.Table.from_document(doc, document.version)
+        self.limits = doc.limits
+
+    def members(self, service):
+        """Endpoints of *service* that take new work."""
+        return [m for m in self.view.live("service") if m.service_name == service]
+
+    def key_lease_ended(self):
+        """Whether keys may have been taken away without our hearing of it."""
+        if not self.key_lease_ms:
+            return False
+        vouched = self.view.vouched_ms
+        return vouched is None or self.clock.now() - vouched > self.key_lease_ms
+
+
+@attrs.define(eq=False)
+class Call:
+    """One request at this entry."""
+
+    request: object
+    route: config.Route
+    service: str
+    workspace: config.Workspace | None
+    deadline_ms: int
+    request_id: bytes | None
+    events: events.Events
+    streaming: bool
+    tried: set = attrs.field(factory=set)
+    tries: int = 0
+    may_have_run: bool = False
+    started: bool = False
+    left: bool = False
+    expired: bool = False
+    connection: pool.Connection | None = None
+    last_failure: tuple | None = None
+
+    def stop(self):
+        """Drop the try under way."""
+        if self.connection is not None:
+            self.connection.close()
+
+    def caller_left(self, _reason=None):
+        """The caller closed its connection."""
+        self.left = True
+        self.stop()
+
+    def expire(self):
+        """The caller's deadline or the route's timeout is reached."""
+        self.expired = True
+        self.stop()
+
+    @property
+    def over(self):
+        return self.left or self.expired
+
+
+def header(request, name):
+    """The last value of a request header as text, or ``None``."""
+    value = request.getHeader(name)
+    if isinstance(value, bytes):
+        return value.decode("latin-1")
+    return value
+
+
+def answer(forward, request, status, reason, retry_ms=None):
+    """End *request* with a final answer of our own, at once."""
+    if 500 <= status or status in (408, 429):
+        forward.counters.refused(reason)
+    else:
+        forward.counters.incr(f"denied.{reason}")
+    body = reason.encode()
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"text/plain")
+    request.setHeader(b"content-length", b"%d" % len(body))
+    if retry_ms is not None:
+        request.setHeader(b"retry-after", b"%.3f" % (retry_ms / 1000))
+    finish(forward, request, body)
+
+
+def finish(forward, request, body=b""):
+    """Write *body*, end the answer, and close the connection while draining."""
+    if forward.draining and not request.startedWriting:
+        request.setHeader(b"connection", b"close")
+        request.channel.persistent = False
+    if body:
+        request.write(body)
+    request.finish()
+
+
+def admit(forward, request):
+    """The ``Call`` of *request*, or ``None`` after a final answer."""
+    table = forward.table
+    if not table.version:
+        answer(forward, request, 503, "no_document", RETRY_AFTER_MS)
+        return None
+    path = request.path.decode("latin-1")
+    route = table.match(header(request, b"host") or "", path)
+    if route is None:
+        answer(forward, request, 404, "no_route")
+        return None
+    workspace = None
+    if table.keyed and not route.public:
+        if forward.key_lease_ended():
+            answer(forward, request, 503, "document_not_vouched", RETRY_AFTER_MS)
+            return None
+        workspace = table.workspace(header(request, b"authorization"))
+        if workspace is None:
+            answer(forward, request, 401, "unknown_key")
+            return None
+    given = header(request, forward.names.deadline_ms) or ""
+    wait_ms = int(given) if given.isdigit() else DEFAULT_DEADLINE_MS
+    last_id = header(request, forward.names.last_event_id) or ""
+    request_id = header(request, forward.names.request_id)
+    return Call(
+        request=request,
+        route=route,
+        service=routes.service_of(route, forward.rng),
+        workspace=workspace,
+        deadline_ms=forward.clock.now() + min(wait_ms, route.timeout_ms),
+        request_id=request_id.encode("latin-1") if request_id else None,
+        events=events.Events(int(last_id) if last_id.isdigit() else None),
+        streaming=route.kind == config.STREAMING,
+    )
+
+
+@defer.inlineCallbacks
+def serve(forward, request):
+    """Forward one request; every path ends in exactly one final answer."""
+    if forward.draining:
+        request.channel.persistent = False
+        request.setHeader(b"connection", b"close")
+    call = admit(forward, request)
+    if call is None:
+        return
+    forward.in_flight += 1
+    request.notifyFinish().addErrback(call.caller_left)
+    timer = forward.clock.later(call.deadline_ms - forward.clock.now(), call.expire)
+    try:
+        yield tries(forward, call)
+    finally:
+        forward.in_flight -= 1
+        if timer.active():
+            timer.cancel()
+
+
+@defer.inlineCallbacks
+def tries(forward, call):
+    """Try endpoints until one answers or no other may be tried."""
+    while True:
+        now = forward.clock.now()
+        member = forward.picker.pick(
+            forward.members(call.service), now, exclude=call.tried
+        )
+        if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
+            give_up(forward, call, "no_endpoint" if member is None else "too_late")
+            return
+        call.tried.add(member.endpoint_id)
+        state = yield one_try(forward, call, member)
+        if state == DONE or call.left:
+            return
+        if not may_try_again(forward, call, state):
+            give_up(forward, call, state)
+            return
+        forward.counters.retried(state)
+
+
+def may_try_again(forward, call, state):
+    """Whether another endpoint may get the request after a try's *state*."""
+    if call.over:
+        return False
+    if state != NOT_RUN and not routes.repeatable(call.route):
+        return False
+    if call.tries >= call.route.max_attempts:
+        return False
+    return call.tries == 0 or forward.budget.spend(call.service)
+
+
+def give_up(forward, call, reason):
+    """The final answer of a request that no endpoint answered."""
+    request = call.request
+    if call.left:
+        return
+    if call.started:
+        # A chunked answer without its last chunk cannot be taken for whole.
+        forward.counters.incr("gave_up.stream_broken")
+        request.channel.loseConnection()
+    elif call.last_failure is not None:
+        head, body = call.last_failure
+        forward.counters.incr("answered.endpoint_failure")
+        copy_head(request, head, len(body))
+        finish(forward, request, body)
+    elif not call.may_have_run:
+        answer(forward, request, 503, reason, RETRY_AFTER_MS)
+    else:
+        answer(forward, request, 504 if call.expired else 502, reason)
+
+
+@defer.inlineCallbacks
+def one_try(forward, call, member):
+    """Send the request to *member*: the state of the try."""
+    endpoint_id = member.endpoint_id
+    forward.picker.began(endpoint_id)
+    guard = None
+    try:
+        connection = yield forward.pool.connect(
+            member, routes.repeatable(call.route) and not call.streaming
+        )
+        call.connection = connection
+        if call.over:
+            connection.close()
+            return NOT_RUN
+        call.tries += 1
+        if call.tries == 1:
+            forward.budget.earn(call.service)
+        guard = try_timer(forward, call, connection)
+        state = yield exchange(forward, call, member, connection)
+    except pool.NotSent:
+        forward.counters.retried("endpoint_unreachable")
+        forward.picker.failed(endpoint_id, forward.clock.now())
+        return NOT_RUN
+    except pool.Broken:
+        call.may_have_run = True
+        if not call.over:
+            forward.picker.failed(endpoint_id, forward.clock.now())
+        return BROKEN
+    finally:
+        call.connection = None
+        forward.picker.ended(endpoint_id)
+        if guard is not None and guard.active():
+            guard.cancel()
+    if state == DONE:
+        forward.picker.succeeded(endpoint_id)
+    elif state == FAILED:
+        call.may_have_run = True
+    return state
+
+
+def try_timer(forward, call, connection):
+    """Ends a try early where another endpoint may still answer in time."""
+    if call.streaming or not routes.repeatable(call.route):
+        return None
+    if call.tries >= call.route.max_attempts:
+        return None
+    left = call.deadline_ms - forward.clock.now()
+    return forward.clock.later(left * FIRST_TRY_SHARE, connection.close)
+
+
+def outgoing(forward, call, member):
+    """The request as *member* gets it."""
+    named = header(call.request, b"connection") or ""
+    dropped = HOP_BY_HOP | {n.strip().lower().encode() for n in named.split(",")}
+    dropped |= OWN_HEADERS
+    own = forward.names
+    headers = http_headers.Headers()
+    for name, values in call.request.requestHeaders.getAllRawHeaders():
+        if name.lower() not in dropped:
+            headers.setRawHeaders(name, values)
+    left = call.deadline_ms - forward.clock.now()
+    headers.setRawHeaders(own.deadline_ms, [b"%d" % max(1, left)])
+    headers.setRawHeaders(own.endpoint_id, [member.endpoint_id.encode()])
+    headers.removeHeader(own.workspace)
+    if call.workspace is not None:
+        headers.setRawHeaders(own.workspace, [call.workspace.name.encode()])
+    if call.streaming and call.events.last_id is not None:
+        headers.setRawHeaders(own.last_event_id, [b"%d" % call.events.last_id])
+    request = call.request
+    request.content.seek(0)
+    return pool.Message(request.method, request.uri, headers, request.content.read())
+
+
+@defer.inlineCallbacks
+def exchange(forward, call, member, connection):
+    """One exchange with *member*: the state of the try."""
+    head = yield pool.send(connection, outgoing(forward, call, member))
+    own = forward.names
+    echoed = head.headers.getRawHeaders(own.request_id, [None])[-1]
+    if call.request_id is not None and echoed != call.request_id:
+        forward.counters.incr("dropped.foreign_answer")
+        raise closing(connection, "an answer to another request")
+    if head.headers.hasHeader(own.not_run) or head.code == 421:
+        yield drained(connection, head)
+        forward.counters.incr("endpoint.not_run")
+        forward.picker.failed(member.endpoint_id, forward.clock.now())
+        return NOT_RUN
+    good = 200 <= head.code < 300
+    if good and not head.headers.hasHeader(own.signature):
+        raise closing(connection, "a success without a signature")
+    if head.headers.hasHeader(b"content-encoding"):
+        raise closing(connection, "an encoded body")
+    if good and call.streaming:
+        yield relay(call, connection, head)
+        forward.counters.incr("answered.stream")
+        finish(forward, call.request)
+        return DONE
+    body = bytearray()
+    yield pool.read(connection, head, body.extend)
+    if head.code >= 500:
+        call.last_failure = head, bytes(body)
+        return FAILED
+    if call.over:
+        raise closing(connection, "the caller is gone")
+    forward.counters.incr("answered.plain")
+    copy_head(call.request, head, len(body))
+    finish(forward, call.request, bytes(body))
+    return DONE
+
+
+def closing(connection, why):
+    """Close *connection*; the ``Broken`` to raise."""
+    connection.close()
+    return pool.Broken(why)
+
+
+@defer.inlineCallbacks
+def drained(connection, head):
+    """Read a refusal's body so that its connection can be used again."""
+    try:
+        yield pool.read(connection, head, len)
+    except pool.Broken:
+        connection.close()
+
+
+@defer.inlineCallbacks
+def relay(call, connection, head):
+    """Pass a stream's whole events on as they come."""
+    request = call.request
+    call.events.restart()
+
+    def on_data(data):
+        out = call.events.feed(data)
+        if not out or call.over:
+            return
+        if not call.started:
+            call.started = True
+            copy_head(request, head, None)
+        request.write(out)
+
+    yield pool.read(connection, head, on_data)
+    if call.over:
+        raise closing(connection, "the caller is gone")
+    if call.events.partial:
+        raise closing(connection, "a stream that ends within an event")
+    if not call.started:
+        call.started = True
+        copy_head(request, head, None)
+
+
+def copy_head(request, head, length):
+    """The endpoint's status and headers as the caller's answer."""
+    request.setResponseCode(head.code, head.phrase)
+    for name, values in head.headers.getAllRawHeaders():
+        if name.lower() not in HOP_BY_HOP and name.lower() != b"content-length":
+            request.responseHeaders.setRawHeaders(name, values)
+    if length is not None:
+        request.setHeader(b"content-length", b"%d" % length)
--- /dev/null
+++ b/dunlinpoint/forward/pick.py
@@ -0,0 +1,94 @@
+"""Which endpoint gets the next try of a request.
+
+Among a service's live endpoints the least loaded wins, counted in this
+entry's own requests in flight and weighed against how many the endpoint
+runs at once; the entry's own zone is preferred until its endpoints are
+fuller than another zone's by :data:`ZONE_MARGIN` of their slots. Ties fall
+at random, so that entries which see the same do not all choose the same.
+
+An endpoint that failed a request is avoided for a while, doubling with each
+failure in a row: health reports lag and some endpoints fail while they
+report health, so what counts is what requests met.
+"""
+
+import random
+
+import attrs
+
+ZONE_MARGIN = 0.5
+AVOID_MS = 400
+AVOID_MAX_MS = 5000
+DEFAULT_SLOTS = 4
+
+
+@attrs.define
+class Record:
+    """What this entry knows of one endpoint from its own requests."""
+
+    in_flight: int = 0
+    failures: int = 0
+    avoid_until_ms: int = 0
+
+
+@attrs.define
+class Picker:
+    """Records by endpoint id."""
+
+    zone: str
+    rng: random.Random = attrs.field(factory=random.Random)
+    record_by_id: dict = attrs.field(factory=dict)
+
+    def record(self, endpoint_id):
+        """The record of *endpoint_id*, new if there is none."""
+        record = self.record_by_id.get(endpoint_id)
+        if record is None:
+            record = self.record_by_id[endpoint_id] = Record()
+        return record
+
+    def forget(self, live_ids):
+        """Drop records of endpoints that are gone and idle."""
+        for endpoint_id, record in list(self.record_by_id.items()):
+            if endpoint_id not in live_ids and not record.in_flight:
+                del self.record_by_id[endpoint_id]
+
+    def pick(self, members, now, exclude=()):
+        """The endpoint of *members* to try, or ``None``.
+
+        Endpoints in *exclude* were tried already. Avoided ones are taken
+        only when there is no other: an endpoint that failed lately may
+        serve, and no endpoint at all serves nothing.
+        """
+        pool = [m for m in members if m.endpoint_id not in exclude]
+        if not pool:
+            return None
+        sound = [m for m in pool if self.record(m.endpoint_id).avoid_until_ms <= now]
+        if not sound:
+            return min(pool, key=lambda m: self.record(m.endpoint_id).avoid_until_ms)
+        return min(sound, key=self._weight)
+
+    def _weight(self, member):
+        record = self.record(member.endpoint_id)
+        load = record.in_flight / (member.slots or DEFAULT_SLOTS)
+        away = 0.0 if member.zone == self.zone else ZONE_MARGIN
+        return load + away, self.rng.random()
+
+    def began(self, endpoint_id):
+        """A request was sent to the endpoint."""
+        self.record(endpoint_id).in_flight += 1
+
+    def ended(self, endpoint_id):
+        """A request at the endpoint is over."""
+        self.record(endpoint_id).in_flight -= 1
+
+    def succeeded(self, endpoint_id):
+        """The endpoint answered as it should."""
+        record = self.record(endpoint_id)
+        record.failures = 0
+        record.avoid_until_ms = 0
+
+    def failed(self, endpoint_id, now):
+        """The endpoint failed a request: avoid it for a while."""
+        record = self.record(endpoint_id)
+        record.failures += 1
+        pause = min(AVOID_MS * 2 ** (record.failures - 1), AVOID_MAX_MS)
+        record.avoid_until_ms = now + pause
--- /dev/null
+++ b/dunlinpoint/forward/pool.py
@@ -0,0 +1,229 @@
+"""Connections to endpoints, and one exchange at a time on each.
+
+An idle connection is used again for the same endpoint while it is younger
+than the endpoint's ``Keep-Alive`` promise. What can go wrong on one:
+
+- Extra bytes after an answer belong to no request. Read as the next answer,
+  they would reach another caller; a connection that got any is not reused,
+  and an answer's echoed request id must be the one sent.
+- An endpoint may close an idle connection just as a request is written; the
+  request may or may not have run. Requests that must not run twice ask for
+  a connection used a moment ago, or a new one.
+- An answer without a length ends with its connection. Ended by a reset, it
+  is not whole, although the HTTP library reports the same for both.
+
+Errors: :class:`NotSent` when no byte of the request left, :class:`Broken`
+when it may have run.
+"""
+
+import re
+
+import attrs
+from twisted.internet import defer, endpoints, error, protocol
+from twisted.web import _newclient, client, iweb
+from zope.interface import implementer
+
+from dunlinpoint import clock
+
+CONNECT_TIMEOUT_MS = 400
+IDLE_MS = 2000
+# Taken off an endpoint's Keep-Alive promise for the way there.
+KEEP_ALIVE_MARGIN_MS = 700
+# How fresh a connection must be for a request that must not run twice.
+FRESH_MS = 500
+MAX_IDLE = 8
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+
+
+class ForwardError(Exception):
+    """A request got no usable answer from an endpoint."""
+
+
+class NotSent(ForwardError):
+    """No byte of the request left: the endpoint did not run it."""
+
+
+class Broken(ForwardError):
+    """The request left and no whole, sound answer came: it may have run."""
+
+
+@implementer(iweb.IBodyProducer)
+@attrs.define
+class Body:
+    """A request body held in memory."""
+
+    data: bytes
+
+    @property
+    def length(self):
+        return len(self.data)
+
+    def startProducing(self, consumer):
+        consumer.write(self.data)
+        return defer.succeed(None)
+
+    def stopProducing(self):
+        pass
+
+    def pauseProducing(self):
+        pass
+
+    def resumeProducing(self):
+        pass
+
+
+@attrs.define
+class Message:
+    """One request as an endpoint gets it; *headers* include Host."""
+
+    method: bytes
+    uri: bytes
+    headers: object
+    body: bytes
+
+
+class Connection(client.HTTP11ClientProtocol):
+    """One connection to an endpoint, its library protocol kept an eye on."""
+
+    def __init__(self, quiescent):
+        super().__init__(quiescent)
+        self.idle_since_ms = 0
+        self.idle_limit_ms = IDLE_MS
+        self.has_extra = False
+        self.was_reset = False
+
+    def _finishResponse(self, rest):
+        if rest:
+            self.has_extra = True
+        return super()._finishResponse(rest)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        self.was_reset = not reason.check(error.ConnectionDone)
+        super().connectionLost(reason)
+
+    def usable(self, now, limit_ms):
+        """Whether another request may go out, idle up to *limit_ms*."""
+        limit_ms = min(limit_ms, self.idle_limit_ms)
+        return (
+            self.state == "QUIESCENT"
+            and not self.has_extra
+            and now - self.idle_since_ms <= limit_ms
+        )
+
+    def close(self):
+        """Drop the connection with whatever is on it."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+
+class Reader(protocol.Protocol):
+    """Feeds an answer's body to *on_data*; ``done`` fires at its end."""
+
+    def __init__(self, connection, on_data):
+        self.connection = connection
+        self.on_data = on_data
+        self.done = defer.Deferred()
+
+    def dataReceived(self, data):
+        self.on_data(data)
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        whole = reason.check(client.ResponseDone) or (
+            reason.check(_newclient.PotentialDataLoss) and not self.connection.was_reset
+        )
+        if whole:
+            self.done.callback(None)
+        else:
+            self.done.errback(Broken(f"answer broke off: {reason.value!r}"))
+
+
+@attrs.define
+class Pool:
+    """Idle connections by endpoint id, and how many were opened."""
+
+    reactor: object
+    clock: clock.Clock
+    idle_by_id: dict = attrs.field(factory=dict)
+    opened: int = 0
+
+    @classmethod
+    def from_config(cls, reactor):
+        """An empty pool on *reactor*."""
+        return cls(reactor, clock.Clock(reactor))
+
+    def _idle(self, endpoint_id, limit_ms):
+        idle = self.idle_by_id.get(endpoint_id, [])
+        now = self.clock.now()
+        while idle:
+            connection = idle.pop()
+            if connection.usable(now, limit_ms):
+                return connection
+            connection.close()
+        return None
+
+    @defer.inlineCallbacks
+    def connect(self, member, repeatable):
+        """A connection to *member*, idle or new; raises ``NotSent``."""
+        limit_ms = IDLE_MS * 4 if repeatable else FRESH_MS
+        connection = self._idle(member.endpoint_id, limit_ms)
+        if connection is not None:
+            return connection
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self.reactor,
+            member.host,
+            member.port,
+            timeout=clock.seconds(CONNECT_TIMEOUT_MS),
+        )
+        self.opened += 1
+
+        def quiescent(connection):
+            self._keep(member.endpoint_id, connection)
+
+        try:
+            connection = yield endpoints.connectProtocol(
+                endpoint, Connection(quiescent)
+            )
+        except Exception as exc:
+            raise NotSent(f"{member.host}:{member.port}: {exc}") from exc
+        connection.transport.setTcpNoDelay(True)
+        return connection
+
+    def _keep(self, endpoint_id, connection):
+        connection.idle_since_ms = self.clock.now()
+        idle = self.idle_by_id.setdefault(endpoint_id, [])
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle.pop(0).close()
+
+    def forget(self, live_ids):
+        """Close the idle connections of endpoints that are gone."""
+        for endpoint_id in [i for i in self.idle_by_id if i not in live_ids]:
+            for connection in self.idle_by_id.pop(endpoint_id):
+                connection.close()
+
+
+@defer.inlineCallbacks
+def send(connection, message):
+    """Send *message*; the answer's head (``IResponse``), or ``Broken``."""
+    body = Body(message.body) if message.body or message.method == b"POST" else None
+    request = _newclient.Request(
+        message.method, message.uri, message.headers, body, persistent=True
+    )
+    try:
+        head = yield connection.request(request)
+    except Exception as exc:
+        connection.close()
+        raise Broken(repr(exc)) from exc
+    for value in head.headers.getRawHeaders(b"keep-alive", ()):
+        found = KEEP_ALIVE_TIMEOUT.search(value)
+        if found:
+            limit_ms = int(found[1]) * clock.MS_PER_SECOND - KEEP_ALIVE_MARGIN_MS
+            connection.idle_limit_ms = max(0, limit_ms)
+    return head
+
+
+def read(connection, head, on_data):
+    """Feed the body to *on_data*; a Deferred of its whole end or ``Broken``."""
+    reader = Reader(connection, on_data)
+    head.deliverBody(reader)
+    return reader.done
--- /dev/null
+++ b/dunlinpoint/platform/admin.py
@@ -0,0 +1,66 @@
+"""The platform's calls at a control instance: servers' and operators'."""
+
+import json
+
+from klein import Klein
+from twisted.internet import defer
+
+from dunlinpoint.config import document as config
+from dunlinpoint.control import agreement, operators
+from dunlinpoint.platform import dialect, documents
+
+JSON = b"application/json"
+
+
+def reply(request, status, body):
+    """A JSON answer with *status*."""
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", JSON)
+    return json.dumps(body).encode()
+
+
+def make_app(reactor, state):
+    """The Klein app over a control instance's *state*."""
+    web = Klein()
+    numbers = operators.Numbers()
+
+    @web.route(dialect.HEARTBEAT, methods=["POST"])
+    def heartbeat(request, endpoint_id):
+        try:
+            beat = documents.to_heartbeat(endpoint_id, request.content.read())
+        except ValueError as exc:
+            return reply(request, 400, {"error": str(exc)})
+        state.renew(beat)
+        return reply(request, 200, {})
+
+    @web.route(dialect.DEREGISTER, methods=["POST"])
+    def deregister(request, endpoint_id):
+        state.leave(endpoint_id)
+        return reply(request, 200, {})
+
+    @web.route(dialect.REPLACE, methods=["POST"])
+    @defer.inlineCallbacks
+    def replace(request):
+        try:
+            doc = documents.to_document(request.content.read())
+        except config.DocumentError as exc:
+            state.counters.refused("invalid_document")
+            return reply(request, 400, {"error": str(exc)})
+        outcome = yield operators.replace(reactor, state.peers, numbers, doc)
+        if outcome.accepted:
+            state.counters.incr("applied")
+            return reply(request, 200, {})
+        state.counters.refused(outcome.reason)
+        return reply(request, 503, {"error": outcome.reason})
+
+    @web.route(dialect.READ, methods=["GET"])
+    @defer.inlineCallbacks
+    def read(request):
+        document = yield agreement.read(state.peers)
+        if document is None or not document.version:
+            state.counters.refused("read_unsure")
+            return reply(request, 503, {"error": "not sure which is newest"})
+        request.setHeader(b"content-type", JSON)
+        return documents.origin(document).encode()
+
+    return web
--- /dev/null
+++ b/dunlinpoint/platform/dialect.py
@@ -0,0 +1,18 @@
+"""The platform's header names and paths (its page PROTOCOL)."""
+
+from dunlinpoint.forward import names
+
+HEADERS = names.Names(
+    request_id=b"X-Dunlinpoint-Attempt-Id",
+    deadline_ms=b"X-Dunlinpoint-Deadline-Ms",
+    signature=b"X-Dunlinpoint-Server-Signature",
+    workspace=b"X-Dunlinpoint-Tenant",
+    endpoint_id=b"X-Dunlinpoint-Target-Instance",
+    not_run=b"X-Dunlinpoint-Not-Executed",
+    priority=b"X-Dunlinpoint-Request-Priority",
+)
+READY = "/api/readyz"
+HEARTBEAT = "/api/instances/<endpoint_id>/heartbeat"
+DEREGISTER = "/api/instances/<endpoint_id>/deregister"
+REPLACE = "/api/config/replace"
+READ = "/api/config/read"
--- /dev/null
+++ b/dunlinpoint/platform/documents.py
@@ -0,0 +1,102 @@
+"""The platform's bodies as our messages, and back.
+
+:func:`to_document` raises ``config.DocumentError`` like the document's own
+parser, so a body the platform calls invalid is refused with every problem.
+"""
+
+import json
+
+from dunlinpoint.config import document as config
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+STREAMING = "streaming"
+DRAINING = "draining"
+
+
+def _route(raw):
+    split = raw.get("split") or [{"service": raw.get("service", ""), "weight": 1}]
+    return {
+        "name": raw.get("name", ""),
+        "host": raw.get("host", ""),
+        "prefix": raw.get("pathPrefix", ""),
+        "kind": raw.get("routeKind", ""),
+        "timeout_ms": raw.get("timeoutMs", 0),
+        "split": [
+            {"service": part.get("service", ""), "weight": part.get("weight", 0)}
+            for part in split
+        ],
+        "aim_ms": raw.get("sloMs", 0),
+        "priority": raw.get("priority", 0),
+        "max_attempts": raw.get("maxAttempts", 1),
+        "public": raw.get("public", False),
+        "resumable": raw.get("resumable", False),
+    }
+
+
+def _workspace(raw):
+    return {
+        "name": raw.get("name", ""),
+        "priority": raw.get("priority", 0),
+        "max_in_flight": config.NO_LIMIT,
+        "keys": raw.get("apiKeys", []),
+    }
+
+
+def _limits(raw):
+    limits = config.Limits()
+    return {
+        "header_bytes": raw.get("maxHeaderBytes", limits.header_bytes),
+        "body_bytes": raw.get("maxBodyBytes", limits.body_bytes),
+        "header_ms": raw.get("headerTimeoutMs", limits.header_ms),
+        "idle_ms": raw.get("idleTimeoutMs", limits.idle_ms),
+    }
+
+
+def to_document(body):
+    """The ``config.Document`` of an operator's body (``bytes``)."""
+    try:
+        text = body.decode()
+        raw = json.loads(text)
+        ours = {
+            "format": config.FORMAT,
+            "name": "platform",
+            "number": raw["version"],
+            "origin": text,
+            "services": [{"name": s["name"]} for s in raw["services"]],
+            "routes": [_route(r) for r in raw["routes"]],
+            "workspaces": [_workspace(t) for t in raw.get("tenants") or []],
+            "limits": _limits(raw.get("limits") or {}),
+        }
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise config.DocumentError([config.FieldError("$", repr(exc))]) from None
+    return config.parse(json.dumps(ours))
+
+
+def origin(document):
+    """The operator's body of a ``Document`` message, as it was sent."""
+    return json.loads(document.body_json).get("origin", "")
+
+
+def to_heartbeat(endpoint_id, body):
+    """A server's heartbeat body as ours; raises ``ValueError`` if it is not one."""
+    try:
+        raw = json.loads(body)
+        host, _, port = raw["address"].rpartition(":")
+        return ttypes.Heartbeat(
+            endpoint_id=endpoint_id,
+            zone=raw["zone"],
+            host=host,
+            port=int(port),
+            kind="service",
+            load=0,
+            draining=raw.get("state") == DRAINING,
+            config_version=0,
+            incarnation=0,
+            group="",
+            service_name=raw["service"],
+            slots=int(raw.get("slots", 0)),
+            sequence=int(raw.get("seqNo", 0)),
+            gone=False,
+        )
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise ValueError(f"not a heartbeat: {exc!r}") from exc
--- /dev/null
+++ b/dunlinpoint/platform/roles.py
@@ -0,0 +1,151 @@
+"""The daemon's roles as the platform starts them, from its settings.
+
+Settings come as environment variables that ``deploy/system.toml`` fills in;
+each is a flag as well, checked like the daemon's own.
+"""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+from twisted.internet import defer, reactor, task
+from twisted.web import server
+
+from dunlinpoint import clock, logs, metrics
+from dunlinpoint.cli import checks
+from dunlinpoint.control import server as control_server
+from dunlinpoint.entry import view
+from dunlinpoint.forward import exchange, site
+from dunlinpoint.platform import admin, dialect, ready
+
+# A stopping entry goes on taking connections while the balancer finds out.
+ACCEPT_AFTER_STOP_MS = 3000
+STOP_MARGIN_MS = 400
+STEP_MS = 50
+# The part of the time in which a key taken away must stop working that an
+# entry may go unvouched; the rest covers the way of the last poll.
+KEY_LEASE_SHARE = 0.8
+MEMBER_LEASE_BEATS = 4
+
+
+def flag(env, help, default=None):
+    """A long flag behind environment variable *env*."""
+    source = cappa.Env(env) if default is None else cappa.Env(env, default=default)
+    return cappa.Arg(long=True, default=source, help=help)
+
+
+def inner(seeds, port):
+    """The seeds' addresses for our own protocol, on inner *port*."""
+    return [(host, port) for host, _ in seeds]
+
+
+def first_port(ports):
+    """The first of a comma-joined list of ports."""
+    return checks.port(str(ports).split(",")[0], "inner-ports")
+
+
+def whole(value, name):
+    """A whole number from *value*."""
+    if not str(value).isdigit():
+        raise checks.SettingError(f"{name}: {value!r} is not a whole number")
+    return int(value)
+
+
+@dataclass
+class PlatformEntry:
+    """An entry on the platform: forwards callers' HTTP to servers."""
+
+    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
+    listen: Annotated[str, flag("DUNLIN_LISTEN", "host:port for callers")]
+    ready: Annotated[str, flag("DUNLIN_READY", "host:port of the ready question")]
+    seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
+    inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
+    revoke_ms: Annotated[str, flag("DUNLIN_REVOKE_MS", "a key's end, ms", "0")]
+    grace_s: Annotated[str, flag("DUNLIN_GRACE_S", "SIGTERM to SIGKILL", "8")]
+
+    def __call__(self):
+        zone = checks.name(self.zone, "zone")
+        host, port = checks.address(self.listen, "listen")
+        ready_host, ready_port = checks.address(self.ready, "ready")
+        controls = inner(
+            checks.addresses(self.seeds, "seeds"), first_port(self.inner_ports)
+        )
+        lease_ms = int(whole(self.revoke_ms, "revoke-ms") * KEY_LEASE_SHARE)
+        grace_ms = whole(self.grace_s, "grace-s") * clock.MS_PER_SECOND
+        logs.setup()
+        entry_view = view.View.from_config(reactor, zone, controls)
+        forward = exchange.Forward.from_config(
+            reactor, entry_view, metrics.Counters(None), dialect.HEADERS, lease_ms
+        )
+        entry_view.follow(reactor)
+        listening = site.listen(reactor, forward, host, port)
+
+        def is_ready():
+            return (
+                forward.table.version > 0
+                and not forward.draining
+                and not forward.key_lease_ended()
+            )
+
+        web = server.Site(ready.make_app(is_ready).resource())
+        reactor.listenTCP(ready_port, web, interface=ready_host)
+
+        async def stop():
+            forward.draining = True
+            exchange.log.info("draining", in_flight=forward.in_flight)
+            await pause(min(ACCEPT_AFTER_STOP_MS, grace_ms // 2))
+            await listening.stopListening()
+            ends = forward.clock.now() + grace_ms // 2 - STOP_MARGIN_MS
+            while forward.in_flight and forward.clock.now() < ends:
+                await pause(STEP_MS)
+            exchange.log.info("stopped", **forward.counters.snapshot())
+
+        reactor.addSystemEventTrigger("before", "shutdown", start(stop))
+        exchange.log.info("started", zone=zone, port=port)
+        reactor.run()
+
+
+def pause(ms):
+    """A Deferred that fires after *ms* milliseconds."""
+    return task.deferLater(reactor, clock.seconds(ms), lambda: None)
+
+
+def start(coroutine):
+    """A plain function that runs *coroutine* and returns its Deferred."""
+    return lambda: defer.ensureDeferred(coroutine())
+
+
+@dataclass
+class PlatformControl:
+    """A control instance on the platform, with its admin calls."""
+
+    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
+    ip: Annotated[str, flag("DUNLIN_IP", "this machine's address")]
+    listen: Annotated[str, flag("DUNLIN_LISTEN", "host:port for admin calls")]
+    seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
+    inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
+    data: Annotated[str, flag("DUNLIN_DATA", "data folder")]
+    beat_ms: Annotated[str, flag("DUNLIN_BEAT_MS", "servers' heartbeat", "1200")]
+    bootstrap: Annotated[str, flag("DUNLIN_BOOTSTRAP", "first start", "false")]
+
+    def __call__(self):
+        host, port = checks.address(self.listen, "listen")
+        seeds = checks.addresses(self.seeds, "seeds")
+        own_port = first_port(self.inner_ports)
+        hosts = sorted({h for h, _ in seeds} | {self.ip})
+        settings = control_server.Settings(
+            control_id=self.ip,
+            zone=checks.name(self.zone, "zone"),
+            host=self.ip,
+            port=own_port,
+            data=checks.folder(self.data),
+            peers=[(h, own_port) for h in hosts if h != self.ip],
+            index=hosts.index(self.ip),
+            lease_ms=whole(self.beat_ms, "beat-ms") * MEMBER_LEASE_BEATS,
+            bootstrap=self.bootstrap == "true",
+        )
+        logs.setup()
+        state = control_server.run(reactor, settings, metrics.Counters(None))
+        web = server.Site(admin.make_app(reactor, state).resource())
+        reactor.listenTCP(port, web, interface=host)
+        reactor.run()
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -69,6 +69,13 @@
   8: i64 config_version,
   9: i64 incarnation,
   10: string group,
+  // The plain service or model this endpoint serves, requests it runs at once,
+  // a counter that grows with every heartbeat of one incarnation, and whether
+  // it has left for good.
+  11: string service_name,
+  12: i32 slots,
+  13: i64 sequence,
+  14: bool gone,
 }
 
 struct Member {
@@ -82,6 +89,10 @@
   8: i64 lease_left_ms,
   9: string group,
   10: i64 config_version,
+  11: string service_name,
+  12: i32 slots,
+  13: i64 sequence,
+  14: bool gone,
 }
 
 // The configuration document in force at one control instance.
@@ -96,10 +107,19 @@
   2: Document document,
 }
 
+// One control instance's members and document. revision names the member list
+// within one life of the control; unchanged says the asker holds it already
+// and members is empty. settled is false while this instance has accepted a
+// document whose fate it does not know: it then vouches for nothing. document
+// is absent when the asker's version is as new.
 struct View {
   1: list<Member> members,
   2: Document document,
   3: string control_id,
+  4: i64 revision,
+  5: bool unchanged,
+  6: bool settled,
+  7: i64 lease_ms,
 }
 
 struct ApplyResult {
@@ -110,19 +130,26 @@
 
 // -- control <-> control: one agreement round per document version ----------
 
+// recovering is true at an acceptor that lost its disk and has not yet
+// learned from the others what it may have promised.
 struct Promise {
   1: bool ok,
   2: i64 promised,
   3: i64 accepted_ballot,
   4: Document accepted,
   5: Document committed,
+  6: bool recovering,
 }
 
 service Control {
   HeartbeatReply heartbeat(1: Heartbeat beat) throws (1: Refused refused),
-  View view(1: string zone),
+  // Answers at once when the asker's revision or document version is old, and
+  // otherwise after a change or wait_ms, whichever comes first.
+  View view(1: string zone, 2: i64 revision, 3: i64 config_version, 4: i32 wait_ms),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
   Promise prepare(1: i64 version, 2: i64 ballot),
   bool accept(1: i64 version, 2: i64 ballot, 3: Document document),
   void learn(1: Document document),
+  // The acceptor's state as it stands, promising nothing.
+  Promise inspect(),
 }
--- a/dunlinpoint/wire/errors.py
+++ b/dunlinpoint/wire/errors.py
@@ -14,3 +14,7 @@
 
     The peer may or may not have acted on it.
     """
+
+
+class PeerFailed(Lost):
+    """The peer answered that it failed within; it may have acted or not."""
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -30,10 +30,13 @@
         """
         pass
 
-    def view(zone):
+    def view(zone, revision, config_version, wait_ms):
         """
         Parameters:
          - zone
+         - revision
+         - config_version
+         - wait_ms
 
         """
         pass
@@ -75,6 +78,9 @@
         """
         pass
 
+    def inspect():
+        pass
+
 
 @implementer(Iface)
 class Client(object):
@@ -135,16 +141,19 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "heartbeat failed: unknown result"))
 
-    def view(self, zone):
+    def view(self, zone, revision, config_version, wait_ms):
         """
         Parameters:
          - zone
+         - revision
+         - config_version
+         - wait_ms
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_view, zone)
+        d = defer.maybeDeferred(self.send_view, zone, revision, config_version, wait_ms)
         d.addCallbacks(
             callback=self.cb_send_view,
             callbackArgs=(seqid,),
@@ -160,11 +169,14 @@
         d.errback(f)
         return d
 
-    def send_view(self, zone):
+    def send_view(self, zone, revision, config_version, wait_ms):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('view', TMessageType.CALL, self._seqid)
         args = view_args()
         args.zone = zone
+        args.revision = revision
+        args.config_version = config_version
+        args.wait_ms = wait_ms
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -385,6 +397,48 @@
         iprot.readMessageEnd()
         return d.callback(None)
 
+    def inspect(self):
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_inspect)
+        d.addCallbacks(
+            callback=self.cb_send_inspect,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_inspect,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_inspect(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_inspect(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_inspect(self):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('inspect', TMessageType.CALL, self._seqid)
+        args = inspect_args()
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_inspect(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = inspect_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "inspect failed: unknown result"))
+
 
 @implementer(Iface)
 class Processor(TProcessor):
@@ -397,6 +451,7 @@
         self._processMap["prepare"] = Processor.process_prepare
         self._processMap["accept"] = Processor.process_accept
         self._processMap["learn"] = Processor.process_learn
+        self._processMap["inspect"] = Processor.process_inspect
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -461,7 +516,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = view_result()
-        d = defer.maybeDeferred(self._handler.view, args.zone)
+        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.config_version, args.wait_ms)
         d.addCallback(self.write_results_success_view, result, seqid, oprot)
         d.addErrback(self.write_results_exception_view, result, seqid, oprot)
         return d
@@ -637,6 +692,42 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_inspect(self, seqid, iprot, oprot):
+        args = inspect_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = inspect_result()
+        d = defer.maybeDeferred(self._handler.inspect, )
+        d.addCallback(self.write_results_success_inspect, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_inspect, result, seqid, oprot)
+        return d
+
+    def write_results_success_inspect(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("inspect", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_inspect(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("inspect", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -781,12 +872,18 @@
     """
     Attributes:
      - zone
+     - revision
+     - config_version
+     - wait_ms
 
     """
 
 
-    def __init__(self, zone=None,):
+    def __init__(self, zone=None, revision=None, config_version=None, wait_ms=None,):
         self.zone = zone
+        self.revision = revision
+        self.config_version = config_version
+        self.wait_ms = wait_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -802,6 +899,21 @@
                     self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -816,6 +928,18 @@
             oprot.writeFieldBegin('zone', TType.STRING, 1)
             oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 3)
+            oprot.writeI64(self.config_version)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 4)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -836,6 +960,9 @@
 view_args.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I64, 'config_version', None, None, ),  # 3
+    (4, TType.I32, 'wait_ms', None, None, ),  # 4
 )
 
 
@@ -1449,5 +1576,110 @@
 all_structs.append(learn_result)
 learn_result.thrift_spec = (
 )
+
+
+class inspect_args(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('inspect_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(inspect_args)
+inspect_args.thrift_spec = (
+)
+
+
+class inspect_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = Promise()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('inspect_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(inspect_result)
+inspect_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Promise, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -516,11 +516,15 @@
      - config_version
      - incarnation
      - group
+     - service_name
+     - slots
+     - sequence
+     - gone
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -531,6 +535,10 @@
         self.config_version = config_version
         self.incarnation = incarnation
         self.group = group
+        self.service_name = service_name
+        self.slots = slots
+        self.sequence = sequence
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -591,6 +599,26 @@
                     self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -641,6 +669,22 @@
             oprot.writeFieldBegin('group', TType.STRING, 10)
             oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 11)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 12)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 13)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 14)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -672,11 +716,15 @@
      - lease_left_ms
      - group
      - config_version
+     - service_name
+     - slots
+     - sequence
+     - gone
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -687,6 +735,10 @@
         self.lease_left_ms = lease_left_ms
         self.group = group
         self.config_version = config_version
+        self.service_name = service_name
+        self.slots = slots
+        self.sequence = sequence
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -747,6 +799,26 @@
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -797,6 +869,22 @@
             oprot.writeFieldBegin('config_version', TType.I64, 10)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 11)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 12)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 13)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 14)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -969,14 +1057,22 @@
      - members
      - document
      - control_id
+     - revision
+     - unchanged
+     - settled
+     - lease_ms
 
     """
 
 
-    def __init__(self, members=None, document=None, control_id=None,):
+    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None,):
         self.members = members
         self.document = document
         self.control_id = control_id
+        self.revision = revision
+        self.unchanged = unchanged
+        self.settled = settled
+        self.lease_ms = lease_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1009,6 +1105,26 @@
                     self.control_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.unchanged = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.lease_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1034,6 +1150,22 @@
             oprot.writeFieldBegin('control_id', TType.STRING, 3)
             oprot.writeString(self.control_id.encode('utf-8') if sys.version_info[0] == 2 else self.control_id)
             oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 4)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.unchanged is not None:
+            oprot.writeFieldBegin('unchanged', TType.BOOL, 5)
+            oprot.writeBool(self.unchanged)
+            oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 6)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
+        if self.lease_ms is not None:
+            oprot.writeFieldBegin('lease_ms', TType.I64, 7)
+            oprot.writeI64(self.lease_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1139,16 +1271,18 @@
      - accepted_ballot
      - accepted
      - committed
+     - recovering
 
     """
 
 
-    def __init__(self, ok=None, promised=None, accepted_ballot=None, accepted=None, committed=None,):
+    def __init__(self, ok=None, promised=None, accepted_ballot=None, accepted=None, committed=None, recovering=None,):
         self.ok = ok
         self.promised = promised
         self.accepted_ballot = accepted_ballot
         self.accepted = accepted
         self.committed = committed
+        self.recovering = recovering
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1186,6 +1320,11 @@
                     self.committed.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.recovering = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1216,6 +1355,10 @@
             oprot.writeFieldBegin('committed', TType.STRUCT, 5)
             self.committed.write(oprot)
             oprot.writeFieldEnd()
+        if self.recovering is not None:
+            oprot.writeFieldBegin('recovering', TType.BOOL, 6)
+            oprot.writeBool(self.recovering)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1286,6 +1429,10 @@
     (8, TType.I64, 'config_version', None, None, ),  # 8
     (9, TType.I64, 'incarnation', None, None, ),  # 9
     (10, TType.STRING, 'group', 'UTF8', None, ),  # 10
+    (11, TType.STRING, 'service_name', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'slots', None, None, ),  # 12
+    (13, TType.I64, 'sequence', None, None, ),  # 13
+    (14, TType.BOOL, 'gone', None, None, ),  # 14
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -1300,6 +1447,10 @@
     (8, TType.I64, 'lease_left_ms', None, None, ),  # 8
     (9, TType.STRING, 'group', 'UTF8', None, ),  # 9
     (10, TType.I64, 'config_version', None, None, ),  # 10
+    (11, TType.STRING, 'service_name', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'slots', None, None, ),  # 12
+    (13, TType.I64, 'sequence', None, None, ),  # 13
+    (14, TType.BOOL, 'gone', None, None, ),  # 14
 )
 all_structs.append(Document)
 Document.thrift_spec = (
@@ -1320,6 +1471,10 @@
     (1, TType.LIST, 'members', (TType.STRUCT, [Member, None], False), None, ),  # 1
     (2, TType.STRUCT, 'document', [Document, None], None, ),  # 2
     (3, TType.STRING, 'control_id', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.BOOL, 'unchanged', None, None, ),  # 5
+    (6, TType.BOOL, 'settled', None, None, ),  # 6
+    (7, TType.I64, 'lease_ms', None, None, ),  # 7
 )
 all_structs.append(ApplyResult)
 ApplyResult.thrift_spec = (
@@ -1336,6 +1491,7 @@
     (3, TType.I64, 'accepted_ballot', None, None, ),  # 3
     (4, TType.STRUCT, 'accepted', [Document, None], None, ),  # 4
     (5, TType.STRUCT, 'committed', [Document, None], None, ),  # 5
+    (6, TType.BOOL, 'recovering', None, None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/dunlinpoint/wire/rpc.py
+++ b/dunlinpoint/wire/rpc.py
@@ -5,6 +5,7 @@
 service's own declared exceptions (``Refused``).
 """
 
+from thrift import Thrift
 from thrift.protocol import TBinaryProtocol
 from thrift.transport import TTwisted
 from twisted.internet import defer, endpoints, error
@@ -106,6 +107,13 @@
                 TTwisted.TTransport.TTransportException, error.ConnectionDone
             ):
                 outer.errback(errors.Lost(f"{self.address}: {method}: connection lost"))
+            elif failure.check(Thrift.TApplicationException):
+                # Left as the library's own error it passed every handler of
+                # wire errors: an agent's heartbeat loop ended at the first
+                # one, and the agent was never heard of again.
+                outer.errback(
+                    errors.PeerFailed(f"{self.address}: {method}: {failure.value}")
+                )
             else:
                 outer.errback(failure)
             return None
