--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -26,6 +26,7 @@
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.agent import keys, rebalance, streams
 from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
 
@@ -72,7 +73,7 @@
     calls_in_flight: int = 0
     draining: bool = False
     document: ttypes.Document = attrs.field(
-        factory=lambda: ttypes.Document(version=0, change_id="", body_json="{}")
+        factory=lambda: ttypes.Document(0, "", packed.EMPTY)
     )
     highest_fence: int = 0
     lease_ms: int = 0
@@ -350,7 +351,7 @@
 def skew_weight(state):
     """The skew weight of this agent's group in the document in force."""
     try:
-        body = json.loads(state.document.body_json)
+        body = json.loads(packed.unpack(state.document.body))
     except ValueError:
         return DEFAULT_SKEW_WEIGHT
     for group in body.get("groups", []):
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -10,6 +10,7 @@
 flight finish, tells control, and exits.
 """
 
+import signal
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -255,6 +256,13 @@
     ]
 
 
+def keep_running(_number, _frame):
+    """SIGHUP: settings are read at start only, so there is nothing to do."""
+
+
 def main(argv=None):
     """Run the daemon; exit code 2 on a bad setting."""
+    # By default SIGHUP ends a process. A platform sends it when it has written
+    # a process's settings anew; the process died and cut what was in flight.
+    signal.signal(signal.SIGHUP, keep_running)
     checks.invoke(Daemon, argv, "dunlinpoint")
--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -32,6 +32,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs
+from dunlinpoint.config import packed
 from dunlinpoint.control import store
 from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
@@ -41,7 +42,8 @@
 HISTORY = 1024
 BALLOT_STRIDE = 1024
 READ_ROUNDS = 3
-EMPTY = {"version": 0, "change_id": "", "body_json": "{}"}
+NOTHING_KNOWN = -1
+EMPTY = {"version": 0, "change_id": "", "body": packed.to_saved(packed.EMPTY)}
 # The fields of an acceptor that are kept on disk.
 SAVED = {
     "committed",
@@ -57,7 +59,9 @@
 
 def message(doc):
     """A stored document dict as a ``Document`` message."""
-    return ttypes.Document(doc["version"], doc["change_id"], doc["body_json"])
+    return ttypes.Document(
+        doc["version"], doc["change_id"], packed.from_saved(doc["body"])
+    )
 
 
 def plain(document):
@@ -65,7 +69,7 @@
     return {
         "version": document.version,
         "change_id": document.change_id,
-        "body_json": document.body_json,
+        "body": packed.to_saved(document.body),
     }
 
 
@@ -120,21 +124,28 @@
         """Whether no accepted document of unknown fate is held."""
         return self.accepted is None and not self.recovering
 
-    def inspect(self):
+    def _shown(self, known_version):
+        """The committed document, its body only above *known_version*."""
+        document = message(self.committed)
+        if document.version <= known_version:
+            document.body = None
+        return document
+
+    def inspect(self, known_version):
         """The state as it stands, promising nothing."""
         return ttypes.Promise(
             ok=not self.recovering,
             promised=self.promised,
             accepted_ballot=self.accepted_ballot,
             accepted=message(self.accepted) if self.accepted else None,
-            committed=message(self.committed),
+            committed=self._shown(known_version),
             recovering=self.recovering,
         )
 
     def adopt(self, states):
         """Take over the most that the acceptors' *states* hold, and vote again."""
         for state in states:
-            self.learn(state.committed)
+            self.take(state.committed)
         for state in states:
             self.highest_ballot = max(self.highest_ballot, state.promised or 0)
             if state.committed.version + 1 != self.slot:
@@ -156,7 +167,7 @@
     def prepare(self, version, ballot):
         """Promise *ballot* for *version* if nothing higher was promised."""
         self.highest_ballot = max(self.highest_ballot, ballot)
-        promise = ttypes.Promise(ok=False, committed=message(self.committed))
+        promise = ttypes.Promise(ok=False, committed=self._shown(version - 1))
         if self.recovering:
             promise.recovering = True
             return promise
@@ -188,9 +199,9 @@
         self.save()
         return True
 
-    def learn(self, document):
+    def take(self, document):
         """Take a committed *document*; ``True`` when it is newer than ours."""
-        if document.version <= self.committed["version"]:
+        if document.version <= self.committed["version"] or document.body is None:
             return False
         self.committed = plain(document)
         self.recent = (self.recent + [[document.change_id, document.version]])[
@@ -203,6 +214,17 @@
             hear()
         return True
 
+    def learn(self, chosen, ballot):
+        """The document accepted under *ballot* for a version was chosen.
+
+        *chosen* is a ``Document`` message without its body. One accepted
+        under another ballot may be another document; then the next catch-up
+        brings the chosen one.
+        """
+        if self.slot == chosen.version and self.accepted:
+            if self.accepted_ballot == ballot:
+                self.take(message(self.accepted))
+
     def version_of(self, change_id):
         """The version a change id was committed as, or ``None``."""
         for seen, version in reversed(self.recent):
@@ -262,7 +284,8 @@
 
     def inspect(self):
         """States of a majority that is not recovering, if they answer."""
-        return self._quorum("inspect", (), lambda state: state.ok)
+        known = self.local.committed["version"]
+        return self._quorum("inspect", (known,), lambda state: state.ok)
 
     def prepare(self, version, ballot):
         """Promises from the acceptors that answered (a Deferred of a list)."""
@@ -276,16 +299,17 @@
         )
         return sum(1 for ok in answers if ok)
 
-    def learn(self, document):
-        """Tell everyone the committed *document*; nothing waits for it."""
+    def learn(self, document, ballot):
+        """Tell everyone that *document* was chosen; nothing waits for it."""
         try:
-            self.local.learn(document)
+            self.local.take(document)
         except store.StoreError as exc:
             # A majority holds the document, so it is in force; this disk
             # being full must not make its operator hear a failure.
             log.error("learn_not_saved", error=str(exc))
+        chosen = ttypes.Document(document.version, document.change_id)
         for link in self.links:
-            link.call("learn", document).addErrback(
+            link.call("learn", chosen, ballot).addErrback(
                 lambda failure: failure.trap(errors.WireError)
             )
 
@@ -301,7 +325,7 @@
     local = peers.local
     if not local.recovering:
         return
-    calls = [link.call("inspect") for link in peers.links]
+    calls = [link.call("inspect", NOTHING_KNOWN) for link in peers.links]
     results = yield defer.DeferredList(calls, consumeErrors=True)
     states = [state for ok, state in results if ok and not state.recovering]
     if len(states) >= len(peers.links) + 2 - peers.majority:
@@ -324,7 +348,7 @@
         if len(sound) < peers.majority:
             return None
         newest = max(sound, key=lambda state: state.committed.version)
-        local.learn(newest.committed)
+        local.take(newest.committed)
         version = local.committed["version"]
         if not any(s.accepted and s.accepted.version > version for s in sound):
             return message(local.committed)
@@ -344,7 +368,7 @@
     promises = yield peers.prepare(version, ballot)
     newest = max(promises, key=lambda p: p.committed.version, default=None)
     if newest is not None and newest.committed.version >= version:
-        local.learn(newest.committed)
+        local.take(newest.committed)
         return None
     granted = [p for p in promises if p.ok]
     for promise in promises:
@@ -362,13 +386,13 @@
     count = yield peers.accept(version, ballot, chosen)
     if count < peers.majority:
         return None
-    peers.learn(chosen)
+    peers.learn(chosen, ballot)
     return chosen
 
 
 @defer.inlineCallbacks
-def propose(peers, expected_version, change_id, body_json):
-    """Try to commit *body_json* as the version after *expected_version*."""
+def propose(peers, expected_version, change_id, text):
+    """Try to commit *text* as the version after *expected_version*."""
     local = peers.local
     known = local.version_of(change_id)
     if known is not None:
@@ -376,7 +400,7 @@
     current = local.committed["version"]
     if expected_version != current:
         return Outcome(False, current, "version_conflict")
-    mine = ttypes.Document(current + 1, change_id, body_json)
+    mine = ttypes.Document(current + 1, change_id, packed.pack(text))
     chosen = yield decide(peers, current + 1, mine)
     if chosen is not None and chosen.change_id == change_id:
         return Outcome(True, current + 1)
--- a/dunlinpoint/control/operators.py
+++ b/dunlinpoint/control/operators.py
@@ -20,6 +20,7 @@
 
 from dunlinpoint import clock
 from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
 from dunlinpoint.control import agreement
 
 ROUNDS = 6
@@ -37,7 +38,7 @@
         """The number of *document* (a ``Document`` message)."""
         if document.version != self.version:
             self.version = document.version
-            self.number = json.loads(document.body_json).get("number", 0)
+            self.number = json.loads(packed.unpack(document.body)).get("number", 0)
         return self.number
 
 
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -111,14 +111,17 @@
             self.waiting.remove(waiter)
             waiter.callback(None)
 
-    def show(self, revision, config_version):
+    def show(self, revision, config_version, bodies):
         """This instance's ``View`` for a follower that holds these."""
         now = self.clock.now()
         unchanged = revision == self.membership.revision
         document = self.document
+        if not bodies:
+            document.body = None
         return ttypes.View(
             members=[] if unchanged else self.membership.members(now),
             document=document if document.version > config_version else None,
+            zone=self.settings.zone,
             control_id=self.settings.control_id,
             revision=self.membership.revision,
             unchanged=unchanged,
@@ -139,16 +142,16 @@
         state.renew(beat)
         # The whole document rides along only when the endpoint's version is
         # older: sending it on every heartbeat cost 852 reply bytes instead of
-        # 43 with the default document, and grows with every workspace.
+        # 12 with the default document, and grows with every workspace.
         document = state.document
         if beat.config_version >= document.version:
             document = None
         return ttypes.HeartbeatReply(state.membership.lease_ms, document)
 
     @defer.inlineCallbacks
-    def view(self, zone, revision, config_version, wait_ms):
+    def view(self, zone, revision, config_version, wait_ms, bodies):
         state = self.state
-        shown = state.show(revision, config_version)
+        shown = state.show(revision, config_version, bodies)
         if wait_ms and shown.unchanged and shown.document is None:
             changed = defer.Deferred()
             state.waiting.append(changed)
@@ -156,7 +159,7 @@
             yield changed
             if timer.active():
                 timer.cancel()
-            shown = state.show(revision, config_version)
+            shown = state.show(revision, config_version, bodies)
         return shown
 
     @defer.inlineCallbacks
@@ -184,11 +187,11 @@
     def accept(self, version, ballot, document):
         return self.state.peers.local.accept(version, ballot, document)
 
-    def learn(self, document):
-        self.state.peers.local.learn(document)
+    def learn(self, document, ballot):
+        self.state.peers.local.learn(document, ballot)
 
-    def inspect(self):
-        return self.state.peers.local.inspect()
+    def inspect(self, known_version):
+        return self.state.peers.local.inspect(known_version)
 
 
 @defer.inlineCallbacks
@@ -201,17 +204,16 @@
         yield agreement.read(state.peers)
     version = state.document.version
     revisions = state.peer_revision_by_address
+    zone = state.settings.zone
     calls = [
-        link.call(
-            "view", state.settings.zone, revisions.get(link.address, 0), version, 0
-        )
+        link.call("view", zone, revisions.get(link.address, 0), version, 0, True)
         for link in state.peers.links
     ]
     results = yield defer.DeferredList(calls, consumeErrors=True)
     for link, (ok, shown) in zip(state.peers.links, results, strict=True):
         if ok:
             revisions[link.address] = shown.revision
-            if shown.document and state.peers.local.learn(shown.document):
+            if shown.document and state.peers.local.take(shown.document):
                 state.counters.incr("caught_up")
         elif not shown.check(errors.WireError):
             log.error("catch_up_failed", error=str(shown.value))
--- a/dunlinpoint/control/tests/test_agreement.py
+++ b/dunlinpoint/control/tests/test_agreement.py
@@ -2,6 +2,7 @@
 
 from twisted.internet import defer
 
+from dunlinpoint.config import packed
 from dunlinpoint.control import agreement
 from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
@@ -66,7 +67,7 @@
     ballot = acceptors[0].next_ballot(0)
     for a in acceptors:
         a.prepare(1, ballot)
-    acceptors[0].accept(1, ballot, ttypes.Document(1, "alice", "{}"))
+    acceptors[0].accept(1, ballot, ttypes.Document(1, "alice", packed.EMPTY))
     outcome = result(agreement.propose(peers[2], 0, "bob", '{"b": 1}'))
     assert {a.committed["change_id"] for a in acceptors} <= {"alice"}
     assert not outcome.accepted or acceptors[2].committed["change_id"] == "bob"
@@ -104,6 +105,6 @@
 
 def test_learning_never_goes_back(tmp_path):
     acceptors, _ = cluster(tmp_path)
-    acceptors[0].learn(ttypes.Document(5, "five", "{}"))
-    assert not acceptors[0].learn(ttypes.Document(3, "three", "{}"))
+    acceptors[0].take(ttypes.Document(5, "five", packed.EMPTY))
+    assert not acceptors[0].take(ttypes.Document(3, "three", packed.EMPTY))
     assert acceptors[0].committed["version"] == 5
--- a/dunlinpoint/entry/view.py
+++ b/dunlinpoint/entry/view.py
@@ -21,6 +21,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import clock, logs
+from dunlinpoint.config import packed
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Control, ttypes
 
@@ -33,6 +34,9 @@
 # taken in batches.
 PAUSE_MS = 50
 RETRY_MS = 300
+# How long an entry waits for a new document from its own zone's control
+# before it asks another zone's for it.
+OTHER_ZONE_PAUSE_MS = 120
 CONTROL_TIMEOUT_MS = 1000
 
 
@@ -61,6 +65,8 @@
     member_ids: list = attrs.field(factory=list)
     vouched_ms: int | None = None
     answered_ms: int | None = None
+    zone: str | None = None
+    asks_bodies: bool = False
 
 
 @attrs.define
@@ -72,7 +78,7 @@
     follows: list
     by_id: dict = attrs.field(factory=dict)
     document: ttypes.Document = attrs.field(
-        factory=lambda: ttypes.Document(version=0, change_id="", body_json="{}")
+        factory=lambda: ttypes.Document(0, "", packed.EMPTY)
     )
     on_document: list = attrs.field(factory=list)
     wait_ms: int = WAIT_MS
@@ -92,6 +98,7 @@
         now = self.clock.now()
         self.lease_ms = shown.lease_ms
         follow.answered_ms = now
+        follow.zone = shown.zone
         if shown.settled:
             follow.vouched_ms = asked_ms
         if shown.unchanged:
@@ -105,7 +112,11 @@
             for member in shown.members:
                 self._take(member, now + member.lease_left_ms)
         document = shown.document
-        if document is not None and document.version > self.document.version:
+        if document is None or document.version <= self.document.version:
+            follow.asks_bodies = follow.zone == self.zone
+        elif document.body is None:
+            follow.asks_bodies = True
+        else:
             self.document = document
             log.info("document_in_force", version=document.version)
             for hear in self.on_document:
@@ -159,6 +170,7 @@
                 follow.revision,
                 self.document.version,
                 self.wait_ms,
+                follow.asks_bodies,
                 timeout_ms=self.wait_ms + CONTROL_TIMEOUT_MS,
             )
         except errors.WireError:
@@ -171,7 +183,8 @@
         # answered; one answered at once, for the moment it was asked. The
         # earlier of the two is always true.
         self.merge(follow, shown, asked_ms)
-        return PAUSE_MS
+        hinted = shown.document is not None and shown.document.body is None
+        return OTHER_ZONE_PAUSE_MS if hinted else PAUSE_MS
 
     def follow(self, reactor):
         """Poll every control until the reactor stops."""
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -25,6 +25,7 @@
 
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
 from dunlinpoint.entry import view
 from dunlinpoint.forward import budget, events, names, pick, pool, routes
 
@@ -49,6 +50,9 @@
 # before another is tried.
 FIRST_TRY_SHARE = 0.6
 RETRY_AFTER_MS = 150
+# How lately a majority of controls must have vouched for the document before
+# a request is denied by it.
+DENY_VOUCHED_MS = 2000
 # The state of one try.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 
@@ -70,6 +74,7 @@
     key_lease_ms: int = 0
     in_flight: int = 0
     draining: bool = False
+    stopping: bool = False
 
     @classmethod
     def from_config(cls, reactor, entry_view, counters, dialect, key_lease_ms=0):
@@ -92,7 +97,7 @@
 
     def take(self, document):
         """Put a newer document in force."""
-        doc = config.parse(document.body_json)
+        doc = config.parse(packed.unpack(document.body))
         self.table = routes.Table.from_document(doc, document.version)
         self.limits = doc.limits
 
@@ -172,11 +177,26 @@
     finish(forward, request, body)
 
 
+def deny(forward, request, status, reason):
+    """Refuse what the document does not allow, if it is surely the newest.
+
+    Just started, or cut off from the controls, an entry may hold a document
+    that a newer one has replaced; a caller told 404 for a route just added
+    does not come back, one told 503 does.
+    """
+    vouched = forward.view.vouched_ms
+    if forward.clock.now() - vouched > DENY_VOUCHED_MS:
+        answer(forward, request, 503, f"{reason}_unsure", RETRY_AFTER_MS)
+    else:
+        answer(forward, request, status, reason)
+
+
 def finish(forward, request, body=b""):
     """Write *body*, end the answer, and close the connection while draining."""
-    if forward.draining and not request.startedWriting:
-        request.setHeader(b"connection", b"close")
+    if forward.draining:
         request.channel.persistent = False
+        if not request.startedWriting:
+            request.setHeader(b"connection", b"close")
     if body:
         request.write(body)
     request.finish()
@@ -185,13 +205,13 @@
 def admit(forward, request):
     """The ``Call`` of *request*, or ``None`` after a final answer."""
     table = forward.table
-    if not table.version:
+    if not table.version or forward.view.vouched_ms is None:
         answer(forward, request, 503, "no_document", RETRY_AFTER_MS)
         return None
     path = request.path.decode("latin-1")
     route = table.match(header(request, b"host") or "", path)
     if route is None:
-        answer(forward, request, 404, "no_route")
+        deny(forward, request, 404, "no_route")
         return None
     workspace = None
     if table.keyed and not route.public:
@@ -200,7 +220,7 @@
             return None
         workspace = table.workspace(header(request, b"authorization"))
         if workspace is None:
-            answer(forward, request, 401, "unknown_key")
+            deny(forward, request, 401, "unknown_key")
             return None
     given = header(request, forward.names.deadline_ms) or ""
     wait_ms = int(given) if given.isdigit() else DEFAULT_DEADLINE_MS
@@ -221,9 +241,11 @@
 @defer.inlineCallbacks
 def serve(forward, request):
     """Forward one request; every path ends in exactly one final answer."""
-    if forward.draining:
-        request.channel.persistent = False
-        request.setHeader(b"connection", b"close")
+    if forward.stopping:
+        # Taken now on a kept connection, it could still be running at the
+        # end of the grace time and be cut.
+        answer(forward, request, 503, "stopping", RETRY_AFTER_MS)
+        return
     call = admit(forward, request)
     if call is None:
         return
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -7,6 +7,7 @@
 import json
 
 from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 STREAMING = "streaming"
@@ -74,7 +75,7 @@
 
 def origin(document):
     """The operator's body of a ``Document`` message, as it was sent."""
-    return json.loads(document.body_json).get("origin", "")
+    return json.loads(packed.unpack(document.body)).get("origin", "")
 
 
 def to_heartbeat(endpoint_id, body):
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -20,7 +20,8 @@
 
 # A stopping entry goes on taking connections while the balancer finds out.
 ACCEPT_AFTER_STOP_MS = 3000
-STOP_MARGIN_MS = 400
+# Streams last up to the whole grace time; what is left is for the exit itself.
+STOP_MARGIN_MS = 300
 STEP_MS = 50
 # The part of the time in which a key taken away must stop working that an
 # entry may go unvouched; the rest covers the way of the last poll.
@@ -92,10 +93,11 @@
 
         async def stop():
             forward.draining = True
+            ends = forward.clock.now() + grace_ms - STOP_MARGIN_MS
             exchange.log.info("draining", in_flight=forward.in_flight)
-            await pause(min(ACCEPT_AFTER_STOP_MS, grace_ms // 2))
+            await pause(min(ACCEPT_AFTER_STOP_MS, grace_ms // 3))
+            forward.stopping = True
             await listening.stopListening()
-            ends = forward.clock.now() + grace_ms // 2 - STOP_MARGIN_MS
             while forward.in_flight and forward.clock.now() < ends:
                 await pause(STEP_MS)
             exchange.log.info("stopped", **forward.counters.snapshot())
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -95,11 +95,12 @@
   14: bool gone,
 }
 
-// The configuration document in force at one control instance.
+// The configuration document in force at one control instance. body is the
+// compressed text; absent, it is known to the receiver or not asked for.
 struct Document {
   1: i64 version,
   2: string change_id,
-  3: string body_json,
+  3: binary body,
 }
 
 struct HeartbeatReply {
@@ -120,6 +121,7 @@
   5: bool unchanged,
   6: bool settled,
   7: i64 lease_ms,
+  8: string zone,
 }
 
 struct ApplyResult {
@@ -144,12 +146,16 @@
 service Control {
   HeartbeatReply heartbeat(1: Heartbeat beat) throws (1: Refused refused),
   // Answers at once when the asker's revision or document version is old, and
-  // otherwise after a change or wait_ms, whichever comes first.
-  View view(1: string zone, 2: i64 revision, 3: i64 config_version, 4: i32 wait_ms),
+  // otherwise after a change or wait_ms, whichever comes first. Without bodies
+  // a newer document comes as its version alone.
+  View view(1: string zone, 2: i64 revision, 3: i64 config_version, 4: i32 wait_ms, 5: bool bodies),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
   Promise prepare(1: i64 version, 2: i64 ballot),
   bool accept(1: i64 version, 2: i64 ballot, 3: Document document),
-  void learn(1: Document document),
-  // The acceptor's state as it stands, promising nothing.
-  Promise inspect(),
+  // The document accepted for its version under ballot was chosen. It comes
+  // without its body: whoever did not accept it catches up.
+  void learn(1: Document document, 2: i64 ballot),
+  // The acceptor's state as it stands, promising nothing; the committed
+  // document's body only if it is newer than known_version.
+  Promise inspect(1: i64 known_version),
 }
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -30,13 +30,14 @@
         """
         pass
 
-    def view(zone, revision, config_version, wait_ms):
+    def view(zone, revision, config_version, wait_ms, bodies):
         """
         Parameters:
          - zone
          - revision
          - config_version
          - wait_ms
+         - bodies
 
         """
         pass
@@ -70,15 +71,21 @@
         """
         pass
 
-    def learn(document):
+    def learn(document, ballot):
         """
         Parameters:
          - document
+         - ballot
 
         """
         pass
 
-    def inspect():
+    def inspect(known_version):
+        """
+        Parameters:
+         - known_version
+
+        """
         pass
 
 
@@ -141,19 +148,20 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "heartbeat failed: unknown result"))
 
-    def view(self, zone, revision, config_version, wait_ms):
+    def view(self, zone, revision, config_version, wait_ms, bodies):
         """
         Parameters:
          - zone
          - revision
          - config_version
          - wait_ms
+         - bodies
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_view, zone, revision, config_version, wait_ms)
+        d = defer.maybeDeferred(self.send_view, zone, revision, config_version, wait_ms, bodies)
         d.addCallbacks(
             callback=self.cb_send_view,
             callbackArgs=(seqid,),
@@ -169,7 +177,7 @@
         d.errback(f)
         return d
 
-    def send_view(self, zone, revision, config_version, wait_ms):
+    def send_view(self, zone, revision, config_version, wait_ms, bodies):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('view', TMessageType.CALL, self._seqid)
         args = view_args()
@@ -177,6 +185,7 @@
         args.revision = revision
         args.config_version = config_version
         args.wait_ms = wait_ms
+        args.bodies = bodies
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -351,16 +360,17 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "accept failed: unknown result"))
 
-    def learn(self, document):
+    def learn(self, document, ballot):
         """
         Parameters:
          - document
+         - ballot
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_learn, document)
+        d = defer.maybeDeferred(self.send_learn, document, ballot)
         d.addCallbacks(
             callback=self.cb_send_learn,
             callbackArgs=(seqid,),
@@ -376,11 +386,12 @@
         d.errback(f)
         return d
 
-    def send_learn(self, document):
+    def send_learn(self, document, ballot):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('learn', TMessageType.CALL, self._seqid)
         args = learn_args()
         args.document = document
+        args.ballot = ballot
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -397,11 +408,16 @@
         iprot.readMessageEnd()
         return d.callback(None)
 
-    def inspect(self):
+    def inspect(self, known_version):
+        """
+        Parameters:
+         - known_version
+
+        """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_inspect)
+        d = defer.maybeDeferred(self.send_inspect, known_version)
         d.addCallbacks(
             callback=self.cb_send_inspect,
             callbackArgs=(seqid,),
@@ -417,10 +433,11 @@
         d.errback(f)
         return d
 
-    def send_inspect(self):
+    def send_inspect(self, known_version):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('inspect', TMessageType.CALL, self._seqid)
         args = inspect_args()
+        args.known_version = known_version
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -516,7 +533,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = view_result()
-        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.config_version, args.wait_ms)
+        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.config_version, args.wait_ms, args.bodies)
         d.addCallback(self.write_results_success_view, result, seqid, oprot)
         d.addErrback(self.write_results_exception_view, result, seqid, oprot)
         return d
@@ -662,7 +679,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = learn_result()
-        d = defer.maybeDeferred(self._handler.learn, args.document)
+        d = defer.maybeDeferred(self._handler.learn, args.document, args.ballot)
         d.addCallback(self.write_results_success_learn, result, seqid, oprot)
         d.addErrback(self.write_results_exception_learn, result, seqid, oprot)
         return d
@@ -697,7 +714,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = inspect_result()
-        d = defer.maybeDeferred(self._handler.inspect, )
+        d = defer.maybeDeferred(self._handler.inspect, args.known_version)
         d.addCallback(self.write_results_success_inspect, result, seqid, oprot)
         d.addErrback(self.write_results_exception_inspect, result, seqid, oprot)
         return d
@@ -875,15 +892,17 @@
      - revision
      - config_version
      - wait_ms
+     - bodies
 
     """
 
 
-    def __init__(self, zone=None, revision=None, config_version=None, wait_ms=None,):
+    def __init__(self, zone=None, revision=None, config_version=None, wait_ms=None, bodies=None,):
         self.zone = zone
         self.revision = revision
         self.config_version = config_version
         self.wait_ms = wait_ms
+        self.bodies = bodies
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -914,6 +933,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.bodies = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -940,6 +964,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 4)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.bodies is not None:
+            oprot.writeFieldBegin('bodies', TType.BOOL, 5)
+            oprot.writeBool(self.bodies)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -963,6 +991,7 @@
     (2, TType.I64, 'revision', None, None, ),  # 2
     (3, TType.I64, 'config_version', None, None, ),  # 3
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
+    (5, TType.BOOL, 'bodies', None, None, ),  # 5
 )
 
 
@@ -1476,12 +1505,14 @@
     """
     Attributes:
      - document
+     - ballot
 
     """
 
 
-    def __init__(self, document=None,):
+    def __init__(self, document=None, ballot=None,):
         self.document = document
+        self.ballot = ballot
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1498,6 +1529,11 @@
                     self.document.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ballot = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1512,6 +1548,10 @@
             oprot.writeFieldBegin('document', TType.STRUCT, 1)
             self.document.write(oprot)
             oprot.writeFieldEnd()
+        if self.ballot is not None:
+            oprot.writeFieldBegin('ballot', TType.I64, 2)
+            oprot.writeI64(self.ballot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1532,6 +1572,7 @@
 learn_args.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'document', [Document, None], None, ),  # 1
+    (2, TType.I64, 'ballot', None, None, ),  # 2
 )
 
 
@@ -1579,7 +1620,15 @@
 
 
 class inspect_args(object):
+    """
+    Attributes:
+     - known_version
 
+    """
+
+
+    def __init__(self, known_version=None,):
+        self.known_version = known_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1590,6 +1639,11 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1600,6 +1654,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('inspect_args')
+        if self.known_version is not None:
+            oprot.writeFieldBegin('known_version', TType.I64, 1)
+            oprot.writeI64(self.known_version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1618,6 +1676,8 @@
         return not (self == other)
 all_structs.append(inspect_args)
 inspect_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'known_version', None, None, ),  # 1
 )
 
 
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -908,15 +908,15 @@
     Attributes:
      - version
      - change_id
-     - body_json
+     - body
 
     """
 
 
-    def __init__(self, version=None, change_id=None, body_json=None,):
+    def __init__(self, version=None, change_id=None, body=None,):
         self.version = version
         self.change_id = change_id
-        self.body_json = body_json
+        self.body = body
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -939,7 +939,7 @@
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.body_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             else:
@@ -960,9 +960,9 @@
             oprot.writeFieldBegin('change_id', TType.STRING, 2)
             oprot.writeString(self.change_id.encode('utf-8') if sys.version_info[0] == 2 else self.change_id)
             oprot.writeFieldEnd()
-        if self.body_json is not None:
-            oprot.writeFieldBegin('body_json', TType.STRING, 3)
-            oprot.writeString(self.body_json.encode('utf-8') if sys.version_info[0] == 2 else self.body_json)
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 3)
+            oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1061,11 +1061,12 @@
      - unchanged
      - settled
      - lease_ms
+     - zone
 
     """
 
 
-    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None,):
+    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None,):
         self.members = members
         self.document = document
         self.control_id = control_id
@@ -1073,6 +1074,7 @@
         self.unchanged = unchanged
         self.settled = settled
         self.lease_ms = lease_ms
+        self.zone = zone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1125,6 +1127,11 @@
                     self.lease_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1166,6 +1173,10 @@
             oprot.writeFieldBegin('lease_ms', TType.I64, 7)
             oprot.writeI64(self.lease_ms)
             oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 8)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1457,7 +1468,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.STRING, 'change_id', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'body_json', 'UTF8', None, ),  # 3
+    (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
@@ -1475,6 +1486,7 @@
     (5, TType.BOOL, 'unchanged', None, None, ),  # 5
     (6, TType.BOOL, 'settled', None, None, ),  # 6
     (7, TType.I64, 'lease_ms', None, None, ),  # 7
+    (8, TType.STRING, 'zone', 'UTF8', None, ),  # 8
 )
 all_structs.append(ApplyResult)
 ApplyResult.thrift_spec = (
