One expert map across ranks in separate processes, led from rank 0; steady clock; time to come back follows the outage

Rank 0's agent reads all counts through the other agents, improves the map by single experts, and switches by prepare, hold, arm, go, so that all ranks change at one step or none.

A refused stream is told to come back after as long again as the outage has lasted, at most three tenths of the time it has.

--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -24,11 +24,11 @@
 from zope.interface import implementer
 
 from dunlinpoint import clock, logs, metrics
-from dunlinpoint.agent import keys, rebalance, streams
+from dunlinpoint.agent import announce, keys, rebalance, streams
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.wire import errors, rpc
-from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
+from dunlinpoint.wire.gen.dunlin import Agent, ttypes
 
 log = logs.logger("agent")
 
@@ -36,7 +36,6 @@
 REBALANCE_MS = 1000
 FENCE_STRIDE = 1_000_000
 DEFAULT_SKEW_WEIGHT = 0.5
-CONTROL_TIMEOUT_MS = 1000
 SERVICE_TIMEOUT_MS = 5000
 DRAIN_RETRY_AFTER_MS = 200
 RESUME_TRIES = 3
@@ -67,7 +66,7 @@
     settings: Settings
     clock: clock.Clock
     counters: metrics.Counters
-    links: list
+    announcer: announce.Announcer
     streams: streams.Streams = attrs.field(factory=streams.Streams)
     keys: keys.Keys = attrs.field(factory=keys.Keys)
     calls_in_flight: int = 0
@@ -77,18 +76,14 @@
     )
     highest_fence: int = 0
     lease_ms: int = 0
-    control_index: int = 0
     map_version: int = 0
     fetched: set = attrs.field(factory=set)
 
     @classmethod
     def from_config(cls, settings, reactor, counters):
         """An agent that has not yet been heard by control."""
-        links = [
-            rpc.Link(reactor, host, port, Control.Client, CONTROL_TIMEOUT_MS)
-            for host, port in settings.controls
-        ]
-        return cls(settings, clock.Clock(reactor), counters, links)
+        announcer = announce.Announcer.from_config(reactor, settings.controls, counters)
+        return cls(settings, clock.Clock(reactor), counters, announcer)
 
     def load(self):
         """Work in flight: open streams plus calls."""
@@ -291,7 +286,7 @@
 
 @defer.inlineCallbacks
 def heartbeat(state):
-    """Send one heartbeat; rotate to the next control on failure."""
+    """Send one heartbeat and take a newer document from its reply."""
     settings = state.settings
     host, port = settings.announced or (settings.host, settings.port)
     beat = ttypes.Heartbeat(
@@ -306,15 +301,10 @@
         incarnation=settings.incarnation,
         group=settings.group,
     )
-    link = state.links[state.control_index % len(state.links)]
-    try:
-        reply = yield link.call("heartbeat", beat)
-    except (errors.WireError, ttypes.Refused):
-        state.counters.retried("heartbeat_failed")
-        state.control_index += 1
-        return
-    state.lease_ms = reply.lease_ms
-    take_document(state, reply.document)
+    reply = yield state.announcer.tell(beat)
+    if reply is not None:
+        state.lease_ms = reply.lease_ms
+        take_document(state, reply.document)
 
 
 def take_document(state, document):
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -18,7 +18,7 @@
 from twisted.internet import defer, reactor, task
 from twisted.web import server
 
-from dunlinpoint import logs, metrics
+from dunlinpoint import clock, logs, metrics
 from dunlinpoint.agent import server as agent_server
 from dunlinpoint.cli import checks
 from dunlinpoint.control import server as control_server
@@ -253,6 +253,7 @@
         | Proxy
         | roles.PlatformEntry
         | roles.PlatformControl
+        | roles.PlatformAgent
     ]
 
 
@@ -265,4 +266,5 @@
     # By default SIGHUP ends a process. A platform sends it when it has written
     # a process's settings anew; the process died and cut what was in flight.
     signal.signal(signal.SIGHUP, keep_running)
+    clock.steady(reactor)
     checks.invoke(Daemon, argv, "dunlinpoint")
--- a/dunlinpoint/clock.py
+++ b/dunlinpoint/clock.py
@@ -5,11 +5,24 @@
 with ``twisted.internet.task.Clock``.
 """
 
+import time
+
 import attrs
 
 MS_PER_SECOND = 1000
 
 
+def steady(reactor):
+    """Have *reactor* count time by the steady clock.
+
+    By default it counts by the time of day. When an operator or a time
+    service sets that back by some minutes, every timer waits for so much
+    longer: heartbeats and polls stop, and requests pass their deadlines
+    unanswered; set forward, every lease ends at once.
+    """
+    reactor.seconds = time.monotonic
+
+
 @attrs.define
 class Clock:
     """Milliseconds since an arbitrary start, from a reactor's ``seconds()``."""
--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -75,12 +75,29 @@
     skew_weight: float = 0.5
 
 
+@attrs.frozen
+class Experts:
+    """The layers of a model whose ranks are endpoints of a service.
+
+    Each of *sets* sets of layers has *experts* experts; a rank has room for
+    *places* of a set and can copy *spare* new ones at once. *skew_weight*
+    is as in :class:`Group`.
+    """
+
+    sets: int
+    experts: int
+    places: int
+    spare: int
+    skew_weight: float = 0.5
+
+
 @attrs.frozen
 class Service:
-    """A plain service and which of its operations may not be repeated."""
+    """A service, the operations that may not be repeated, and its experts."""
 
     name: str
     non_idempotent: list[str] = attrs.field(factory=list)
+    experts: Experts | None = None
 
 
 @attrs.frozen
--- /dev/null
+++ b/dunlinpoint/experts/lead.py
@@ -0,0 +1,251 @@
+"""The loop at rank 0 that reads every rank, plans a map, and switches to it.
+
+Every ``TURN_MS`` the lead reads all ranks' counts through their agents. It
+plans with what was chosen lately and switches when the new map saves enough
+of the time that experts take in a step; how much is enough depends on how
+the group weighs skew against the cost of moving experts.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+from twisted.internet import defer, task
+
+from dunlinpoint import clock, logs, metrics
+from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
+from dunlinpoint.entry import view
+from dunlinpoint.experts import placement, rank, switch, window
+from dunlinpoint.wire import errors, rpc
+from dunlinpoint.wire.gen.dunlin import Rank, ttypes
+
+log = logs.logger("experts")
+
+TURN_MS = 400
+LINK_TIMEOUT_MS = 900
+FOLLOW_WAIT_MS = 3000
+# The part of the highest load a new map must save, for a group that weighs
+# only skew, and for one that weighs only the cost of moving.
+LEAST_GAIN = (0.05, 0.25)
+# Fewer choices than this are too few to plan by.
+LEAST_COUNT = 2000
+# Versions are drawn with gaps, so that an order of an earlier lead that is
+# carried out late does not carry a number this lead gives to another map.
+VERSION_GAP = 1000
+
+
+@attrs.define
+class Lead:
+    """What the agent of rank 0 keeps between turns."""
+
+    engine: rank.Engine
+    view: view.View
+    clock: clock.Clock
+    counters: metrics.Counters
+    service: str
+    shape: config.Experts | None = None
+    window: window.Window = attrs.field(factory=window.Window)
+    rng: random.Random = attrs.field(factory=random.Random)
+    epoch: int | None = None
+    mapping: list | None = None
+    map_version: int | None = None
+    last_version: int = 0
+    last_step: tuple | None = None
+    passes_per_s: float = 0.0
+    following: bool = False
+    link_by_address: dict = attrs.field(factory=dict)
+    member_by_rank: dict = attrs.field(factory=dict)
+
+    @classmethod
+    def from_config(cls, reactor, engine, lead_view, counters, service):
+        """A lead for the group of *engine*, an endpoint of *service*."""
+        lead = cls(engine, lead_view, clock.Clock(reactor), counters, service)
+        lead_view.on_document.append(lead.take)
+        return lead
+
+    def take(self, document):
+        """Take the layers' shape from a newer document."""
+        doc = config.parse(packed.unpack(document.body))
+        found = [s.experts for s in doc.services if s.name == self.service]
+        self.shape = found[0] if found else None
+
+    @property
+    def least_gain(self):
+        """The part of the highest load that a new map must save."""
+        skew, cost = LEAST_GAIN
+        return cost + (skew - cost) * self.shape.skew_weight
+
+    def forget(self):
+        """The group broke, or this is not its lead any more."""
+        self.epoch = self.mapping = self.map_version = self.last_step = None
+        self.window = window.Window()
+
+    def link(self, member):
+        """The thrift link to a rank's agent."""
+        address = (member.host, member.port)
+        if address not in self.link_by_address:
+            self.link_by_address[address] = rpc.Link(
+                self.clock.reactor, *address, Rank.Client, LINK_TIMEOUT_MS
+            )
+        return self.link_by_address[address]
+
+    def agents(self, group):
+        """Agents of *group*'s ranks."""
+        return [m for m in self.view.live(rank.KIND) if m.group == group]
+
+    @defer.inlineCallbacks
+    def read(self, group, counts=False, experts=False):
+        """``RankState`` by rank of those that answer."""
+        members = self.agents(group)
+        calls = [self.link(m).call("state", counts, experts) for m in members]
+        results = yield defer.DeferredList(calls, consumeErrors=True)
+        states = {}
+        for member, (ok, state) in zip(members, results, strict=True):
+            if ok and state.group == group:
+                states[state.rank] = state
+                self.member_by_rank[state.rank] = member
+            elif not ok and not state.check(errors.WireError, ttypes.Refused):
+                log.error("state_failed", error=state.getErrorMessage())
+        return states
+
+    def group(self, name, size):
+        """The ranks as :mod:`switch` wants them."""
+
+        @defer.inlineCallbacks
+        def order(number, body):
+            text = rank.order_text(body)
+            self.counters.incr(f"order.{body['operation']}")
+            try:
+                if number == 0:
+                    status = yield self.engine.order(text)
+                else:
+                    link = self.link(self.member_by_rank[number])
+                    status = yield link.call("order", text)
+            except errors.WireError:
+                status = 0
+            return status
+
+        def pause(ms):
+            return task.deferLater(self.clock.reactor, clock.seconds(ms), lambda: None)
+
+        return switch.Group(size, lambda: self.read(name), order, pause)
+
+    def measure_pace(self, step):
+        """Passes a second, from this turn's step and an earlier one."""
+        now = self.clock.now()
+        if self.last_step is not None:
+            then, before = self.last_step
+            if now > then and step >= before:
+                self.passes_per_s = (step - before) * 1000 / (now - then)
+        self.last_step = now, step
+
+
+@defer.inlineCallbacks
+def turn(lead):
+    """One reading, and a switch if it is worth it."""
+    own = yield lead.engine.state(False, False)
+    if not own.open or own.rank != 0:
+        lead.forget()
+        return
+    if not lead.following:
+        lead.following = True
+        lead.view.follow(lead.clock.reactor)
+    if own.epoch != lead.epoch:
+        lead.forget()
+        lead.epoch = own.epoch
+    lead.measure_pace(own.step)
+    states = yield lead.read(own.group, counts=True, experts=lead.mapping is None)
+    if len(states) < own.size or any(s.epoch != own.epoch for s in states.values()):
+        lead.counters.incr("turn.incomplete")
+        return
+    group = lead.group(own.group, own.size)
+    if states[0].held:
+        yield switch.resolve(group, states, own.epoch)
+        lead.mapping = None
+        return
+    now = lead.clock.now()
+    lead.window.add(now, {r: window.unpack(s.counts) for r, s in states.items()})
+    if not learn_mapping(lead, states):
+        return
+    yield consider(lead, group, states)
+
+
+def learn_mapping(lead, states):
+    """Whether the map in force is known; takes it from the ranks' lists."""
+    versions = {s.map_version for s in states.values()}
+    if len(versions) != 1:
+        lead.counters.incr("turn.maps_differ")
+        lead.mapping = None
+        return False
+    version = versions.pop()
+    if lead.mapping is not None and lead.map_version == version:
+        return True
+    lead.map_version = version
+    if not version and lead.shape is not None:
+        shape = lead.shape
+        lead.mapping = placement.in_turn(shape.sets, shape.experts, len(states))
+        return True
+    if any(not s.experts for s in states.values()):
+        lead.mapping = None
+        return False
+    sets = len(states[0].experts)
+    lead.mapping = [
+        [list(states[r].experts[i]) for r in sorted(states)] for i in range(sets)
+    ]
+    return True
+
+
+@defer.inlineCallbacks
+def consider(lead, group, states):
+    """Switch to a better map if it saves enough."""
+    shape = lead.shape
+    if shape is None or any(s.armed for s in states.values()):
+        return
+    counts = lead.window.by_set(shape.sets)
+    if sum(counts[0]) < LEAST_COUNT:
+        return
+    proposed = placement.improve(lead.mapping, counts, shape.places, shape.spare)
+    before = placement.step_load(lead.mapping, counts)
+    after = placement.step_load(proposed, counts)
+    if after > before * (1 - lead.least_gain):
+        return
+    highest = max(max(s.map_version, s.prepared, s.armed) for s in states.values())
+    version = max(highest, lead.last_version) + lead.rng.randint(1, VERSION_GAP)
+    lead.last_version = version
+    plan = switch.Plan(version, proposed, lead.epoch)
+    moved = placement.moved(lead.mapping, proposed)
+    try:
+        yield switch.run(group, plan, lead.passes_per_s)
+    except switch.SwitchError as exc:
+        lead.counters.refused("map_switch")
+        log.warning("switch_given_up", version=version, reason=str(exc))
+        lead.mapping = None
+        return
+    lead.mapping, lead.map_version = proposed, version
+    lead.counters.incr("rebalanced")
+    lead.counters.incr("experts_moved", moved)
+    even = placement.even_load(counts, group.size)
+    log.info(
+        "expert_map",
+        version=version,
+        moved=moved,
+        before=round(before / even, 2),
+        after=round(after / even, 2),
+    )
+
+
+def run(reactor, lead):
+    """Take turns until the reactor stops."""
+    lead.view.wait_ms = FOLLOW_WAIT_MS
+
+    def failed(failure):
+        lead.counters.retried("turn_failed")
+        if not failure.check(rank.RankError, switch.SwitchError):
+            log.error("turn_failed", error=failure.getTraceback())
+
+    loop = task.LoopingCall(lambda: turn(lead).addErrback(failed))
+    loop.clock = reactor
+    loop.start(clock.seconds(TURN_MS), now=False)
+    return loop
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -50,6 +50,10 @@
 # before another is tried.
 FIRST_TRY_SHARE = 0.6
 RETRY_AFTER_MS = 150
+# A caller heeds a time to come back of up to this part of what it has left.
+RETRY_AFTER_SHARE = 0.3
+# An outage of a model group lasts a second at least: its ranks form anew.
+LEAST_OUTAGE_MS = 1000
 # How lately a majority of controls must have vouched for the document before
 # a request is denied by it.
 DENY_VOUCHED_MS = 2000
@@ -75,6 +79,7 @@
     in_flight: int = 0
     draining: bool = False
     stopping: bool = False
+    outage_since_by_service: dict = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, reactor, entry_view, counters, dialect, key_lease_ms=0):
@@ -275,6 +280,8 @@
         state = yield one_try(forward, call, member)
         if state == DONE or call.left:
             return
+        if state in (NOT_RUN, BROKEN):
+            forward.outage_since_by_service.setdefault(call.service, now)
         if not may_try_again(forward, call, state):
             give_up(forward, call, state)
             return
@@ -292,6 +299,21 @@
     return call.tries == 0 or forward.budget.spend(call.service)
 
 
+def retry_after_ms(forward, call):
+    """When a caller whose request did not run should come back.
+
+    An outage that has lasted a while lasts about as long again. A caller
+    that comes back sooner is refused again and has then no try left.
+    """
+    now = forward.clock.now()
+    since = forward.outage_since_by_service.get(call.service)
+    if since is None or not call.streaming:
+        return RETRY_AFTER_MS
+    left = call.deadline_ms - now
+    wanted = max(LEAST_OUTAGE_MS, now - since)
+    return max(RETRY_AFTER_MS, min(wanted, left * RETRY_AFTER_SHARE))
+
+
 def give_up(forward, call, reason):
     """The final answer of a request that no endpoint answered."""
     request = call.request
@@ -307,7 +329,7 @@
         copy_head(request, head, len(body))
         finish(forward, request, body)
     elif not call.may_have_run:
-        answer(forward, request, 503, reason, RETRY_AFTER_MS)
+        answer(forward, request, 503, reason, retry_after_ms(forward, call))
     else:
         answer(forward, request, 504 if call.expired else 502, reason)
 
@@ -347,6 +369,7 @@
             guard.cancel()
     if state == DONE:
         forward.picker.succeeded(endpoint_id)
+        forward.outage_since_by_service.pop(call.service, None)
     elif state == FAILED:
         call.may_have_run = True
     return state
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -8,10 +8,11 @@
 
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
+from dunlinpoint.experts import rank
 from dunlinpoint.wire.gen.dunlin import ttypes
 
-STREAMING = "streaming"
 DRAINING = "draining"
+OPEN = "open"
 
 
 def _route(raw):
@@ -34,6 +35,19 @@
     }
 
 
+def _service(raw):
+    engine = raw.get("engine") or {}
+    if not engine.get("sets"):
+        return {"name": raw["name"]}
+    experts = {
+        "sets": engine["sets"],
+        "experts": engine["experts"],
+        "places": engine["placements"],
+        "spare": engine["spare"],
+    }
+    return {"name": raw["name"], "experts": experts}
+
+
 def _workspace(raw):
     return {
         "name": raw.get("name", ""),
@@ -63,7 +77,7 @@
             "name": "platform",
             "number": raw["version"],
             "origin": text,
-            "services": [{"name": s["name"]} for s in raw["services"]],
+            "services": [_service(s) for s in raw["services"]],
             "routes": [_route(r) for r in raw["routes"]],
             "workspaces": [_workspace(t) for t in raw.get("tenants") or []],
             "limits": _limits(raw.get("limits") or {}),
@@ -78,6 +92,29 @@
     return json.loads(packed.unpack(document.body)).get("origin", "")
 
 
+def to_rank_state(report, picked, lists):
+    """A ``RankState`` from an engine's report, counts and lists of experts."""
+    group = report["group"]
+    return rank.state_message(
+        {
+            "group": group["name"],
+            "epoch": group["epoch"],
+            "rank": group["rank"],
+            "size": report["size"],
+            "open": group["state"] == OPEN,
+        },
+        {
+            "step": report["step"],
+            "map_version": report["mapping"],
+            "prepared": report["preloaded"] or 0,
+            "armed": (report["armed"] or {}).get("version", 0),
+            "held": report["held"] or 0,
+        },
+        picked["counts"] if picked else None,
+        lists["mapping"]["experts"] if lists else None,
+    )
+
+
 def to_heartbeat(endpoint_id, body):
     """A server's heartbeat body as ours; raises ``ValueError`` if it is not one."""
     try:
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -12,11 +12,13 @@
 from twisted.web import server
 
 from dunlinpoint import clock, logs, metrics
+from dunlinpoint.agent import announce
 from dunlinpoint.cli import checks
 from dunlinpoint.control import server as control_server
 from dunlinpoint.entry import view
+from dunlinpoint.experts import lead, rank
 from dunlinpoint.forward import exchange, site
-from dunlinpoint.platform import admin, dialect, ready
+from dunlinpoint.platform import admin, dialect, documents, ready
 
 # A stopping entry goes on taking connections while the balancer finds out.
 ACCEPT_AFTER_STOP_MS = 3000
@@ -151,3 +153,40 @@
         web = server.Site(admin.make_app(reactor, state).resource())
         reactor.listenTCP(port, web, interface=host)
         reactor.run()
+
+
+@dataclass
+class PlatformAgent:
+    """The agent beside one rank's model server on the platform."""
+
+    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
+    ip: Annotated[str, flag("DUNLIN_IP", "this machine's address")]
+    app: Annotated[str, flag("DUNLIN_APP", "host:port of the model server")]
+    service: Annotated[str, flag("DUNLIN_SERVICE", "the service it belongs to")]
+    seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
+    inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
+    beat_ms: Annotated[str, flag("DUNLIN_BEAT_MS", "heartbeat, ms", "1200")]
+
+    def __call__(self):
+        zone = checks.name(self.zone, "zone")
+        host, app_port = checks.address(self.app, "app")
+        port = first_port(self.inner_ports)
+        controls = inner(checks.addresses(self.seeds, "seeds"), port)
+        logs.setup()
+        counters = metrics.Counters(None)
+        engine = rank.Engine.from_config(
+            reactor, f"{host}:{app_port}", rank.Calls(), documents.to_rank_state
+        )
+        leading = lead.Lead.from_config(
+            reactor,
+            engine,
+            view.View.from_config(reactor, zone, controls),
+            counters,
+            checks.name(self.service, "service"),
+        )
+        announcer = announce.Announcer.from_config(reactor, controls, counters)
+        address = rank.Address(zone, self.ip, port)
+        rank.serve(reactor, engine, address)
+        rank.announce(reactor, engine, announcer, address, whole(self.beat_ms, "beat"))
+        lead.run(reactor, leading)
+        reactor.run()
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -56,6 +56,32 @@
   CallResult call(1: CallOrder order) throws (1: Refused refused),
 }
 
+// -- agent -> agent, among the ranks of one group ---------------------------
+
+// How one rank of a group stands. Versions and steps are 0 for none; counts
+// (when asked for) holds, compressed, how often each expert of each set was
+// chosen since the rank started, and experts what the rank holds by set.
+struct RankState {
+  1: string group,
+  2: i64 epoch,
+  3: i32 rank,
+  4: i32 size,
+  5: bool open,
+  6: i64 step,
+  7: i64 map_version,
+  8: i64 prepared,
+  9: i64 armed,
+  10: i64 held,
+  11: binary counts,
+  12: list<list<i32>> experts,
+}
+
+service Rank {
+  RankState state(1: bool counts, 2: bool experts) throws (1: Refused refused),
+  // Passes an order to the rank's engine; its status, or 0 for no answer.
+  i32 order(1: string body_json),
+}
+
 // -- agent, entry, operator tool -> control ---------------------------------
 
 struct Heartbeat {
--- a/dunlinpoint/wire/gen/dunlin/__init__.py
+++ b/dunlinpoint/wire/gen/dunlin/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ['ttypes', 'constants', 'Agent', 'Control']
+__all__ = ['ttypes', 'constants', 'Agent', 'Rank', 'Control']
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -503,6 +503,200 @@
         return not (self == other)
 
 
+class RankState(object):
+    """
+    Attributes:
+     - group
+     - epoch
+     - rank
+     - size
+     - open
+     - step
+     - map_version
+     - prepared
+     - armed
+     - held
+     - counts
+     - experts
+
+    """
+
+
+    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, counts=None, experts=None,):
+        self.group = group
+        self.epoch = epoch
+        self.rank = rank
+        self.size = size
+        self.open = open
+        self.step = step
+        self.map_version = map_version
+        self.prepared = prepared
+        self.armed = armed
+        self.held = held
+        self.counts = counts
+        self.experts = experts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.size = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.open = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.step = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.map_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.prepared = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.armed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.held = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.counts = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.experts = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = []
+                        (_etype16, _size13) = iprot.readListBegin()
+                        for _i17 in range(_size13):
+                            _elem18 = iprot.readI32()
+                            _elem12.append(_elem18)
+                        iprot.readListEnd()
+                        self.experts.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankState')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 3)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I32, 4)
+            oprot.writeI32(self.size)
+            oprot.writeFieldEnd()
+        if self.open is not None:
+            oprot.writeFieldBegin('open', TType.BOOL, 5)
+            oprot.writeBool(self.open)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I64, 6)
+            oprot.writeI64(self.step)
+            oprot.writeFieldEnd()
+        if self.map_version is not None:
+            oprot.writeFieldBegin('map_version', TType.I64, 7)
+            oprot.writeI64(self.map_version)
+            oprot.writeFieldEnd()
+        if self.prepared is not None:
+            oprot.writeFieldBegin('prepared', TType.I64, 8)
+            oprot.writeI64(self.prepared)
+            oprot.writeFieldEnd()
+        if self.armed is not None:
+            oprot.writeFieldBegin('armed', TType.I64, 9)
+            oprot.writeI64(self.armed)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.I64, 10)
+            oprot.writeI64(self.held)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.STRING, 11)
+            oprot.writeBinary(self.counts)
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.LIST, 12)
+            oprot.writeListBegin(TType.LIST, len(self.experts))
+            for iter19 in self.experts:
+                oprot.writeListBegin(TType.I32, len(iter19))
+                for iter20 in iter19:
+                    oprot.writeI32(iter20)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -1088,11 +1282,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Member()
-                        _elem12.read(iprot)
-                        self.members.append(_elem12)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Member()
+                        _elem26.read(iprot)
+                        self.members.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1145,8 +1339,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
+            for iter27 in self.members:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -1427,6 +1621,22 @@
     (3, TType.STRING, 'body_json', 'UTF8', None, ),  # 3
     (4, TType.I32, 'status', None, None, ),  # 4
 )
+all_structs.append(RankState)
+RankState.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.I32, 'rank', None, None, ),  # 3
+    (4, TType.I32, 'size', None, None, ),  # 4
+    (5, TType.BOOL, 'open', None, None, ),  # 5
+    (6, TType.I64, 'step', None, None, ),  # 6
+    (7, TType.I64, 'map_version', None, None, ),  # 7
+    (8, TType.I64, 'prepared', None, None, ),  # 8
+    (9, TType.I64, 'armed', None, None, ),  # 9
+    (10, TType.I64, 'held', None, None, ),  # 10
+    (11, TType.STRING, 'counts', 'BINARY', None, ),  # 11
+    (12, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 12
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
