Idempotency keys outlive their owner; workspace limits, drain and outcome through dunlinctl; cancelled callers

Red first: a dues charge retried after its owner agent was killed and restarted ran twice, and a slot confirmation retried while the owner was gone ran twice (2 failed, 3 passed). Now the owner claims a key at the second agent in the key's order before it forwards the call and tells it the answer (5 passed). Ruled out: refusing keys for a while after every membership change (says unknown to callers who did nothing twice); a disk (few instances have one).

--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -37,6 +37,7 @@
 FENCE_STRIDE = 1_000_000
 DEFAULT_SKEW_WEIGHT = 0.5
 SERVICE_TIMEOUT_MS = 5000
+BACKUP_TIMEOUT_MS = 800
 DRAIN_RETRY_AFTER_MS = 200
 RESUME_TRIES = 3
 
@@ -67,10 +68,12 @@
     clock: clock.Clock
     counters: metrics.Counters
     announcer: announce.Announcer
-    streams: streams.Streams = attrs.field(factory=streams.Streams)
-    keys: keys.Keys = attrs.field(factory=keys.Keys)
+    streams: streams.Streams
+    keys: keys.Keys
+    backups: rpc.Links
     calls_in_flight: int = 0
-    draining: bool = False
+    stopping: bool = False
+    told_to_leave: bool = False
     document: ttypes.Document = attrs.field(
         factory=lambda: ttypes.Document(0, "", packed.EMPTY)
     )
@@ -83,7 +86,21 @@
     def from_config(cls, settings, reactor, counters):
         """An agent that has not yet been heard by control."""
         announcer = announce.Announcer.from_config(reactor, settings.controls, counters)
-        return cls(settings, clock.Clock(reactor), counters, announcer)
+        ticks = clock.Clock(reactor)
+        return cls(
+            settings,
+            ticks,
+            counters,
+            announcer,
+            streams.Streams(ticks),
+            keys.Keys(ticks),
+            rpc.Links(reactor, Agent.Client, BACKUP_TIMEOUT_MS),
+        )
+
+    @property
+    def draining(self):
+        """Whether new work is refused: at a stop, or by the document."""
+        return self.stopping or self.told_to_leave
 
     def load(self):
         """Work in flight: open streams plus calls."""
@@ -157,6 +174,8 @@
             if not order.idempotency_key:
                 refuse(state, "missing_idempotency_key", 0)
             prior = state.keys.claim(order.idempotency_key)
+            if prior is None:
+                prior = yield claim_at_backup(state, order)
             if prior is not None:
                 state.counters.incr(f"replayed.{prior.state}")
                 return replay(order, prior)
@@ -166,16 +185,65 @@
         finally:
             state.calls_in_flight -= 1
         if not idempotent:
-            if result.outcome == "done":
-                state.keys.finish(
-                    order.idempotency_key, result.status, result.body_json
-                )
-            elif result.outcome == "not_run":
-                state.keys.release(order.idempotency_key)
-            else:
-                state.keys.lose(order.idempotency_key)
+            became = {"done": keys.DONE, "not_run": ""}.get(
+                result.outcome, keys.UNKNOWN
+            )
+            settle(state, order, became, result.status, result.body_json)
         return result
 
+    def claim(self, key):
+        prior = self.state.keys.claim(key)
+        return record_message(prior)
+
+    def settle(self, key, record):
+        self.state.keys.settle(key, record.state, record.status, record.body_json)
+
+    def lookup(self, key):
+        return record_message(self.state.keys.by_key.get(key))
+
+
+def record_message(record):
+    """A ``KeyRecord`` of *record*, empty for ``None``."""
+    if record is None:
+        return ttypes.KeyRecord("", 0, "")
+    return ttypes.KeyRecord(record.state, record.status, record.body_json)
+
+
+@defer.inlineCallbacks
+def claim_at_backup(state, order):
+    """What the second keeper of the key knows, or ``None`` once it is claimed.
+
+    Without its claim the call is refused: run now, it could run again after
+    this agent is gone.
+    """
+    if not order.backup_host:
+        return None
+    link = state.backups.to(order.backup_host, order.backup_port)
+    try:
+        prior = yield link.call("claim", order.idempotency_key)
+    except errors.WireError:
+        # Released here only: the backup may hold what became of an earlier
+        # try, and the claim's answer, which would have said so, is lost.
+        state.keys.settle(order.idempotency_key, "")
+        refuse(state, "backup_unreachable")
+    if not prior.state:
+        return None
+    # What ran there is over or lost: it cannot be running here.
+    known = prior.state if prior.state == keys.DONE else keys.UNKNOWN
+    state.keys.settle(order.idempotency_key, known, prior.status, prior.body_json)
+    return state.keys.by_key[order.idempotency_key]
+
+
+def settle(state, order, became, status=0, body_json=""):
+    """Note what became of a call here and at the key's second keeper."""
+    state.keys.settle(order.idempotency_key, became, status, body_json)
+    if order.backup_host:
+        record = ttypes.KeyRecord(became, status, body_json)
+        link = state.backups.to(order.backup_host, order.backup_port)
+        link.call("settle", order.idempotency_key, record).addErrback(
+            lambda failure: state.counters.retried("settle_lost")
+        )
+
 
 def replay(order, record):
     """The answer to a repeated non-idempotent call, without running it."""
@@ -313,6 +381,10 @@
         return
     state.document = document
     log.info("document_in_force", version=document.version)
+    leaving = body_of(document).get("leaving", [])
+    if state.told_to_leave != (state.settings.endpoint_id in leaving):
+        state.told_to_leave = not state.told_to_leave
+        log.info("told_to_leave", leaving=state.told_to_leave)
 
 
 def heartbeats(reactor, state):
@@ -326,9 +398,9 @@
 @defer.inlineCallbacks
 def drain(reactor, state):
     """Stop taking work, tell control at once, let work in flight finish."""
-    if state.draining:
+    if state.stopping:
         return
-    state.draining = True
+    state.stopping = True
     log.info("draining", in_flight=state.load())
     yield heartbeat(state)
     deadline = state.clock.now() + state.settings.drain_timeout_ms
@@ -338,13 +410,14 @@
     log.info("drained", left=state.load())
 
 
+def body_of(document):
+    """The JSON object of a ``Document`` message."""
+    return json.loads(packed.unpack(document.body))
+
+
 def skew_weight(state):
     """The skew weight of this agent's group in the document in force."""
-    try:
-        body = json.loads(packed.unpack(state.document.body))
-    except ValueError:
-        return DEFAULT_SKEW_WEIGHT
-    for group in body.get("groups", []):
+    for group in body_of(state.document).get("groups", []):
         if group.get("name") == state.settings.group:
             return float(group.get("skew_weight", DEFAULT_SKEW_WEIGHT))
     return DEFAULT_SKEW_WEIGHT
--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -7,6 +7,10 @@
   safe: control recognises it instead of applying it twice.
 - ``dunlinctl show --controls ...`` prints each control's version in force.
 - ``dunlinctl members --controls ...`` lists the endpoints control knows.
+- ``dunlinctl drain ENDPOINT --controls ...`` writes the endpoint into the
+  document's ``leaving`` list (``--back`` takes it out again).
+- ``dunlinctl outcome KEY --controls ...`` tells what became of a
+  non-idempotent call, from the agents that keep its key.
 
 Exit codes: 0 done, 1 refused (conflict, invalid, no quorum), 2 bad usage.
 """
@@ -17,15 +21,20 @@
 from dataclasses import dataclass
 from typing import Annotated
 
+import attrs
 import cappa
 from twisted.internet import defer, task
 
 from dunlinpoint.cli import checks
 from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
+from dunlinpoint.entry import routing
 from dunlinpoint.wire import errors, rpc
-from dunlinpoint.wire.gen.dunlin import Control, ttypes
+from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
 
 TIMEOUT_MS = 5000
+# How many agents keep an idempotency key.
+KEEPERS = 2
 
 
 def on_reactor(main):
@@ -98,32 +107,38 @@
 
     @defer.inlineCallbacks
     def send(self, reactor, change_id, body):
-        """Try each control in turn until one answers."""
-        reasons = []
-        for link in links(reactor, self.controls):
-            try:
-                result = yield link.call("apply", self.expect, change_id, body)
-            except ttypes.Refused as refused:
-                reasons.append(f"{link.address}: {refused.reason}")
-                continue
-            except errors.WireError as exc:
-                reasons.append(f"{link.address}: {exc}")
-                continue
-            answer = {"accepted": result.accepted, "version": result.version}
-            answer.update(reason=result.reason, change_id=change_id)
-            print(json.dumps(answer))
-            return 0 if result.accepted else 1
-        print(json.dumps({"accepted": False, "reasons": reasons}))
-        return 1
+        links_to = links(reactor, self.controls)
+        return (yield propose(links_to, self.expect, change_id, body))
 
 
 @defer.inlineCallbacks
-def views(reactor, controls):
+def propose(links_to, expected, change_id, body):
+    """Try each control in turn until one answers; the exit code."""
+    reasons = []
+    for link in links_to:
+        try:
+            result = yield link.call("apply", expected, change_id, body)
+        except ttypes.Refused as refused:
+            reasons.append(f"{link.address}: {refused.reason}")
+            continue
+        except errors.WireError as exc:
+            reasons.append(f"{link.address}: {exc}")
+            continue
+        answer = {"accepted": result.accepted, "version": result.version}
+        answer.update(reason=result.reason, change_id=change_id)
+        print(json.dumps(answer))
+        return 0 if result.accepted else 1
+    print(json.dumps({"accepted": False, "reasons": reasons}))
+    return 1
+
+
+@defer.inlineCallbacks
+def views(reactor, controls, bodies=False):
     """``(address, View or error)`` from every control."""
     found = []
     for link in links(reactor, controls):
         try:
-            shown = yield link.call("view", "", 0, -1, 0, False)
+            shown = yield link.call("view", "", 0, -1, 0, bodies)
         except errors.WireError as exc:
             shown = exc
         found.append((link.address, shown))
@@ -174,12 +189,81 @@
         return 0
 
 
+@dataclass
+class Drain:
+    """Have an endpoint get no new work, through the document."""
+
+    endpoint: str
+    controls: Annotated[str, controls_flag()]
+    back: Annotated[bool, cappa.Arg(long=True, default=False, help="take it back")]
+
+    def __call__(self):
+        on_reactor(self.drain)
+
+    @defer.inlineCallbacks
+    def drain(self, reactor):
+        """Change the newest document that any control shows."""
+        shown = [v for _, v in (yield views(reactor, self.controls, bodies=True))]
+        documents = [v.document for v in shown if not isinstance(v, Exception)]
+        if not documents:
+            print(json.dumps({"accepted": False, "reason": "no control answers"}))
+            return 1
+        newest = max(documents, key=lambda document: document.version)
+        if not newest.version:
+            print(json.dumps({"accepted": False, "reason": "no document in force"}))
+            return 1
+        doc = config.parse(packed.unpack(newest.body))
+        leaving = set(doc.leaving) - {self.endpoint}
+        if not self.back:
+            leaving.add(self.endpoint)
+        body = config.dump(attrs.evolve(doc, leaving=sorted(leaving)))
+        change_id = change_id_of(body, newest.version)
+        links_to = links(reactor, self.controls)
+        return (yield propose(links_to, newest.version, change_id, body))
+
+
+@dataclass
+class Outcome:
+    """What became of a non-idempotent call, by its idempotency key."""
+
+    key: str
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        on_reactor(self.outcome)
+
+    @defer.inlineCallbacks
+    def outcome(self, reactor):
+        """Ask the two agents that keep the key."""
+        members = {}
+        for _, shown in (yield views(reactor, self.controls)):
+            if not isinstance(shown, Exception):
+                members.update((m.endpoint_id, m) for m in shown.members)
+        services = [m for m in members.values() if m.kind == "service"]
+        keepers = routing.owners(services, self.key)[:KEEPERS]
+        agents = rpc.Links(reactor, Agent.Client, TIMEOUT_MS)
+        for keeper in keepers:
+            try:
+                found = yield agents.to(keeper.host, keeper.port).call(
+                    "lookup", self.key
+                )
+            except errors.WireError:
+                continue
+            if found.state:
+                answer = {"key": self.key, "outcome": found.state}
+                answer.update(status=found.status, body=found.body_json)
+                print(json.dumps(answer))
+                return 0
+        print(json.dumps({"key": self.key, "outcome": "not_known"}))
+        return 1
+
+
 @cappa.command(name="dunlinctl")
 @dataclass
 class Ctl:
     """dunlinctl: steer dunlinpoint through its configuration document."""
 
-    command: cappa.Subcommands[Validate | Apply | Show | Members]
+    command: cappa.Subcommands[Validate | Apply | Show | Members | Drain | Outcome]
 
 
 def main(argv=None):
--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -16,11 +16,11 @@
                   "split": [{"service": "booking", "weight": 1}]}]
     }
 
-``number`` is the console's own count of its documents, kept beside the
-version and never lowered; ``origin`` is the console's text as it was sent,
-given back unchanged on a read. Control assigns the version when it accepts a
-document; the document itself
-carries none, so an operator cannot write one that looks newer than it is.
+``leaving`` names endpoints that get no new work. ``number`` is the console's
+own count of its documents, kept beside the version and never lowered;
+``origin`` is the console's text as it was sent, given back unchanged on a
+read. Control assigns the version when it accepts a document; the document
+itself carries none, so an operator cannot write one that looks newer than it is.
 :func:`parse` raises :class:`DocumentError`, an exception group holding one
 :class:`FieldError` per problem, so an operator sees every problem at once.
 """
@@ -163,6 +163,7 @@
     workspaces: list[Workspace] = attrs.field(factory=list)
     routes: list[Route] = attrs.field(factory=list)
     limits: Limits = attrs.field(factory=Limits)
+    leaving: list[str] = attrs.field(factory=list)
     number: int = 0
     origin: str = ""
 
--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -23,7 +23,8 @@
 
 from dunlinpoint import logs, metrics
 from dunlinpoint.config import document as config
-from dunlinpoint.entry import routing, view
+from dunlinpoint.config import packed
+from dunlinpoint.entry import limits, routing, view
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, ttypes
 
@@ -44,25 +45,32 @@
     zone: str
     view: view.View
     counters: metrics.Counters
-    links_by_address: dict = attrs.field(factory=dict)
+    links: rpc.Links
+    work: limits.Work = attrs.field(factory=limits.Work)
     in_flight: int = 0
     draining: bool = False
 
     @classmethod
     def from_config(cls, reactor, zone, controls, counters):
         """An entry in *zone* following the controls at *controls*."""
-        return cls(
-            reactor, zone, view.View.from_config(reactor, zone, controls), counters
+        entry = cls(
+            reactor,
+            zone,
+            view.View.from_config(reactor, zone, controls),
+            counters,
+            rpc.Links(reactor, Agent.Client, AGENT_TIMEOUT_MS),
         )
+        entry.view.on_document.append(entry.take)
+        return entry
+
+    def take(self, document):
+        """Put a newer document's workspace limits in force."""
+        doc = config.parse(packed.unpack(document.body))
+        self.work.limit_by_name = {w.name: w.max_in_flight for w in doc.workspaces}
 
     def link(self, member):
         """The thrift link to *member*'s agent."""
-        address = (member.host, member.port)
-        link = self.links_by_address.get(address)
-        if link is None:
-            link = rpc.Link(self.reactor, *address, Agent.Client, AGENT_TIMEOUT_MS)
-            self.links_by_address[address] = link
-        return link
+        return self.links.to(member.host, member.port)
 
 
 def final(request, status, body, retry_after_s=None):
@@ -128,7 +136,12 @@
             priority=int(body.get("priority", 0)),
             deadline_ms=0,
         )
+        if not entry.work.enter(order.workspace):
+            entry.counters.refused("workspace_limit")
+            answer = {"request_id": request_id, "outcome": "not_run"}
+            return final(request, 429, answer, RETRY_AFTER_S)
         entry.in_flight += 1
+        member = None
         try:
             member = yield start(entry, order)
             if member is None:
@@ -139,8 +152,18 @@
             request.setHeader("x-request-id", request_id)
             last = yield relay(entry, request, member, request_id)
             return json.dumps(last).encode() + b"\n"
+        except defer.CancelledError:
+            # Klein cancels a request whose caller closed the connection. The
+            # engine would write the rest of the answer for nobody.
+            entry.counters.incr("caller_left")
+            if member is not None:
+                entry.link(member).call("cancel", request_id).addErrback(
+                    lambda failure: entry.counters.retried("cancel_lost")
+                )
+            raise
         finally:
             entry.in_flight -= 1
+            entry.work.leave(order.workspace)
 
     @web.route("/v1/call/<operation>", methods=["POST"])
     @defer.inlineCallbacks
@@ -238,6 +261,8 @@
     key = order.idempotency_key or order.request_id
     ranked = routing.owners(entry.view.live("service"), key)
     if order.operation in config.NON_IDEMPOTENT:
+        for backup in ranked[1:2]:
+            order.backup_host, order.backup_port = backup.host, backup.port
         ranked = ranked[:1]
     answer = 503, {"outcome": "not_run"}, RETRY_AFTER_S
     if not ranked:
--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -58,6 +58,7 @@
     counters: metrics.Counters
     service: str
     handler: rank.Handler
+    links: rpc.Links
     shape: config.Experts | None = None
     window: window.Window = attrs.field(factory=window.Window)
     rng: random.Random = attrs.field(factory=random.Random)
@@ -68,14 +69,14 @@
     last_step: tuple | None = None
     passes_per_s: float = 0.0
     following: bool = False
-    link_by_address: dict = attrs.field(factory=dict)
     member_by_rank: dict = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, reactor, handler, lead_view, counters, service):
         """A lead for the group of *handler*'s engine, one of *service*."""
         ticks = clock.Clock(reactor)
-        lead = cls(handler.engine, lead_view, ticks, counters, service, handler)
+        links = rpc.Links(reactor, Rank.Client, LINK_TIMEOUT_MS)
+        lead = cls(handler.engine, lead_view, ticks, counters, service, handler, links)
         lead_view.on_document.append(lead.take)
         return lead
 
@@ -104,12 +105,7 @@
 
     def link(self, member):
         """The thrift link to a rank's agent."""
-        address = (member.host, member.port)
-        if address not in self.link_by_address:
-            self.link_by_address[address] = rpc.Link(
-                self.clock.reactor, *address, Rank.Client, LINK_TIMEOUT_MS
-            )
-        return self.link_by_address[address]
+        return self.links.to(member.host, member.port)
 
     def agents(self, group):
         """Agents of *group*'s ranks."""
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -26,6 +26,7 @@
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
+from dunlinpoint.entry import limits as workspace_limits
 from dunlinpoint.entry import view
 from dunlinpoint.forward import budget, events, names, pick, pool, routes
 
@@ -75,6 +76,7 @@
     table: routes.Table = attrs.field(factory=routes.Table)
     limits: config.Limits = attrs.field(factory=config.Limits)
     rng: random.Random = attrs.field(factory=random.Random)
+    work: workspace_limits.Work = attrs.field(factory=workspace_limits.Work)
     key_lease_ms: int = 0
     in_flight: int = 0
     draining: bool = False
@@ -105,6 +107,7 @@
         doc = config.parse(packed.unpack(document.body))
         self.table = routes.Table.from_document(doc, document.version)
         self.limits = doc.limits
+        self.work.limit_by_name = {w.name: w.max_in_flight for w in doc.workspaces}
 
     def members(self, service):
         """Endpoints of *service* that take new work."""
@@ -254,6 +257,10 @@
     call = admit(forward, request)
     if call is None:
         return
+    name = call.workspace.name if call.workspace is not None else ""
+    if not forward.work.enter(name):
+        answer(forward, request, 429, "workspace_limit", RETRY_AFTER_MS)
+        return
     forward.in_flight += 1
     request.notifyFinish().addErrback(call.caller_left)
     timer = forward.clock.later(call.deadline_ms - forward.clock.now(), call.expire)
@@ -261,6 +268,7 @@
         yield tries(forward, call)
     finally:
         forward.in_flight -= 1
+        forward.work.leave(name)
         if timer.active():
             timer.cancel()
 
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -39,6 +39,17 @@
   2: string operation,
   3: string idempotency_key,
   4: string body_json,
+  // The agent that also keeps the key of a call that may not be repeated.
+  5: string backup_host,
+  6: i32 backup_port,
+}
+
+// What an agent knows of an idempotency key: "" (nothing), "running", "done"
+// with its answer, or "unknown" for good.
+struct KeyRecord {
+  1: string state,
+  2: i32 status,
+  3: string body_json,
 }
 
 // outcome is one of "done", "not_run", "unknown".
@@ -54,6 +65,11 @@
   Chunk read(1: string request_id, 2: i32 offset, 3: i32 wait_ms) throws (1: Refused refused),
   void cancel(1: string request_id),
   CallResult call(1: CallOrder order) throws (1: Refused refused),
+  // The key's earlier record, or a claim on it for another agent.
+  KeyRecord claim(1: string key),
+  // What became of a key claimed for another agent; "" releases it.
+  void settle(1: string key, 2: KeyRecord record),
+  KeyRecord lookup(1: string key),
 }
 
 // -- agent -> agent, among the ranks of one group ---------------------------
--- a/dunlinpoint/wire/gen/dunlin/Agent.py
+++ b/dunlinpoint/wire/gen/dunlin/Agent.py
@@ -56,6 +56,31 @@
         """
         pass
 
+    def claim(key):
+        """
+        Parameters:
+         - key
+
+        """
+        pass
+
+    def settle(key, record):
+        """
+        Parameters:
+         - key
+         - record
+
+        """
+        pass
+
+    def lookup(key):
+        """
+        Parameters:
+         - key
+
+        """
+        pass
+
 
 @implementer(Iface)
 class Client(object):
@@ -264,6 +289,150 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "call failed: unknown result"))
 
+    def claim(self, key):
+        """
+        Parameters:
+         - key
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_claim, key)
+        d.addCallbacks(
+            callback=self.cb_send_claim,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_claim,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_claim(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_claim(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_claim(self, key):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('claim', TMessageType.CALL, self._seqid)
+        args = claim_args()
+        args.key = key
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_claim(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = claim_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "claim failed: unknown result"))
+
+    def settle(self, key, record):
+        """
+        Parameters:
+         - key
+         - record
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_settle, key, record)
+        d.addCallbacks(
+            callback=self.cb_send_settle,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_settle,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_settle(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_settle(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_settle(self, key, record):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('settle', TMessageType.CALL, self._seqid)
+        args = settle_args()
+        args.key = key
+        args.record = record
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_settle(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = settle_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        return d.callback(None)
+
+    def lookup(self, key):
+        """
+        Parameters:
+         - key
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_lookup, key)
+        d.addCallbacks(
+            callback=self.cb_send_lookup,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_lookup,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_lookup(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_lookup(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_lookup(self, key):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('lookup', TMessageType.CALL, self._seqid)
+        args = lookup_args()
+        args.key = key
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_lookup(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = lookup_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "lookup failed: unknown result"))
+
 
 @implementer(Iface)
 class Processor(TProcessor):
@@ -274,6 +443,9 @@
         self._processMap["read"] = Processor.process_read
         self._processMap["cancel"] = Processor.process_cancel
         self._processMap["call"] = Processor.process_call
+        self._processMap["claim"] = Processor.process_claim
+        self._processMap["settle"] = Processor.process_settle
+        self._processMap["lookup"] = Processor.process_lookup
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -443,6 +615,113 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_claim(self, seqid, iprot, oprot):
+        args = claim_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = claim_result()
+        d = defer.maybeDeferred(self._handler.claim, args.key)
+        d.addCallback(self.write_results_success_claim, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_claim, result, seqid, oprot)
+        return d
+
+    def write_results_success_claim(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("claim", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_claim(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("claim", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_settle(self, seqid, iprot, oprot):
+        args = settle_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = settle_result()
+        d = defer.maybeDeferred(self._handler.settle, args.key, args.record)
+        d.addCallback(self.write_results_success_settle, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_settle, result, seqid, oprot)
+        return d
+
+    def write_results_success_settle(self, success, result, seqid, oprot):
+        oprot.writeMessageBegin("settle", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_settle(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("settle", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_lookup(self, seqid, iprot, oprot):
+        args = lookup_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = lookup_result()
+        d = defer.maybeDeferred(self._handler.lookup, args.key)
+        d.addCallback(self.write_results_success_lookup, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_lookup, result, seqid, oprot)
+        return d
+
+    def write_results_success_lookup(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("lookup", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_lookup(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("lookup", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -971,5 +1250,371 @@
     (0, TType.STRUCT, 'success', [CallResult, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
 )
+
+
+class claim_args(object):
+    """
+    Attributes:
+     - key
+
+    """
+
+
+    def __init__(self, key=None,):
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('claim_args')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(claim_args)
+claim_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+)
+
+
+class claim_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = KeyRecord()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('claim_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(claim_result)
+claim_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [KeyRecord, None], None, ),  # 0
+)
+
+
+class settle_args(object):
+    """
+    Attributes:
+     - key
+     - record
+
+    """
+
+
+    def __init__(self, key=None, record=None,):
+        self.key = key
+        self.record = record
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.record = KeyRecord()
+                    self.record.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('settle_args')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.record is not None:
+            oprot.writeFieldBegin('record', TType.STRUCT, 2)
+            self.record.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(settle_args)
+settle_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRUCT, 'record', [KeyRecord, None], None, ),  # 2
+)
+
+
+class settle_result(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('settle_result')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(settle_result)
+settle_result.thrift_spec = (
+)
+
+
+class lookup_args(object):
+    """
+    Attributes:
+     - key
+
+    """
+
+
+    def __init__(self, key=None,):
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('lookup_args')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(lookup_args)
+lookup_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+)
+
+
+class lookup_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = KeyRecord()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('lookup_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(lookup_result)
+lookup_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [KeyRecord, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -330,15 +330,19 @@
      - operation
      - idempotency_key
      - body_json
+     - backup_host
+     - backup_port
 
     """
 
 
-    def __init__(self, request_id=None, operation=None, idempotency_key=None, body_json=None,):
+    def __init__(self, request_id=None, operation=None, idempotency_key=None, body_json=None, backup_host=None, backup_port=None,):
         self.request_id = request_id
         self.operation = operation
         self.idempotency_key = idempotency_key
         self.body_json = body_json
+        self.backup_host = backup_host
+        self.backup_port = backup_port
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -369,6 +373,16 @@
                     self.body_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.backup_host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.backup_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -395,6 +409,93 @@
             oprot.writeFieldBegin('body_json', TType.STRING, 4)
             oprot.writeString(self.body_json.encode('utf-8') if sys.version_info[0] == 2 else self.body_json)
             oprot.writeFieldEnd()
+        if self.backup_host is not None:
+            oprot.writeFieldBegin('backup_host', TType.STRING, 5)
+            oprot.writeString(self.backup_host.encode('utf-8') if sys.version_info[0] == 2 else self.backup_host)
+            oprot.writeFieldEnd()
+        if self.backup_port is not None:
+            oprot.writeFieldBegin('backup_port', TType.I32, 6)
+            oprot.writeI32(self.backup_port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KeyRecord(object):
+    """
+    Attributes:
+     - state
+     - status
+     - body_json
+
+    """
+
+
+    def __init__(self, state=None, status=None, body_json=None,):
+        self.state = state
+        self.status = status
+        self.body_json = body_json
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.body_json = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeyRecord')
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 1)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 2)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.body_json is not None:
+            oprot.writeFieldBegin('body_json', TType.STRING, 3)
+            oprot.writeString(self.body_json.encode('utf-8') if sys.version_info[0] == 2 else self.body_json)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1634,6 +1735,15 @@
     (2, TType.STRING, 'operation', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'idempotency_key', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'body_json', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'backup_host', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'backup_port', None, None, ),  # 6
+)
+all_structs.append(KeyRecord)
+KeyRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'status', None, None, ),  # 2
+    (3, TType.STRING, 'body_json', 'UTF8', None, ),  # 3
 )
 all_structs.append(CallResult)
 CallResult.thrift_spec = (
--- a/dunlinpoint/wire/rpc.py
+++ b/dunlinpoint/wire/rpc.py
@@ -132,3 +132,21 @@
         if self._protocol is not None and self._protocol.transport is not None:
             self._protocol.transport.loseConnection()
         self._protocol = None
+
+
+class Links:
+    """Links to any number of peers of one service, by their address."""
+
+    def __init__(self, reactor, client_class, timeout_ms):
+        self.reactor = reactor
+        self.client_class = client_class
+        self.timeout_ms = timeout_ms
+        self.link_by_address = {}
+
+    def to(self, host, port):
+        """The link to ``host:port``, new if there is none."""
+        link = self.link_by_address.get((host, port))
+        if link is None:
+            link = Link(self.reactor, host, port, self.client_class, self.timeout_ms)
+            self.link_by_address[host, port] = link
+        return link
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -3,6 +3,7 @@
 import signal
 
 from dunlinpoint.lab import client
+from tests.integration.conftest import wait_for
 
 
 def runs(deployment, key):
@@ -57,3 +58,48 @@
     again = client.call(port, "slot_release", key, {"slot": "kagoshima-1"})
     assert again.final["outcome"] == "done"
     assert len(runs(deployment, key)) == 1
+
+
+def service_agents(deployment, key):
+    """Service agents' ids in the order in which they own *key*."""
+    from dunlinpoint.entry import routing
+
+    ids = [n.removeprefix("agent-") for n in deployment.by_name if "agent-service" in n]
+    return sorted(ids, key=lambda i: -routing.score(key, i))
+
+
+def test_retry_after_the_owner_restarted_does_not_run_twice(deployment):
+    # Symptom: a dues charge is billed twice. Sequence: the call runs; the
+    # key's owner agent is killed and starts again; the caller, who lost the
+    # answer, sends the same key. Cause: the key table was in that agent's
+    # memory alone.
+    key = "owner-restarts-1"
+    owner = f"agent-{service_agents(deployment, key)[0]}"
+    port = deployment.entries_by_zone["z1"][0]
+    first = client.call(port, "dues_charge", key, {"vessel": "trawler-9"})
+    deployment.stop(owner, signal.SIGKILL)
+    deployment.restart(owner)
+    again = wait_for(lambda: answered(port, "dues_charge", key))
+    assert again.final["body"] == first.final["body"]
+    assert len(runs(deployment, key)) == 1
+
+
+def test_retry_while_the_owner_is_gone_does_not_run_twice(deployment):
+    # Symptom as above. Sequence: the owner is killed and stays away until
+    # its lease has run out; the retry goes to the next agent in the key's
+    # order. Cause: the next agent knew nothing of the key.
+    key = "owner-gone-1"
+    owner = f"agent-{service_agents(deployment, key)[0]}"
+    port = deployment.entries_by_zone["z2"][0]
+    first = client.call(port, "slot_confirm", key, {"slot": "oita-1"})
+    deployment.stop(owner, signal.SIGKILL)
+    again = wait_for(lambda: answered(port, "slot_confirm", key))
+    deployment.restart(owner)
+    assert again.final["body"] == first.final["body"]
+    assert len(runs(deployment, key)) == 1
+
+
+def answered(port, operation, key):
+    """The answer once it is a final one, or ``None`` while refused."""
+    answer = client.call(port, operation, key, {"vessel": "trawler-9"})
+    return answer if answer.status == 200 else None
