--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -34,9 +34,12 @@
 PATIENCE_MS = 700
 FOLLOW_WAIT_MS = 3000
 # What a new map must save of a pass, in ms: a little in any case, and so much
-# for each expert moved, for a group that weighs only the cost of moving.
+# for each expert that a rank must copy of a set on average, for a group that
+# weighs only the cost of moving. Counted over the whole group instead, one of
+# 24 ranks and 16 sets never changed its map: its first one moves hundreds of
+# experts, though they are no larger part of the weights.
 LEAST_SAVED_MS = 6.0
-SAVED_PER_MOVE_MS = 0.8
+SAVED_PER_MOVE_MS = 21.0
 # The part of a pass that experts take.
 EXPERT_SHARE = 0.85
 # A pass is taken to last no longer than this: an idle group makes none.
@@ -48,6 +51,18 @@
 VERSION_GAP = 1000
 
 
+def least_saved_ms(shape, moved, ranks):
+    """What a map that moves so many experts must save of a pass, in ms."""
+    cost_weight = 1 - shape.skew_weight
+    share = moved / (ranks * shape.sets)
+    return LEAST_SAVED_MS + SAVED_PER_MOVE_MS * cost_weight * share
+
+
+def saved_ms(pass_ms, before, after):
+    """What a pass is shorter with load *after* instead of *before*, in ms."""
+    return pass_ms * EXPERT_SHARE * (1 - after / before)
+
+
 @attrs.define
 class Lead:
     """What the agent of rank 0 keeps between turns."""
@@ -86,17 +101,12 @@
         found = [s.experts for s in doc.services if s.name == self.service]
         self.shape = found[0] if found else None
 
-    def least_saved_ms(self, moved):
-        """What a map that moves so many experts must save of a pass."""
-        cost_weight = 1 - self.shape.skew_weight
-        return LEAST_SAVED_MS + SAVED_PER_MOVE_MS * cost_weight * moved
-
-    def saved_ms(self, before, after):
-        """What a pass is shorter with load *after* instead of *before*."""
-        pass_ms = PASS_LIMIT_MS
-        if self.passes_per_s > 0:
-            pass_ms = min(PASS_LIMIT_MS, clock.MS_PER_SECOND / self.passes_per_s)
-        return pass_ms * EXPERT_SHARE * (1 - after / before)
+    @property
+    def pass_ms(self):
+        """How long a pass takes now, in ms."""
+        if self.passes_per_s <= 0:
+            return PASS_LIMIT_MS
+        return min(PASS_LIMIT_MS, clock.MS_PER_SECOND / self.passes_per_s)
 
     def forget(self):
         """The group broke, or this is not its lead any more."""
@@ -261,7 +271,8 @@
     before = placement.step_load(lead.mapping, counts)
     after = placement.step_load(proposed, counts)
     moved = placement.moved(lead.mapping, proposed)
-    if lead.saved_ms(before, after) < lead.least_saved_ms(moved):
+    least = least_saved_ms(shape, moved, group.size)
+    if saved_ms(lead.pass_ms, before, after) < least:
         return
     highest = max(max(s.map_version, s.prepared, s.armed) for s in states.values())
     version = max(highest, lead.last_version) + lead.rng.randint(1, VERSION_GAP)
