--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -25,6 +25,7 @@
 :class:`FieldError` per problem, so an operator sees every problem at once.
 """
 
+import collections
 import json
 
 import attrs
@@ -182,8 +183,8 @@
         ("services", doc.services),
         ("workspaces", doc.workspaces),
     ):
-        names = [item.name for item in items]
-        for name in sorted({n for n in names if names.count(n) > 1}):
+        counts = collections.Counter(item.name for item in items)
+        for name in sorted(n for n, count in counts.items() if count > 1):
             problems.append(FieldError(field, f"name {name!r} appears twice"))
     for i, group in enumerate(doc.groups):
         if not 1 <= group.ranks <= MAX_RANKS:
