Streams leave an endpoint that alone is silent

Now a try that may be made again ends when its endpoint has sent nothing for a second while another of the service has within 200 ms. Ruled out: a plain time-out to the first event (under load it falls on slow, sound endpoints: p99 is above a second).

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -51,6 +51,7 @@
 # before another is tried.
 FIRST_TRY_SHARE = 0.6
 RETRY_AFTER_MS = 150
+GUARD_MS = 250
 # A caller heeds a time to come back of up to this part of what it has left.
 RETRY_AFTER_SHARE = 0.3
 # An outage of a model group lasts a second at least: its ranks form anew.
@@ -359,7 +360,7 @@
         call.tries += 1
         if call.tries == 1:
             forward.budget.earn(call.service)
-        guard = try_timer(forward, call, connection)
+        guard = try_timer(forward, call, member, connection)
         state = yield exchange(forward, call, member, connection)
     except pool.NotSent:
         forward.counters.retried("endpoint_unreachable")
@@ -373,8 +374,8 @@
     finally:
         call.connection = None
         forward.picker.ended(endpoint_id)
-        if guard is not None and guard.active():
-            guard.cancel()
+        if guard is not None:
+            guard.stop()
     if state == DONE:
         forward.picker.succeeded(endpoint_id)
         forward.outage_since_by_service.pop(call.service, None)
@@ -383,14 +384,51 @@
     return state
 
 
-def try_timer(forward, call, connection):
-    """Ends a try early where another endpoint may still answer in time."""
-    if call.streaming or not routes.repeatable(call.route):
-        return None
-    if call.tries >= call.route.max_attempts:
+@attrs.define
+class Guard:
+    """Ends a try early where another endpoint may still answer."""
+
+    forward: Forward
+    call: Call
+    member: object
+    connection: pool.Connection
+    timer: object = None
+
+    def check_again(self, pause_ms):
+        """Look whether the endpoint is gone after *pause_ms*."""
+        self.timer = self.forward.clock.later(pause_ms, self.check)
+
+    def check(self):
+        """Close the connection if only this endpoint is silent."""
+        members = self.forward.members(self.call.service)
+        now = self.forward.clock.now()
+        if self.forward.picker.is_gone(self.member.endpoint_id, members, now):
+            self.forward.counters.incr("endpoint.silent")
+            self.connection.close()
+        else:
+            self.check_again(GUARD_MS)
+
+    def stop(self):
+        """The try is over."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+
+def try_timer(forward, call, member, connection):
+    """The ``Guard`` of a try that may be made again elsewhere, or ``None``.
+
+    A plain answer comes whole or not at all: its try ends after a part of
+    the time left. A stream may take long; its try ends with its endpoint.
+    """
+    if not routes.repeatable(call.route) or call.tries >= call.route.max_attempts:
         return None
+    guard = Guard(forward, call, member, connection)
+    if call.streaming:
+        guard.check_again(pick.SILENCE_MS)
+        return guard
     left = call.deadline_ms - forward.clock.now()
-    return forward.clock.later(left * FIRST_TRY_SHARE, connection.close)
+    guard.timer = forward.clock.later(left * FIRST_TRY_SHARE, connection.close)
+    return guard
 
 
 def outgoing(forward, call, member):
@@ -436,7 +474,7 @@
     if head.headers.hasHeader(b"content-encoding"):
         raise closing(connection, "an encoded body")
     if good and call.streaming:
-        yield relay(call, connection, head)
+        yield relay(forward, call, member, connection, head)
         forward.counters.incr("answered.stream")
         finish(forward, call.request)
         return DONE
@@ -469,12 +507,13 @@
 
 
 @defer.inlineCallbacks
-def relay(call, connection, head):
+def relay(forward, call, member, connection, head):
     """Pass a stream's whole events on as they come."""
     request = call.request
     call.events.restart()
 
     def on_data(data):
+        forward.picker.heard(member.endpoint_id, forward.clock.now())
         out = call.events.feed(data)
         if not out or call.over:
             return
--- a/dunlinpoint/forward/pick.py
+++ b/dunlinpoint/forward/pick.py
@@ -19,6 +19,10 @@
 AVOID_MS = 400
 AVOID_MAX_MS = 5000
 DEFAULT_SLOTS = 4
+# An endpoint with requests at it that has sent nothing for so long, while
+# another of its service has within OTHERS_MS, is taken for gone.
+SILENCE_MS = 1000
+OTHERS_MS = 200
 
 
 @attrs.define
@@ -28,6 +32,7 @@
     in_flight: int = 0
     failures: int = 0
     avoid_until_ms: int = 0
+    heard_ms: int = 0
 
 
 @attrs.define
@@ -80,6 +85,23 @@
         """A request at the endpoint is over."""
         self.record(endpoint_id).in_flight -= 1
 
+    def heard(self, endpoint_id, now):
+        """Some bytes of an answer came from the endpoint."""
+        self.record(endpoint_id).heard_ms = now
+
+    def is_gone(self, endpoint_id, members, now):
+        """Whether the endpoint is silent while others of its kind are not.
+
+        A frozen or unreachable machine closes no connection; its requests
+        would wait until their callers give up. Ranks step together, so one
+        that is silent among others that are not is no busy one; where all
+        are silent, the group stands and another try would stand as well.
+        """
+        if now - self.record(endpoint_id).heard_ms < SILENCE_MS:
+            return False
+        others = (m.endpoint_id for m in members if m.endpoint_id != endpoint_id)
+        return any(now - self.record(i).heard_ms < OTHERS_MS for i in others)
+
     def succeeded(self, endpoint_id):
         """The endpoint answered as it should."""
         record = self.record(endpoint_id)
