The lead orders hold and arms itself, and its deputy looks sooner

While the deputy's own agent passed on the order to hold, the hold froze with it, out of reach: held 3.7 and 3.8 s on both sites.

--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -4,7 +4,7 @@
 is its deputy: once the lead has stopped reading it, it finishes what was
 begun and lifts the hold, and plans nothing itself.
 
-Every ``TURN_MS`` the lead reads all ranks' counts through their agents. It
+Every turn the lead reads all ranks' counts through their agents. It
 plans with what was chosen lately and switches when the new map saves enough
 of the time that experts take in a step; how much is enough depends on how
 the group weighs skew against the cost of moving experts.
@@ -27,11 +27,21 @@
 
 log = logs.logger("experts")
 
-TURN_MS = 400
+# The pause between turns of the lead, of its deputy, and of the other ranks,
+# which only look whether they have become one of the two.
+LEAD_TURN_MS = 400
+DEPUTY_TURN_MS = 150
+OTHER_TURN_MS = 2000
 LINK_TIMEOUT_MS = 900
+# A deputy does not wait long for the lead that it takes for dead.
+DEPUTY_TIMEOUT_MS = 250
 # The rank whose agent watches the lead, and how long the lead may be silent.
 DEPUTY = 1
-PATIENCE_MS = 700
+PATIENCE_MS = 600
+# Orders that the lead gives to the engines itself, not through their agents:
+# a machine that froze while it passed on the order to hold the group would
+# take the hold with it, out of the deputy's reach.
+DIRECT = {"retention", "go", "arm", "disarm"}
 FOLLOW_WAIT_MS = 3000
 # What a new map must save of a pass, in ms: a little in any case, and so much
 # for each expert that a rank must copy of a set on average, for a group that
@@ -125,7 +135,11 @@
     def read(self, group, counts=False, experts=False, leading=True):
         """``RankState`` by rank of those that answer."""
         members = self.agents(group)
-        calls = [self.link(m).call("state", counts, experts, leading) for m in members]
+        timeout_ms = LINK_TIMEOUT_MS if leading else DEPUTY_TIMEOUT_MS
+        calls = [
+            self.link(m).call("state", counts, experts, leading, timeout_ms=timeout_ms)
+            for m in members
+        ]
         results = yield defer.DeferredList(calls, consumeErrors=True)
         states = {}
         for member, (ok, state) in zip(members, results, strict=True):
@@ -145,8 +159,11 @@
             text = rank.order_text(body)
             self.counters.incr(f"order.{body['operation']}")
             try:
-                if number == own_rank:
-                    status = yield self.engine.order(text)
+                if number == own_rank or body["operation"] in DIRECT:
+                    engine = self.engine
+                    if number != own_rank:
+                        engine = engine.at(self.member_by_rank[number].engine)
+                    status = yield engine.order(text)
                 else:
                     link = self.link(self.member_by_rank[number])
                     status = yield link.call("order", text)
@@ -173,17 +190,24 @@
 
 @defer.inlineCallbacks
 def turn(lead):
-    """One reading, and a switch if it is worth it."""
+    """One reading, and a switch if it is worth it; the pause that follows."""
     own = yield lead.engine.state(False, False)
     if not own.open or own.rank > DEPUTY:
         lead.forget()
-        return
+        return OTHER_TURN_MS
     if not lead.following:
         lead.following = True
         lead.view.follow(lead.clock.reactor)
     if own.rank != 0:
         yield deputise(lead, own)
-        return
+        return DEPUTY_TURN_MS
+    yield lead_turn(lead, own)
+    return LEAD_TURN_MS
+
+
+@defer.inlineCallbacks
+def lead_turn(lead, own):
+    """The lead's own turn; *own* is its rank's state."""
     if own.epoch != lead.epoch:
         lead.forget()
         lead.epoch = own.epoch
@@ -306,8 +330,12 @@
         lead.counters.retried("turn_failed")
         if not failure.check(rank.RankError, switch.SwitchError):
             log.error("turn_failed", error=failure.getTraceback())
+        return LEAD_TURN_MS
+
+    def again(pause_ms):
+        lead.clock.later(pause_ms, take_turn)
+
+    def take_turn():
+        turn(lead).addErrback(failed).addCallback(again)
 
-    loop = task.LoopingCall(lambda: turn(lead).addErrback(failed))
-    loop.clock = reactor
-    loop.start(clock.seconds(TURN_MS), now=False)
-    return loop
+    again(LEAD_TURN_MS)
