A control that lost its disk does not vote in our own deployments either; the agreement model is derandomized

Cause: the stateful model of agreement failed in a run of the unit tests: one acceptor cut off, a document chosen by the other two, one of those loses its disk and helps to choose a second document for the same version. The model had never been derandomized, so earlier runs had not met it, and the daemon's control role took every missing state for a first start.

Ruled out: a flag alone (operators of a repaired machine would have to know to leave it out).

The model: the disk loss is as the product starts after one, a rule for recovery, 150 examples (60 before), derandomized, no example database. test_lost_disk_then_second_failure waits for the repaired control to vote before the second failure: voting at once is the fault above.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -162,6 +162,7 @@
                 continue
             line = {"control": address, "id": shown.control_id}
             line["version"] = shown.document.version
+            line["settled"] = shown.settled
             line["members"] = len(shown.members)
             print(json.dumps(line))
         return 0
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -147,6 +147,9 @@
     index: Annotated[str, flag("DUNLIN_INDEX", "this acceptor's place, 0 up", 0)]
     peers: Annotated[str, flag("DUNLIN_PEERS", "other controls' host:port", "")]
     data: Annotated[str, flag("DUNLIN_DATA", "data folder (none: memory only)", "")]
+    bootstrap: Annotated[
+        bool, cappa.Arg(long=True, default=False, help="first start: vote at once")
+    ]
     host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
     statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
 
@@ -159,6 +162,7 @@
             data=checks.folder(self.data),
             peers=checks.optional_addresses(self.peers, "peers"),
             index=int(self.index),
+            bootstrap=self.bootstrap,
         )
         logs.setup()
         control_server.run(reactor, settings, counters(self.statsd, "control"))
--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -22,8 +22,10 @@
 could help a majority choose a second document for a version that a majority
 with its old vote had already chosen. It therefore starts ``recovering`` and
 votes on nothing until it has seen the state of enough other acceptors to
-include one member of every majority it may have been part of
-(:func:`recover`).
+include one member of every majority it may have been part of, or of all of
+them (:func:`recover`). An acceptor that starts for the first time cannot be
+told from one that lost its disk: without being told, it waits in the same
+way, so a new deployment votes once all its acceptors have met.
 """
 
 from __future__ import annotations
@@ -320,16 +322,21 @@
 
     With ``n`` acceptors and majorities of ``m``, any majority that counted
     the lost vote has at least one member among any ``n - m + 1`` of the
-    others. Their promises and acceptances bound what was lost.
+    others. Their promises and acceptances bound what was lost. Once all
+    others have answered there is nothing more to learn, even where some of
+    them are recovering themselves: that is a first start, or the loss of
+    more disks than any majority survives.
     """
     local = peers.local
     if not local.recovering:
         return
     calls = [link.call("inspect", NOTHING_KNOWN) for link in peers.links]
     results = yield defer.DeferredList(calls, consumeErrors=True)
-    states = [state for ok, state in results if ok and not state.recovering]
-    if len(states) >= len(peers.links) + 2 - peers.majority:
-        local.adopt(states)
+    answered = [state for ok, state in results if ok]
+    sound = [state for state in answered if not state.recovering]
+    enough = len(peers.links) + 2 - peers.majority
+    if len(sound) >= enough or len(answered) == len(peers.links):
+        local.adopt(answered)
         log.info("recovered", version=local.committed["version"])
 
 
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -43,7 +43,7 @@
     peers: list
     index: int = 0
     lease_ms: int = membership.LEASE_MS
-    bootstrap: bool = True
+    bootstrap: bool = False
 
 
 @attrs.define
@@ -240,6 +240,7 @@
     """Start a control instance; returns its state."""
     state = State.from_config(settings, reactor, counters)
     rpc.serve(reactor, Control.Processor(Handler(state)), settings.port, settings.host)
+    catch_up(state)
     every(reactor, CATCH_UP_MS, catch_up, state)
     every(reactor, EXPIRE_MS, expire, state)
     log.info(
--- a/dunlinpoint/control/tests/test_agreement_model.py
+++ b/dunlinpoint/control/tests/test_agreement_model.py
@@ -81,9 +81,15 @@
             return
         self.lost_disk = True
         shutil.rmtree(f"{self.folder}/a{i}", ignore_errors=True)
-        self.acceptors[i] = self.load(i)
+        self.acceptors[i] = agreement.Acceptor.from_config(
+            f"{self.folder}/a{i}", bootstrap=False
+        )
         self.highest[i] = 0
 
+    @rule(i=st.integers(0, SIZE - 1))
+    def recover(self, i):
+        result(agreement.recover(self.peers(i)))
+
     @invariant()
     def one_document_per_version(self):
         by_version = {}
@@ -109,6 +115,10 @@
 
 
 Agreement.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=30, deadline=None
+    max_examples=150,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
 )
 test_agreement_model = Agreement.TestCase
--- a/dunlinpoint/lab/deploy.py
+++ b/dunlinpoint/lab/deploy.py
@@ -156,6 +156,22 @@
         for process in self.by_name.values():
             process.start()
         self.wait_listening(self.by_name.values())
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not self.settled(self.controls):
+            if time.monotonic() > deadline:
+                raise RuntimeError("the controls do not vote")
+
+    def settled(self, controls):
+        """Whether each of *controls* votes on changes (asks ``dunlinctl``)."""
+        flag = ",".join(f"{host}:{port}" for host, port in controls)
+        done = subprocess.run(
+            [sys.executable, "-m", "dunlinpoint.cli.ctl", "show", "--controls", flag],
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+        )
+        lines = [json.loads(line) for line in done.stdout.splitlines()]
+        return len(lines) == len(controls) and all(x.get("settled") for x in lines)
 
     def wait_listening(self, processes):
         deadline = time.monotonic() + READY_TIMEOUT_S
--- a/tests/integration/test_control_faults.py
+++ b/tests/integration/test_control_faults.py
@@ -118,6 +118,9 @@
     cluster.stop("control-0")
     shutil.rmtree(cluster.by_name["control-0"].argv[-1])
     cluster.restart("control-0")
+    # Repaired means that it votes again: until it has seen the others it
+    # votes on nothing, as the model test shows it must not.
+    wait_for(lambda: cluster.settled(cluster.controls[:1]))
     cluster.stop("control-1", signal.SIGKILL)
     stale = churn(cluster, 1, 0)
     assert stale["accepted"] == 0
