--- a/dunlinpoint/__init__.py
+++ b/dunlinpoint/__init__.py
@@ -9,6 +9,7 @@
 ``entry``     callers' HTTP; routes each request to an endpoint agent
 ``agent``     one per endpoint instance; fronts the local engine or service
 ``control``   configuration document, membership, durable agreement
+``experts``   one expert map for ranks that are separate processes
 ``forward``   callers' own HTTP requests to endpoints, unchanged
 ``platform``  our users' platform: its names, formats and calls
 ``config``    the operators' document: format, validation, errors
--- a/dunlinpoint/agent/__init__.py
+++ b/dunlinpoint/agent/__init__.py
@@ -9,6 +9,10 @@
 ==============  ==========================================================
 ``streams``     buffers of streamed answers, read by offset
 ``keys``        the at-most-once table of non-idempotent calls
+``calls``       calls to the plain service, and what becomes of their keys
+``announce``    heartbeats to one control after another
+``rebalance``   which expert map, for ranks that are one process
+``balance``     when such a map is ordered
 ``server``      the thrift handler, heartbeats, drain
 ==============  ==========================================================
 """
--- /dev/null
+++ b/dunlinpoint/agent/balance.py
@@ -0,0 +1,117 @@
+"""The expert map of an engine whose ranks are one process, ordered by its agent.
+
+Groups whose ranks are separate processes have :mod:`dunlinpoint.experts`.
+"""
+
+import json
+
+import treq
+from twisted.internet import defer, task
+
+from dunlinpoint import clock, logs
+from dunlinpoint.agent import rebalance
+from dunlinpoint.config import packed
+
+log = logs.logger("agent")
+
+REBALANCE_MS = 1000
+FENCE_STRIDE = 1_000_000
+DEFAULT_SKEW_WEIGHT = 0.5
+
+
+def body_of(document):
+    """The JSON object of a ``Document`` message."""
+    return json.loads(packed.unpack(document.body))
+
+
+def skew_weight(state):
+    """The skew weight of this agent's group in the document in force."""
+    for group in body_of(state.document).get("groups", []):
+        if group.get("name") == state.settings.group:
+            return float(group.get("skew_weight", DEFAULT_SKEW_WEIGHT))
+    return DEFAULT_SKEW_WEIGHT
+
+
+@defer.inlineCallbacks
+def fetch_weights(state, old, new):
+    """Load the moved experts' weights; ``False`` when the store says wait.
+
+    The store serves a few experts a second; a map moving more than that
+    would start again from the first expert every round and never finish,
+    so experts already loaded are remembered in ``state.fetched`` until a
+    map is ordered.
+    """
+    if not state.settings.weights:
+        return True
+    for expert, (a, b) in enumerate(zip(old, new, strict=True)):
+        if a == b or (expert, b) in state.fetched:
+            continue
+        url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
+        response = yield treq.get(url, timeout=5)
+        yield response.content()
+        if response.code == 429:
+            state.counters.retried("weights_rate_limited")
+            return False
+        state.fetched.add((expert, b))
+    return True
+
+
+@defer.inlineCallbacks
+def rebalance_once(state):
+    """Read the engine's load, and order a new expert map if worth it.
+
+    The order carries a fencing number above every earlier one of this
+    agent and of its earlier incarnations, so an engine that honours fences
+    refuses a late order from a process that has since been replaced. The
+    engine switches at a step boundary for every rank at once.
+    """
+    if state.draining:
+        return
+    settings = state.settings
+    try:
+        response = yield treq.get(f"{settings.backend}/load", timeout=2)
+        report = yield response.json()
+    except Exception:
+        state.counters.retried("load_report_failed")
+        return
+    placement = report["placement"]
+    ranks = max(placement) + 1
+    proposed = rebalance.decide(
+        report["per_expert"], placement, ranks, skew_weight(state)
+    )
+    if proposed is None:
+        return
+    if not (yield fetch_weights(state, placement, proposed)):
+        return
+    state.fetched.clear()
+    state.map_version = max(state.map_version, report["map_version"]) + 1
+    order = {
+        "kind": "set_map",
+        "version": state.map_version,
+        "placement": proposed,
+        "fence": settings.incarnation * FENCE_STRIDE + state.map_version,
+    }
+    response = yield treq.post(
+        f"{settings.backend}/orders", data=json.dumps(order).encode(), timeout=2
+    )
+    yield response.content()
+    if response.code == 200:
+        state.counters.incr("rebalanced")
+        state.counters.incr("experts_moved", rebalance.moved(placement, proposed))
+        log.info("expert_map", version=state.map_version)
+    else:
+        state.counters.refused("map_order")
+
+
+def rebalancing(reactor, state):
+    """Consider a rebalance every ``REBALANCE_MS``."""
+
+    def attempt():
+        return rebalance_once(state).addErrback(
+            lambda failure: state.counters.retried("rebalance_failed")
+        )
+
+    loop = task.LoopingCall(attempt)
+    loop.clock = reactor
+    loop.start(clock.seconds(REBALANCE_MS), now=False)
+    return loop
--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -19,12 +19,11 @@
 
 import attrs
 import treq
-from twisted.internet import defer, error, task
-from twisted.web import _newclient
+from twisted.internet import defer, task
 from zope.interface import implementer
 
 from dunlinpoint import clock, logs, metrics
-from dunlinpoint.agent import announce, keys, rebalance, streams
+from dunlinpoint.agent import announce, balance, calls, keys, streams
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.wire import errors, rpc
@@ -33,10 +32,6 @@
 log = logs.logger("agent")
 
 HEARTBEAT_MS = 300
-REBALANCE_MS = 1000
-FENCE_STRIDE = 1_000_000
-DEFAULT_SKEW_WEIGHT = 0.5
-SERVICE_TIMEOUT_MS = 5000
 BACKUP_TIMEOUT_MS = 800
 DRAIN_RETRY_AFTER_MS = 200
 RESUME_TRIES = 3
@@ -102,17 +97,16 @@
         """Whether new work is refused: at a stop, or by the document."""
         return self.stopping or self.told_to_leave
 
+    def refuse(self, reason, retry_after_ms=DRAIN_RETRY_AFTER_MS):
+        """Count and raise a certain refusal."""
+        self.counters.refused(reason)
+        raise ttypes.Refused(reason=reason, retry_after_ms=retry_after_ms)
+
     def load(self):
         """Work in flight: open streams plus calls."""
         return self.streams.in_flight() + self.calls_in_flight
 
 
-def refuse(state, reason, retry_after_ms=DRAIN_RETRY_AFTER_MS):
-    """Count and raise a certain refusal."""
-    state.counters.refused(reason)
-    raise ttypes.Refused(reason=reason, retry_after_ms=retry_after_ms)
-
-
 @implementer(Agent.Iface)
 @attrs.define
 class Handler:
@@ -126,9 +120,9 @@
         if order.request_id in state.streams.by_id:
             return None
         if state.draining:
-            refuse(state, "draining")
+            state.refuse("draining")
         if state.settings.kind != "engine":
-            refuse(state, "not_an_engine")
+            state.refuse("not_an_engine")
         stream = state.streams.open(order.request_id)
         state.counters.incr("started")
         pump(self.reactor, state, order, stream)
@@ -138,7 +132,7 @@
     def read(self, request_id, offset, wait_ms):
         stream = self.state.streams.by_id.get(request_id)
         if stream is None:
-            refuse(self.state, "unknown_request", 0)
+            self.state.refuse("unknown_request", 0)
         if offset >= len(stream.tokens) and not stream.done:
             changed = stream.changed()
             timer = self.reactor.callLater(
@@ -168,122 +162,38 @@
     def call(self, order):
         state = self.state
         if state.draining:
-            refuse(state, "draining")
+            state.refuse("draining")
         idempotent = order.operation not in config.NON_IDEMPOTENT
         if not idempotent:
             if not order.idempotency_key:
-                refuse(state, "missing_idempotency_key", 0)
+                state.refuse("missing_idempotency_key", 0)
             prior = state.keys.claim(order.idempotency_key)
             if prior is None:
-                prior = yield claim_at_backup(state, order)
+                prior = yield calls.claim_at_backup(state, order)
             if prior is not None:
                 state.counters.incr(f"replayed.{prior.state}")
-                return replay(order, prior)
+                return calls.replay(order, prior)
         state.calls_in_flight += 1
         try:
-            result = yield forward(state, order)
+            result = yield calls.forward(state, order)
         finally:
             state.calls_in_flight -= 1
         if not idempotent:
             became = {"done": keys.DONE, "not_run": ""}.get(
                 result.outcome, keys.UNKNOWN
             )
-            settle(state, order, became, result.status, result.body_json)
+            calls.settle(state, order, became, result.status, result.body_json)
         return result
 
     def claim(self, key):
         prior = self.state.keys.claim(key)
-        return record_message(prior)
+        return calls.record_message(prior)
 
     def settle(self, key, record):
         self.state.keys.settle(key, record.state, record.status, record.body_json)
 
     def lookup(self, key):
-        return record_message(self.state.keys.by_key.get(key))
-
-
-def record_message(record):
-    """A ``KeyRecord`` of *record*, empty for ``None``."""
-    if record is None:
-        return ttypes.KeyRecord("", 0, "")
-    return ttypes.KeyRecord(record.state, record.status, record.body_json)
-
-
-@defer.inlineCallbacks
-def claim_at_backup(state, order):
-    """What the second keeper of the key knows, or ``None`` once it is claimed.
-
-    Without its claim the call is refused: run now, it could run again after
-    this agent is gone.
-    """
-    if not order.backup_host:
-        return None
-    link = state.backups.to(order.backup_host, order.backup_port)
-    try:
-        prior = yield link.call("claim", order.idempotency_key)
-    except errors.WireError:
-        # Released here only: the backup may hold what became of an earlier
-        # try, and the claim's answer, which would have said so, is lost.
-        state.keys.settle(order.idempotency_key, "")
-        refuse(state, "backup_unreachable")
-    if not prior.state:
-        return None
-    # What ran there is over or lost: it cannot be running here.
-    known = prior.state if prior.state == keys.DONE else keys.UNKNOWN
-    state.keys.settle(order.idempotency_key, known, prior.status, prior.body_json)
-    return state.keys.by_key[order.idempotency_key]
-
-
-def settle(state, order, became, status=0, body_json=""):
-    """Note what became of a call here and at the key's second keeper."""
-    state.keys.settle(order.idempotency_key, became, status, body_json)
-    if order.backup_host:
-        record = ttypes.KeyRecord(became, status, body_json)
-        link = state.backups.to(order.backup_host, order.backup_port)
-        link.call("settle", order.idempotency_key, record).addErrback(
-            lambda failure: state.counters.retried("settle_lost")
-        )
-
-
-def replay(order, record):
-    """The answer to a repeated non-idempotent call, without running it."""
-    if record.state == keys.DONE:
-        return ttypes.CallResult(
-            order.request_id, "done", record.body_json, record.status
-        )
-    return ttypes.CallResult(order.request_id, "unknown", "{}", 0)
-
-
-@defer.inlineCallbacks
-def forward(state, order):
-    """Send one call to the local service; a ``CallResult``.
-
-    ``not_run`` only when the connection was refused: the service never saw
-    the call. Any failure after the request may have been written is
-    ``unknown``, since the service may have done the deed.
-    """
-    url = f"{state.settings.backend}/call/{order.operation}"
-    headers = {"Idempotency-Key": order.idempotency_key or order.request_id}
-    try:
-        response = yield treq.post(
-            url,
-            data=order.body_json.encode(),
-            headers=headers,
-            timeout=clock.seconds(SERVICE_TIMEOUT_MS),
-        )
-        body = yield response.text()
-    except (error.ConnectionRefusedError, error.ConnectError):
-        state.counters.incr("service_refused_connection")
-        return ttypes.CallResult(order.request_id, "not_run", "{}", 0)
-    except (
-        _newclient.ResponseNeverReceived,
-        _newclient.ResponseFailed,
-        defer.CancelledError,
-        error.TimeoutError,
-    ):
-        state.counters.incr("service_lost")
-        return ttypes.CallResult(order.request_id, "unknown", "{}", 0)
-    return ttypes.CallResult(order.request_id, "done", body, response.code)
+        return calls.record_message(self.state.keys.by_key.get(key))
 
 
 def pump(reactor, state, order, stream):
@@ -381,7 +291,7 @@
         return
     state.document = document
     log.info("document_in_force", version=document.version)
-    leaving = body_of(document).get("leaving", [])
+    leaving = balance.body_of(document).get("leaving", [])
     if state.told_to_leave != (state.settings.endpoint_id in leaving):
         state.told_to_leave = not state.told_to_leave
         log.info("told_to_leave", leaving=state.told_to_leave)
@@ -410,104 +320,6 @@
     log.info("drained", left=state.load())
 
 
-def body_of(document):
-    """The JSON object of a ``Document`` message."""
-    return json.loads(packed.unpack(document.body))
-
-
-def skew_weight(state):
-    """The skew weight of this agent's group in the document in force."""
-    for group in body_of(state.document).get("groups", []):
-        if group.get("name") == state.settings.group:
-            return float(group.get("skew_weight", DEFAULT_SKEW_WEIGHT))
-    return DEFAULT_SKEW_WEIGHT
-
-
-@defer.inlineCallbacks
-def fetch_weights(state, old, new):
-    """Load the moved experts' weights; ``False`` when the store says wait.
-
-    The store serves a few experts a second; a map moving more than that
-    would start again from the first expert every round and never finish,
-    so experts already loaded are remembered in ``state.fetched`` until a
-    map is ordered.
-    """
-    if not state.settings.weights:
-        return True
-    for expert, (a, b) in enumerate(zip(old, new, strict=True)):
-        if a == b or (expert, b) in state.fetched:
-            continue
-        url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
-        response = yield treq.get(url, timeout=5)
-        yield response.content()
-        if response.code == 429:
-            state.counters.retried("weights_rate_limited")
-            return False
-        state.fetched.add((expert, b))
-    return True
-
-
-@defer.inlineCallbacks
-def rebalance_once(state):
-    """Read the engine's load, and order a new expert map if worth it.
-
-    The order carries a fencing number above every earlier one of this
-    agent and of its earlier incarnations, so an engine that honours fences
-    refuses a late order from a process that has since been replaced. The
-    engine switches at a step boundary for every rank at once.
-    """
-    if state.draining:
-        return
-    settings = state.settings
-    try:
-        response = yield treq.get(f"{settings.backend}/load", timeout=2)
-        report = yield response.json()
-    except Exception:
-        state.counters.retried("load_report_failed")
-        return
-    placement = report["placement"]
-    ranks = max(placement) + 1
-    proposed = rebalance.decide(
-        report["per_expert"], placement, ranks, skew_weight(state)
-    )
-    if proposed is None:
-        return
-    if not (yield fetch_weights(state, placement, proposed)):
-        return
-    state.fetched.clear()
-    state.map_version = max(state.map_version, report["map_version"]) + 1
-    order = {
-        "kind": "set_map",
-        "version": state.map_version,
-        "placement": proposed,
-        "fence": settings.incarnation * FENCE_STRIDE + state.map_version,
-    }
-    response = yield treq.post(
-        f"{settings.backend}/orders", data=json.dumps(order).encode(), timeout=2
-    )
-    yield response.content()
-    if response.code == 200:
-        state.counters.incr("rebalanced")
-        state.counters.incr("experts_moved", rebalance.moved(placement, proposed))
-        log.info("expert_map", version=state.map_version)
-    else:
-        state.counters.refused("map_order")
-
-
-def rebalancing(reactor, state):
-    """Consider a rebalance every ``REBALANCE_MS``."""
-
-    def attempt():
-        return rebalance_once(state).addErrback(
-            lambda failure: state.counters.retried("rebalance_failed")
-        )
-
-    loop = task.LoopingCall(attempt)
-    loop.clock = reactor
-    loop.start(clock.seconds(REBALANCE_MS), now=False)
-    return loop
-
-
 def run(reactor, settings, counters):
     """Start an agent: its thrift server and its heartbeats; returns its state."""
     state = State.from_config(settings, reactor, counters)
@@ -516,6 +328,6 @@
     )
     heartbeats(reactor, state)
     if settings.kind == "engine":
-        rebalancing(reactor, state)
+        balance.rebalancing(reactor, state)
     log.info("started", endpoint_id=settings.endpoint_id, zone=settings.zone)
     return state
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -82,7 +82,7 @@
         listen_http(port, self.host, entry_app.make_app(entry))
 
         def stop():
-            entry.draining = True
+            entry.life.close()
             return wait_idle(lambda: entry.in_flight, ENTRY_DRAIN_MS)
 
         reactor.addSystemEventTrigger("before", "shutdown", stop)
--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -21,7 +21,7 @@
 from klein import Klein
 from twisted.internet import defer
 
-from dunlinpoint import logs, metrics
+from dunlinpoint import life, logs, metrics
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits, routing, view
@@ -48,7 +48,7 @@
     links: rpc.Links
     work: limits.Work = attrs.field(factory=limits.Work)
     in_flight: int = 0
-    draining: bool = False
+    life: life.Life = attrs.field(factory=life.begin)
 
     @classmethod
     def from_config(cls, reactor, zone, controls, counters):
@@ -123,7 +123,7 @@
     @web.route("/v1/generate", methods=["POST"])
     @defer.inlineCallbacks
     def generate(request):
-        if entry.draining:
+        if entry.life.is_stopping():
             entry.counters.refused("draining")
             return final(request, 503, {"outcome": "not_run"}, RETRY_AFTER_S)
         body = json.loads(request.content.read() or b"{}")
@@ -168,7 +168,7 @@
     @web.route("/v1/call/<operation>", methods=["POST"])
     @defer.inlineCallbacks
     def call(request, operation):
-        if entry.draining:
+        if entry.life.is_stopping():
             entry.counters.refused("draining")
             return final(request, 503, {"outcome": "not_run"}, RETRY_AFTER_S)
         request_id = request.getHeader("x-request-id") or uuid.uuid4().hex
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -23,42 +23,24 @@
 from twisted.internet import defer
 from twisted.web import http_headers
 
-from dunlinpoint import clock, logs, metrics
+from dunlinpoint import clock, life, logs, metrics
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits as workspace_limits
 from dunlinpoint.entry import view
-from dunlinpoint.forward import budget, events, names, pick, pool, routes
+from dunlinpoint.forward import answers, budget, events, names, pick, pool, routes
+from dunlinpoint.forward import guard as guards
 
 log = logs.logger("entry")
 
-HOP_BY_HOP = {
-    b"connection",
-    b"keep-alive",
-    b"proxy-authenticate",
-    b"proxy-authorization",
-    b"proxy-connection",
-    b"te",
-    b"trailer",
-    b"transfer-encoding",
-    b"upgrade",
-}
 OWN_HEADERS = {b"content-length", b"authorization", b"expect"}
 DEFAULT_DEADLINE_MS = 60_000
 # Less than this left is not worth handing to an endpoint.
 LEAST_LEFT_MS = 10
-# An idempotent request's first endpoint gets this part of the time left
-# before another is tried.
-FIRST_TRY_SHARE = 0.6
-RETRY_AFTER_MS = 150
-GUARD_MS = 250
 # A caller heeds a time to come back of up to this part of what it has left.
 RETRY_AFTER_SHARE = 0.3
 # An outage of a model group lasts a second at least: its ranks form anew.
 LEAST_OUTAGE_MS = 1000
-# How lately a majority of controls must have vouched for the document before
-# a request is denied by it.
-DENY_VOUCHED_MS = 2000
 # The state of one try.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 
@@ -80,8 +62,7 @@
     work: workspace_limits.Work = attrs.field(factory=workspace_limits.Work)
     key_lease_ms: int = 0
     in_flight: int = 0
-    draining: bool = False
-    stopping: bool = False
+    life: life.Life = attrs.field(factory=life.begin)
     outage_since_by_service: dict = attrs.field(factory=dict)
 
     @classmethod
@@ -163,78 +144,32 @@
         return self.left or self.expired
 
 
-def header(request, name):
-    """The last value of a request header as text, or ``None``."""
-    value = request.getHeader(name)
-    if isinstance(value, bytes):
-        return value.decode("latin-1")
-    return value
-
-
-def answer(forward, request, status, reason, retry_ms=None):
-    """End *request* with a final answer of our own, at once."""
-    if 500 <= status or status in (408, 429):
-        forward.counters.refused(reason)
-    else:
-        forward.counters.incr(f"denied.{reason}")
-    body = reason.encode()
-    request.setResponseCode(status)
-    request.setHeader(b"content-type", b"text/plain")
-    request.setHeader(b"content-length", b"%d" % len(body))
-    if retry_ms is not None:
-        request.setHeader(b"retry-after", b"%.3f" % (retry_ms / 1000))
-    finish(forward, request, body)
-
-
-def deny(forward, request, status, reason):
-    """Refuse what the document does not allow, if it is surely the newest.
-
-    Just started, or cut off from the controls, an entry may hold a document
-    that a newer one has replaced; a caller told 404 for a route just added
-    does not come back, one told 503 does.
-    """
-    vouched = forward.view.vouched_ms
-    if forward.clock.now() - vouched > DENY_VOUCHED_MS:
-        answer(forward, request, 503, f"{reason}_unsure", RETRY_AFTER_MS)
-    else:
-        answer(forward, request, status, reason)
-
-
-def finish(forward, request, body=b""):
-    """Write *body*, end the answer, and close the connection while draining."""
-    if forward.draining:
-        request.channel.persistent = False
-        if not request.startedWriting:
-            request.setHeader(b"connection", b"close")
-    if body:
-        request.write(body)
-    request.finish()
-
-
 def admit(forward, request):
     """The ``Call`` of *request*, or ``None`` after a final answer."""
     table = forward.table
     if not table.version or forward.view.vouched_ms is None:
-        answer(forward, request, 503, "no_document", RETRY_AFTER_MS)
+        answers.not_run(forward, request, "no_document")
         return None
     path = request.path.decode("latin-1")
-    route = table.match(header(request, b"host") or "", path)
+    route = table.match(answers.header(request, b"host") or "", path)
     if route is None:
-        deny(forward, request, 404, "no_route")
+        answers.deny(forward, request, 404, "no_route")
         return None
     workspace = None
     if table.keyed and not route.public:
         if forward.key_lease_ended():
-            answer(forward, request, 503, "document_not_vouched", RETRY_AFTER_MS)
+            answers.answer(
+                forward, request, 503, "document_not_vouched", answers.RETRY_AFTER_MS
+            )
             return None
-        workspace = table.workspace(header(request, b"authorization"))
+        workspace = table.workspace(answers.header(request, b"authorization"))
         if workspace is None:
-            deny(forward, request, 401, "unknown_key")
+            answers.deny(forward, request, 401, "unknown_key")
             return None
-    given = header(request, forward.names.deadline_ms) or ""
+    given = answers.header(request, forward.names.deadline_ms) or ""
     wait_ms = int(given) if given.isdigit() else DEFAULT_DEADLINE_MS
-    last_id = header(request, forward.names.last_event_id) or ""
-    request_id = header(request, forward.names.request_id)
+    last_id = answers.header(request, forward.names.last_event_id) or ""
+    request_id = answers.header(request, forward.names.request_id)
     return Call(
         request=request,
         route=route,
@@ -250,17 +185,17 @@
 @defer.inlineCallbacks
 def serve(forward, request):
     """Forward one request; every path ends in exactly one final answer."""
-    if forward.stopping:
+    if forward.life.is_stopping():
         # Taken now on a kept connection, it could still be running at the
         # end of the grace time and be cut.
-        answer(forward, request, 503, "stopping", RETRY_AFTER_MS)
+        answers.not_run(forward, request, "stopping")
         return
     call = admit(forward, request)
     if call is None:
         return
     name = call.workspace.name if call.workspace is not None else ""
     if not forward.work.enter(name):
-        answer(forward, request, 429, "workspace_limit", RETRY_AFTER_MS)
+        answers.answer(forward, request, 429, "workspace_limit", answers.RETRY_AFTER_MS)
         return
     forward.in_flight += 1
     request.notifyFinish().addErrback(call.caller_left)
@@ -317,10 +252,10 @@
     now = forward.clock.now()
     since = forward.outage_since_by_service.get(call.service)
     if since is None or not call.streaming:
-        return RETRY_AFTER_MS
+        return answers.RETRY_AFTER_MS
     left = call.deadline_ms - now
     wanted = max(LEAST_OUTAGE_MS, now - since)
-    return max(RETRY_AFTER_MS, min(wanted, left * RETRY_AFTER_SHARE))
+    return max(answers.RETRY_AFTER_MS, min(wanted, left * RETRY_AFTER_SHARE))
 
 
 def give_up(forward, call, reason):
@@ -335,12 +270,12 @@
     elif call.last_failure is not None:
         head, body = call.last_failure
         forward.counters.incr("answered.endpoint_failure")
-        copy_head(request, head, len(body))
-        finish(forward, request, body)
+        answers.copy_head(request, head, len(body))
+        answers.finish(forward, request, body)
     elif not call.may_have_run:
-        answer(forward, request, 503, reason, retry_after_ms(forward, call))
+        answers.answer(forward, request, 503, reason, retry_after_ms(forward, call))
     else:
-        answer(forward, request, 504 if call.expired else 502, reason)
+        answers.answer(forward, request, 504 if call.expired else 502, reason)
 
 
 @defer.inlineCallbacks
@@ -360,7 +295,7 @@
         call.tries += 1
         if call.tries == 1:
             forward.budget.earn(call.service)
-        guard = try_timer(forward, call, member, connection)
+        guard = guards.start(forward, call, member, connection)
         state = yield exchange(forward, call, member, connection)
     except pool.NotSent:
         forward.counters.retried("endpoint_unreachable")
@@ -384,57 +319,12 @@
     return state
 
 
-@attrs.define
-class Guard:
-    """Ends a try early where another endpoint may still answer."""
-
-    forward: Forward
-    call: Call
-    member: object
-    connection: pool.Connection
-    timer: object = None
-
-    def check_again(self, pause_ms):
-        """Look whether the endpoint is gone after *pause_ms*."""
-        self.timer = self.forward.clock.later(pause_ms, self.check)
-
-    def check(self):
-        """Close the connection if only this endpoint is silent."""
-        members = self.forward.members(self.call.service)
-        now = self.forward.clock.now()
-        if self.forward.picker.is_gone(self.member.endpoint_id, members, now):
-            self.forward.counters.incr("endpoint.silent")
-            self.connection.close()
-        else:
-            self.check_again(GUARD_MS)
-
-    def stop(self):
-        """The try is over."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-
-
-def try_timer(forward, call, member, connection):
-    """The ``Guard`` of a try that may be made again elsewhere, or ``None``.
-
-    A plain answer comes whole or not at all: its try ends after a part of
-    the time left. A stream may take long; its try ends with its endpoint.
-    """
-    if not routes.repeatable(call.route) or call.tries >= call.route.max_attempts:
-        return None
-    guard = Guard(forward, call, member, connection)
-    if call.streaming:
-        guard.check_again(pick.SILENCE_MS)
-        return guard
-    left = call.deadline_ms - forward.clock.now()
-    guard.timer = forward.clock.later(left * FIRST_TRY_SHARE, connection.close)
-    return guard
-
-
 def outgoing(forward, call, member):
     """The request as *member* gets it."""
-    named = header(call.request, b"connection") or ""
-    dropped = HOP_BY_HOP | {n.strip().lower().encode() for n in named.split(",")}
+    named = answers.header(call.request, b"connection") or ""
+    dropped = answers.HOP_BY_HOP | {
+        n.strip().lower().encode() for n in named.split(",")
+    }
     dropped |= OWN_HEADERS
     own = forward.names
     headers = http_headers.Headers()
@@ -476,7 +366,7 @@
     if good and call.streaming:
         yield relay(forward, call, member, connection, head)
         forward.counters.incr("answered.stream")
-        finish(forward, call.request)
+        answers.finish(forward, call.request)
         return DONE
     body = bytearray()
     yield pool.read(connection, head, body.extend)
@@ -486,8 +376,8 @@
     if call.over:
         raise closing(connection, "the caller is gone")
     forward.counters.incr("answered.plain")
-    copy_head(call.request, head, len(body))
-    finish(forward, call.request, bytes(body))
+    answers.copy_head(call.request, head, len(body))
+    answers.finish(forward, call.request, bytes(body))
     return DONE
 
 
@@ -519,7 +409,7 @@
             return
         if not call.started:
             call.started = True
-            copy_head(request, head, None)
+            answers.copy_head(request, head, None)
         request.write(out)
 
     yield pool.read(connection, head, on_data)
@@ -529,14 +419,4 @@
         raise closing(connection, "a stream that ends within an event")
     if not call.started:
         call.started = True
-        copy_head(request, head, None)
-
-
-def copy_head(request, head, length):
-    """The endpoint's status and headers as the caller's answer."""
-    request.setResponseCode(head.code, head.phrase)
-    for name, values in head.headers.getAllRawHeaders():
-        if name.lower() not in HOP_BY_HOP and name.lower() != b"content-length":
-            request.responseHeaders.setRawHeaders(name, values)
-    if length is not None:
-        request.setHeader(b"content-length", b"%d" % length)
+        answers.copy_head(request, head, None)
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -86,7 +86,7 @@
         def is_ready():
             return (
                 forward.table.version > 0
-                and not forward.draining
+                and not forward.life.is_draining()
                 and not forward.key_lease_ended()
             )
 
@@ -94,11 +94,11 @@
         reactor.listenTCP(ready_port, web, interface=ready_host)
 
         async def stop():
-            forward.draining = True
+            forward.life.drain()
             ends = forward.clock.now() + grace_ms - STOP_MARGIN_MS
             exchange.log.info("draining", in_flight=forward.in_flight)
             await pause(min(ACCEPT_AFTER_STOP_MS, grace_ms // 3))
-            forward.stopping = True
+            forward.life.close()
             await listening.stopListening()
             while forward.in_flight and forward.clock.now() < ends:
                 await pause(STEP_MS)
