Test ports below the kernel's outgoing range: two processes were given one port

Log kept: the service stand-in could not listen on 53025, 'Address already in use', and ended; the port answered for another process, so the lab took it for started. Ports were asked of the kernel from the range that it also uses for outgoing connections.

Ruled out: the key claims of today (no such record in the agents' logs; the agent's call reached a stranger's port). Now ports come from below that range, none twice soon, and a process that ended counts as not started. A service's answer that is not JSON reaches its caller as text instead of an error page of ours.

--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -294,7 +294,11 @@
         return 504, {"outcome": "unknown", "key": key}, RETRY_AFTER_S
     if result.outcome == "done":
         entry.counters.incr("answered.call")
-        body = json.loads(result.body_json)
+        try:
+            body = json.loads(result.body_json)
+        except ValueError:
+            # The caller's own whole answer, though not the JSON it should be.
+            body = result.body_json
         return result.status, {"outcome": "done", "body": body}, None
     if result.outcome == "not_run":
         entry.counters.refused("service_unreachable")
--- a/dunlinpoint/lab/deploy.py
+++ b/dunlinpoint/lab/deploy.py
@@ -6,6 +6,7 @@
 deployment's folder, and is stopped by its pid.
 """
 
+import itertools
 import json
 import os
 import signal
@@ -20,11 +21,23 @@
 STOP_TIMEOUT_S = 20
 
 
+# Below the range from which the kernel takes ports for outgoing connections:
+# a port from there could be taken again between the choice and the listening
+# process, which then ended, while the port answered for another process.
+FIRST_PORT, LAST_PORT = 20_000, 32_000
+_ports = itertools.count(os.getpid() * 61)
+
+
 def free_port():
-    """A TCP port on 127.0.0.1 that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A TCP port on 127.0.0.1 that nothing uses, never the same one twice soon."""
+    while True:
+        port = FIRST_PORT + next(_ports) % (LAST_PORT - FIRST_PORT)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def listening(port):
@@ -182,6 +195,8 @@
                 if time.monotonic() > deadline:
                     raise RuntimeError(f"{process.name} is not listening")
                 time.sleep(0.05)
+            if process.popen.poll() is not None:
+                raise RuntimeError(f"{process.name} exited: see {process.log_path}")
 
     def restart(self, name):
         """Start process *name* again after it stopped."""
