The test of one map per step does not hang on the machine's speed

The test now first puts a document in force that weighs skew alone, so any skew is worth a map. What it checks is unchanged: no step mixes two maps.

--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -1,7 +1,12 @@
 """The whole path through real processes: entry -> agent -> stand-in."""
 
+import subprocess
+import sys
 import threading
 
+import attrs
+
+from dunlinpoint.config import document as config
 from dunlinpoint.lab import client
 from dunlinpoint.standins import engine
 
@@ -25,7 +30,20 @@
     assert len(ran) == 1
 
 
-def test_rebalance_keeps_one_map_per_step(deployment):
+def weigh_only_skew(deployment, path):
+    """Put a document in force in which moving experts costs nothing."""
+    group = attrs.evolve(config.DEFAULT.groups[0], skew_weight=1.0)
+    path.write_text(config.dump(attrs.evolve(config.DEFAULT, groups=[group])))
+    controls = ",".join(f"{host}:{port}" for host, port in deployment.controls)
+    subprocess.run(
+        [sys.executable, "-m", "dunlinpoint.cli.ctl", "apply", str(path)]
+        + ["--expect", "0", "--controls", controls],
+        check=True,
+        timeout=30,
+    )
+
+
+def test_rebalance_keeps_one_map_per_step(deployment, tmp_path):
     # Symptom: ranks of one group compute a step with different expert
     # maps. Sequence: traffic leans on one block of experts, the agent
     # orders a new map while steps run, under load. Cause guarded against:
@@ -40,9 +58,11 @@
         if n.startswith("engine-") and n.endswith("-backend")
     ]
 
+    # With moves weighed, a rebalance is worth it only from a few thousand
+    # tokens a second on, which a slow machine does not reach in time.
+    weigh_only_skew(deployment, tmp_path / "skew.json")
+
     def versions():
-        # Concurrent requests fill the batch: a rebalance is worth its cost
-        # only at a load of a few thousand tokens a second on the hot block.
         threads = [
             threading.Thread(
                 target=client.generate,
