--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -33,6 +33,7 @@
 
 HEARTBEAT_MS = 300
 BACKUP_TIMEOUT_MS = 800
+LINGER_MS = 1500
 DRAIN_RETRY_AFTER_MS = 200
 RESUME_TRIES = 3
 
@@ -316,6 +317,9 @@
     deadline = state.clock.now() + state.settings.drain_timeout_ms
     while state.load() and state.clock.now() < deadline:
         yield task.deferLater(reactor, 0.05, lambda: None)
+    # The entry may have all of an answer but its end: gone at once, the agent
+    # would leave it with 300 of 300 tokens and an unknown outcome.
+    yield task.deferLater(reactor, clock.seconds(LINGER_MS), lambda: None)
     yield heartbeat(state)
     log.info("drained", left=state.load())
 
