A standing group is refused at once and its ranks are forgiven; streams are let in at the pace that is seen

Cause: ranks of one group were taken for independent servers. With one lost, a request waited 1.5 s at a rank, was refused, waited again at the next, and its caller had left; the failures then had most ranks avoided after the group was whole.

All streams of a group share each pass, so the pauses an entry sees are the pace of all: past 0.87 of the allowed pause it lets in fewer.

--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -116,8 +116,9 @@
     ``kind`` says what may be repeated: :data:`IDEMPOTENT` requests may run
     again, :data:`NON_IDEMPOTENT_KIND` ones at most once, :data:`STREAMING`
     ones only where ``resumable``. ``timeout_ms`` is the longest a caller is
-    kept waiting, ``aim_ms`` the time an answer should take, ``max_attempts``
-    the most endpoints one request may be sent to.
+    kept waiting, ``aim_ms`` the time an answer should take, ``pause_ms`` the
+    longest pause between a stream's events that is in time (0: none is set),
+    ``max_attempts`` the most endpoints one request may be sent to.
     """
 
     name: str
@@ -127,6 +128,7 @@
     timeout_ms: int
     split: list[Share]
     aim_ms: int = 0
+    pause_ms: int = 0
     priority: int = 0
     max_attempts: int = 1
     public: bool = False
--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -36,7 +36,8 @@
 
 def routed(beat):
     """What of a heartbeat routing depends on."""
-    return beat.host, beat.port, beat.draining, beat.gone, beat.slots, beat.service_name
+    place = beat.host, beat.port, beat.slots, beat.service_name
+    return *place, beat.draining, beat.gone, beat.epoch, beat.broken
 
 
 def age(beat):
@@ -110,6 +111,8 @@
                 sequence=b.sequence,
                 gone=b.gone,
                 engine=b.engine,
+                epoch=b.epoch,
+                broken=b.broken,
             )
             for lease in self.by_id.values()
             if lease.expires_ms > now
--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -98,6 +98,8 @@
     last_step: tuple | None = None
     passes_per_s: float = 0.0
     following: bool = False
+    standing: tuple | None = None
+    on_standing: list = attrs.field(factory=list)
     member_by_rank: dict = attrs.field(factory=dict)
 
     @classmethod
@@ -196,6 +198,7 @@
 def turn(lead):
     """One reading, and a switch if it is worth it; the pause that follows."""
     own = yield lead.engine.state(False, False)
+    tell_standing(lead, own)
     if own.rank > DEPUTY:
         lead.forget()
         return OTHER_TURN_MS
@@ -212,6 +215,16 @@
     return LEAD_TURN_MS
 
 
+def tell_standing(lead, own):
+    """Have entries hear at once when the group broke or opened."""
+    standing = own.epoch, own.open
+    if standing != lead.standing:
+        lead.standing = standing
+        log.info("group", group=own.group, epoch=own.epoch, open=bool(own.open))
+        for hear in lead.on_standing:
+            hear(own)
+
+
 @defer.inlineCallbacks
 def lead_turn(lead, own):
     """The lead's own turn; *own* is its rank's state."""
--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -172,6 +172,11 @@
     except RankError:
         announcer.counters.retried("report_failed")
         return
+    yield announce_state(engine, announcer, address, state)
+
+
+def announce_state(engine, announcer, address, state):
+    """Tell control how the rank's group stands, from its *state*."""
     beat = ttypes.Heartbeat(
         endpoint_id=f"{KIND}-{address.host}",
         zone=address.zone,
@@ -184,8 +189,10 @@
         incarnation=0,
         group=state.group,
         engine=engine.address,
+        epoch=state.epoch,
+        broken=not state.open,
     )
-    yield announcer.tell(beat)
+    return announcer.tell(beat)
 
 
 def announce(reactor, engine, announcer, address, every_ms):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -27,10 +27,11 @@
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits as workspace_limits
+from dunlinpoint.experts import rank
 from dunlinpoint.follow import view
 from dunlinpoint.forward import answers, events, names, pool, routes
 from dunlinpoint.forward import guard as guards
-from dunlinpoint.routing import budget, pick, spread
+from dunlinpoint.routing import budget, outage, pace, pick, spread
 
 log = logs.logger("entry")
 
@@ -38,10 +39,9 @@
 DEFAULT_DEADLINE_MS = 60_000
 # Less than this left is not worth handing to an endpoint.
 LEAST_LEFT_MS = 10
-# A caller heeds a time to come back of up to this part of what it has left.
-RETRY_AFTER_SHARE = 0.3
-# An outage of a model group lasts a second at least: its ranks form anew.
-LEAST_OUTAGE_MS = 1000
+# When a caller should come back whom the pace leaves no room: streams last a
+# second or two, and as many end in that time as would have to.
+ROOM_MS = (500, 1500)
 # The state of one try.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 
@@ -64,7 +64,8 @@
     key_lease_ms: int = 0
     in_flight: int = 0
     life: life.Life = attrs.field(factory=life.begin)
-    outage_since_by_service: dict = attrs.field(factory=dict)
+    outages: outage.Outages = attrs.field(factory=outage.Outages)
+    pace_by_service: dict = attrs.field(factory=dict)
     members_by_service: dict = attrs.field(factory=dict)
     arranged: tuple | None = None
 
@@ -121,6 +122,23 @@
         live_ids = {m.endpoint_id for m in live}
         self.picker.forget(live_ids)
         self.pool.forget(live_ids)
+        addresses = {outage.address_of(m) for m in live}
+        ranks = self.view.live(rank.KIND)
+        for group in self.outages.learn(ranks, addresses, self.clock.now()):
+            log.info("group_open", group=group)
+            for member in live:
+                address = outage.address_of(member)
+                if self.outages.group_by_address.get(address) == group:
+                    self.picker.succeeded(member.endpoint_id)
+
+    def pace(self, call):
+        """The ``Pace`` of *call*'s service, or ``None`` where no pause is set."""
+        if not call.streaming or not call.route.pause_ms:
+            return None
+        found = self.pace_by_service.get(call.service)
+        if found is None:
+            found = self.pace_by_service[call.service] = pace.Pace(call.route.pause_ms)
+        return found
 
     def key_lease_ended(self):
         """Whether keys may have been taken away without our hearing of it."""
@@ -228,7 +246,7 @@
     request.notifyFinish().addErrback(call.caller_left)
     timer = forward.clock.later(call.deadline_ms - forward.clock.now(), call.expire)
     try:
-        yield tries(forward, call)
+        yield paced(forward, call)
     finally:
         forward.in_flight -= 1
         forward.work.leave(name)
@@ -236,23 +254,42 @@
             timer.cancel()
 
 
+@defer.inlineCallbacks
+def paced(forward, call):
+    """Try endpoints if the pace leaves room for one stream more."""
+    found = forward.pace(call)
+    if found is None:
+        yield tries(forward, call)
+        return
+    if not found.has_room():
+        refuse(forward, call, "no_room", forward.rng.uniform(*ROOM_MS))
+        return
+    found.began()
+    try:
+        yield tries(forward, call)
+    finally:
+        found.ended()
+
+
 @defer.inlineCallbacks
 def tries(forward, call):
     """Try endpoints until one answers or no other may be tried."""
     while True:
         now = forward.clock.now()
-        member = forward.picker.pick(
-            forward.members(call.service), now, exclude=call.tried
-        )
+        members = forward.members(call.service)
+        usable = forward.outages.usable(members, now)
+        if members and not usable:
+            give_up(forward, call, "group_stands", outage_ms(forward, call, members))
+            return
+        member = forward.picker.pick(usable, now, exclude=call.tried)
         if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
             give_up(forward, call, "no_endpoint" if member is None else "too_late")
             return
+        forward.outages.probe(member, now)
         call.tried.add(member.endpoint_id)
         state = yield one_try(forward, call, member)
         if state == DONE or call.left:
             return
-        if state in (NOT_RUN, BROKEN):
-            forward.outage_since_by_service.setdefault(call.service, now)
         if not may_try_again(forward, call, state):
             give_up(forward, call, state)
             return
@@ -270,22 +307,19 @@
     return call.tries == 0 or forward.budget.spend(call.service)
 
 
-def retry_after_ms(forward, call):
-    """When a caller whose request did not run should come back.
-
-    An outage that has lasted a while lasts about as long again. A caller
-    that comes back sooner is refused again and has then no try left.
-    """
+def outage_ms(forward, call, members):
+    """When a caller should come back whose endpoints' groups all stand."""
     now = forward.clock.now()
-    since = forward.outage_since_by_service.get(call.service)
-    if since is None or not call.streaming:
-        return answers.RETRY_AFTER_MS
-    left = call.deadline_ms - now
-    wanted = max(LEAST_OUTAGE_MS, now - since)
-    return max(answers.RETRY_AFTER_MS, min(wanted, left * RETRY_AFTER_SHARE))
+    since = forward.outages.since_ms(members, now)
+    return outage.come_back_ms(since, now, call.deadline_ms - now, forward.rng)
 
 
-def give_up(forward, call, reason):
+def refuse(forward, call, reason, retry_ms):
+    """Refuse a request that was sent to nobody."""
+    answers.answer(forward, call.request, 503, reason, retry_ms)
+
+
+def give_up(forward, call, reason, retry_ms=answers.RETRY_AFTER_MS):
     """The final answer of a request that no endpoint answered."""
     request = call.request
     if call.left:
@@ -300,7 +334,7 @@
         answers.copy_head(request, head, len(body))
         answers.finish(forward, request, body)
     elif not call.may_have_run:
-        answers.answer(forward, request, 503, reason, retry_after_ms(forward, call))
+        answers.answer(forward, request, 503, reason, retry_ms)
     else:
         answers.answer(forward, request, 504 if call.expired else 502, reason)
 
@@ -340,7 +374,7 @@
             guard.stop()
     if state == DONE:
         forward.picker.succeeded(endpoint_id)
-        forward.outage_since_by_service.pop(call.service, None)
+        forward.outages.heard(member)
     elif state == FAILED:
         call.may_have_run = True
     return state
@@ -382,8 +416,7 @@
         raise closing(connection, "an answer to another request")
     if head.headers.hasHeader(own.not_run) or head.code == 421:
         yield drained(connection, head)
-        forward.counters.incr("endpoint.not_run")
-        forward.picker.failed(member.endpoint_id, forward.clock.now())
+        not_run(forward, member, head)
         return NOT_RUN
     good = 200 <= head.code < 300
     if good and not head.headers.hasHeader(own.signature):
@@ -408,6 +441,17 @@
     return DONE
 
 
+def not_run(forward, member, head):
+    """Take note that *member* did not run a request, and whose fault it was."""
+    forward.counters.incr("endpoint.not_run")
+    at_fault = head.headers.getRawHeaders(forward.names.fault_at, [b""])[-1]
+    if at_fault and at_fault.decode("latin-1") != member.endpoint_id:
+        forward.counters.incr("endpoint.group_stands")
+        forward.outages.suspect(member, forward.clock.now())
+    else:
+        forward.picker.failed(member.endpoint_id, forward.clock.now())
+
+
 def closing(connection, why):
     """Close *connection*; the ``Broken`` to raise."""
     connection.close()
@@ -428,12 +472,20 @@
     """Pass a stream's whole events on as they come."""
     request = call.request
     call.events.restart()
+    service_pace = forward.pace(call)
+    last_ms = None
 
     def on_data(data):
-        forward.picker.heard(member.endpoint_id, forward.clock.now())
+        nonlocal last_ms
+        now = forward.clock.now()
+        forward.picker.heard(member.endpoint_id, now)
+        forward.outages.heard(member)
         out = call.events.feed(data)
         if not out or call.over:
             return
+        if service_pace is not None and last_ms is not None:
+            service_pace.saw(now - last_ms, now)
+        last_ms = now
         if not call.started:
             call.started = True
             answers.copy_head(request, head, None)
--- a/dunlinpoint/forward/names.py
+++ b/dunlinpoint/forward/names.py
@@ -18,6 +18,7 @@
     - ``endpoint_id``: the endpoint a request is meant for; another refuses.
     - ``not_run``: an endpoint's word that it did not run the request.
     - ``priority``: 0 (first) to 9.
+    - ``fault_at``: the endpoint at fault in a refusal, if it is another one.
     """
 
     request_id: bytes = b"X-Request-Id"
@@ -27,6 +28,7 @@
     endpoint_id: bytes = b"X-Endpoint-Id"
     not_run: bytes = b"X-Not-Run"
     priority: bytes = b"X-Priority"
+    fault_at: bytes = b"X-Fault-At"
     last_event_id: bytes = b"Last-Event-Id"
 
 
--- a/dunlinpoint/platform/dialect.py
+++ b/dunlinpoint/platform/dialect.py
@@ -10,6 +10,7 @@
     endpoint_id=b"X-Dunlinpoint-Target-Instance",
     not_run=b"X-Dunlinpoint-Not-Executed",
     priority=b"X-Dunlinpoint-Request-Priority",
+    fault_at=b"At-Server",
 )
 READY = "/api/readyz"
 HEARTBEAT = "/api/instances/<endpoint_id>/heartbeat"
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -28,6 +28,7 @@
             for part in split
         ],
         "aim_ms": raw.get("sloMs", 0),
+        "pause_ms": raw.get("itlTargetMs", 0),
         "priority": raw.get("priority", 0),
         "max_attempts": raw.get("maxAttempts", 1),
         "public": raw.get("public", False),
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -186,5 +186,8 @@
         )
         announcer = announce.Announcer.from_config(reactor, controls, counters)
         rank.announce(reactor, engine, announcer, address, whole(self.beat_ms, "beat"))
+        leading.on_standing.append(
+            lambda state: rank.announce_state(engine, announcer, address, state)
+        )
         lead.run(reactor, leading)
         reactor.run()
--- a/dunlinpoint/routing/__init__.py
+++ b/dunlinpoint/routing/__init__.py
@@ -9,6 +9,8 @@
 ``pick``        which endpoint gets the next try, and which are avoided
 ``spread``      the order in which each entry prefers endpoints
 ``owners``      which agents keep an idempotency key, and prefix affinity
+``outage``      groups of ranks that stand, and when to come back
+``pace``        how many streams are let in, from the pauses that are seen
 ``budget``      how many tries beyond the first a service may get
 ==============  ==========================================================
 """
--- /dev/null
+++ b/dunlinpoint/routing/outage.py
@@ -0,0 +1,133 @@
+"""Groups of ranks that stand: who is not sent anything, and until when.
+
+Ranks advance together. When one is lost, every request at any rank of its
+group waits about 1.5 s and is then refused or broken off. Sent on to another
+rank, it waits there again, and its caller has gone before the second refusal;
+counted against each endpoint, those failures made entries avoid most ranks
+for seconds after the group was whole again.
+
+So a group is one thing here. It stands while its agents say so (*broken*), or
+after one of its endpoints named another as the cause of a refusal
+(*suspected*), until something comes from it again. Requests are refused at
+once meanwhile, but for a probe of a suspected group now and then.
+"""
+
+import attrs
+
+# A probe finds out within one stall; more of them would only wait as well.
+PROBE_MS = 500
+# A group that broke does not stand again for less: its ranks wait for the
+# lost one for 1.5 s and form anew for 0.6 s.
+LEAST_OUTAGE_MS = 2000
+# A caller heeds a time to come back of up to a third of what it has left.
+RETRY_AFTER_SHARE = 0.32
+# Callers are sent back spread over this part of the time, so that they do not
+# all meet the group in the moment in which it opens.
+SPREAD = 0.2
+
+
+@attrs.define
+class Suspicion:
+    """A group that one of its endpoints said to be broken."""
+
+    since_ms: int
+    probe_ms: int
+
+
+def address_of(member):
+    """Where a service's endpoint answers, as a rank's agent names it."""
+    return f"{member.host}:{member.port}"
+
+
+@attrs.define
+class Outages:
+    """Groups by the address of their engines, and which of them stand."""
+
+    group_by_address: dict = attrs.field(factory=dict)
+    epoch_by_group: dict = attrs.field(factory=dict)
+    broken_since_by_group: dict = attrs.field(factory=dict)
+    suspicion_by_group: dict = attrs.field(factory=dict)
+
+    def learn(self, ranks, live_addresses, now):
+        """Take in what the agents of *ranks* say; the groups that opened."""
+        for rank in ranks:
+            self.group_by_address[rank.engine] = rank.group
+        for address in list(self.group_by_address):
+            if address not in live_addresses:
+                del self.group_by_address[address]
+        opened = set()
+        by_group = {}
+        for rank in ranks:
+            by_group.setdefault(rank.group, []).append(rank)
+        for group, members in by_group.items():
+            epoch = max(m.epoch or 0 for m in members)
+            broken = any(m.broken for m in members if (m.epoch or 0) == epoch)
+            if broken:
+                self.broken_since_by_group.setdefault(group, now)
+            elif self.broken_since_by_group.pop(group, None) is not None:
+                opened.add(group)
+            if epoch > self.epoch_by_group.get(group, epoch) and not broken:
+                self.suspicion_by_group.pop(group, None)
+                opened.add(group)
+            self.epoch_by_group[group] = epoch
+        known = set(by_group) | set(self.group_by_address.values())
+        for by_name in (self.broken_since_by_group, self.suspicion_by_group):
+            for group in [g for g in by_name if g not in known]:
+                del by_name[group]
+        return sorted(opened)
+
+    def suspect(self, member, now):
+        """*member* named another endpoint as the cause of a refusal."""
+        group = self.group_by_address.get(address_of(member))
+        if group is not None and group not in self.suspicion_by_group:
+            self.suspicion_by_group[group] = Suspicion(now, now + PROBE_MS)
+
+    def heard(self, member):
+        """Something came from *member*: its group does not stand."""
+        if self.suspicion_by_group:
+            group = self.group_by_address.get(address_of(member))
+            self.suspicion_by_group.pop(group, None)
+
+    def stands(self, member, now):
+        """Whether the group of *member* is to be sent nothing."""
+        group = self.group_by_address.get(address_of(member))
+        if group is None:
+            return False
+        if group in self.broken_since_by_group:
+            return True
+        suspicion = self.suspicion_by_group.get(group)
+        return suspicion is not None and now < suspicion.probe_ms
+
+    def usable(self, members, now):
+        """Those of *members* whose group does not stand."""
+        if not self.broken_since_by_group and not self.suspicion_by_group:
+            return members
+        return [m for m in members if not self.stands(m, now)]
+
+    def probe(self, member, now):
+        """*member* is sent a request: if its group is suspected, as a probe."""
+        group = self.group_by_address.get(address_of(member))
+        suspicion = self.suspicion_by_group.get(group)
+        if suspicion is not None:
+            suspicion.probe_ms = now + PROBE_MS
+
+    def since_ms(self, members, now):
+        """When the outage of the last group of *members* to stand began."""
+        starts = []
+        for group in {self.group_by_address.get(address_of(m)) for m in members}:
+            if group in self.broken_since_by_group:
+                starts.append(self.broken_since_by_group[group])
+            if group in self.suspicion_by_group:
+                starts.append(self.suspicion_by_group[group].since_ms)
+        return max(starts, default=now)
+
+
+def come_back_ms(since_ms, now, left_ms, rng):
+    """When a caller refused in an outage should come back, in ms from *now*.
+
+    An outage that has lasted a while lasts about as long again, and a caller
+    that comes back too soon is refused again and may have no try left.
+    """
+    wanted = max(LEAST_OUTAGE_MS, now - since_ms)
+    heeded = max(0, left_ms) * RETRY_AFTER_SHARE
+    return min(wanted, heeded) * (1 - SPREAD * rng.random())
--- /dev/null
+++ b/dunlinpoint/routing/pace.py
@@ -0,0 +1,73 @@
+"""How many streams an entry keeps in flight, from the pace it sees.
+
+All streams of a group get their next event in the same pass, and the more
+there are, the longer a pass takes. Past some number every stream is late at
+once: no entry sees how many there are, but each sees the pauses between its
+own events, which are the same for all. So the pauses are the signal: while
+they come near what the route allows, an entry lets in fewer than it has; once
+they are shorter, one more at a time. A request that is let in is then in time,
+and one that is not hears so at once.
+"""
+
+import statistics
+
+import attrs
+
+# How often the limit is set, and from how many pauses at least. A pass takes
+# 50 to 100 ms, so a turn sees a few of every stream.
+TURN_MS = 200
+LEAST_PAUSES = 6
+# Parts of the longest allowed pause: above the first, fewer are let in;
+# below the second, more.
+HIGH = 0.87
+LOW = 0.72
+SHRINK = 0.8
+# An entry always lets in so many: with fewer, nothing shows when a group is
+# fast again.
+LEAST_LIMIT = 3.0
+# Pauses beyond this many times the allowed one are no pace: the group stood.
+STOOD = 4
+
+
+@attrs.define
+class Pace:
+    """Streams of one service at this entry; ``limit`` is ``None`` while unbounded."""
+
+    allowed_ms: int
+    limit: float | None = None
+    in_flight: int = 0
+    pauses_ms: list = attrs.field(factory=list)
+    turn_ms: int = 0
+
+    def saw(self, pause_ms, now):
+        """A stream's next event came *pause_ms* after the one before it."""
+        if pause_ms <= STOOD * self.allowed_ms:
+            self.pauses_ms.append(pause_ms)
+        if now - self.turn_ms >= TURN_MS:
+            self._turn(now)
+
+    def _turn(self, now):
+        if len(self.pauses_ms) < LEAST_PAUSES:
+            return
+        self.turn_ms = now
+        pause_ms = statistics.median(self.pauses_ms)
+        self.pauses_ms = []
+        if pause_ms > HIGH * self.allowed_ms:
+            known = self.in_flight if self.limit is None else self.limit
+            lower = min(known, self.in_flight) * SHRINK
+            self.limit = max(LEAST_LIMIT, lower)
+        elif self.limit is not None and pause_ms < LOW * self.allowed_ms:
+            if self.in_flight >= self.limit - 1:
+                self.limit += 1
+
+    def has_room(self):
+        """Whether one more stream may begin."""
+        return self.limit is None or self.in_flight < self.limit
+
+    def began(self):
+        """One more stream is in flight."""
+        self.in_flight += 1
+
+    def ended(self):
+        """A stream is over."""
+        self.in_flight -= 1
--- /dev/null
+++ b/dunlinpoint/routing/tests/test_outage.py
@@ -0,0 +1,95 @@
+"""Groups of ranks that stand: who is refused, and when to come back."""
+
+import random
+
+from dunlinpoint.routing import outage
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+NOW = 50_000
+
+
+def endpoint(i):
+    return ttypes.Member(endpoint_id=f"i-{i}", host=f"h{i}", port=80)
+
+
+def rank(i, group="g", epoch=1, broken=False):
+    return ttypes.Member(
+        endpoint_id=f"rank-{i}",
+        engine=f"h{i}:80",
+        group=group,
+        epoch=epoch,
+        broken=broken,
+    )
+
+
+ENDPOINTS = [endpoint(i) for i in range(4)]
+ADDRESSES = {outage.address_of(m) for m in ENDPOINTS}
+
+
+def known(ranks=None, now=NOW):
+    found = outage.Outages()
+    ranks = ranks or [rank(i, "g" if i < 2 else "other") for i in range(4)]
+    found.learn(ranks, ADDRESSES, now)
+    return found
+
+
+def usable(found, now=NOW):
+    return [m.endpoint_id for m in found.usable(ENDPOINTS, now)]
+
+
+def test_a_broken_group_is_sent_nothing_and_others_are():
+    found = known()
+    assert usable(found) == ["i-0", "i-1", "i-2", "i-3"]
+    found.learn([rank(0, broken=True), rank(1), rank(2, "other")], ADDRESSES, NOW)
+    assert usable(found) == ["i-2", "i-3"]
+
+
+def test_a_group_that_opened_is_used_and_its_endpoints_are_forgiven():
+    # Symptom: after an outage most ranks get nothing for seconds, and the
+    # others too much. Sequence: every rank fails some requests while the
+    # group stands, and each failure has it avoided for longer. Cause:
+    # counting what the group did against each rank.
+    found = known()
+    found.learn([rank(0, broken=True), rank(1)], ADDRESSES, NOW)
+    opened = found.learn([rank(0, epoch=2), rank(1, broken=True)], ADDRESSES, NOW + 9)
+    assert opened == ["g"]
+    assert len(usable(found)) == 4
+
+
+def test_an_old_word_of_a_rank_does_not_close_a_group_that_opened():
+    found = known([rank(0, epoch=2), rank(1, epoch=1, broken=True)])
+    assert len(usable(found)) == 4
+
+
+def test_one_refusal_that_names_another_stops_the_group_but_for_probes():
+    # Symptom: callers wait 1.5 s twice and leave. Sequence: a rank is cut
+    # off; every request at the others waits for it, is refused, and goes
+    # to the next rank. Cause: taking ranks for independent servers.
+    found = known()
+    found.suspect(ENDPOINTS[0], NOW)
+    assert usable(found, NOW + 1) == ["i-2", "i-3"]
+    later = NOW + outage.PROBE_MS
+    assert len(usable(found, later)) == 4
+    found.probe(ENDPOINTS[1], later)
+    assert usable(found, later) == ["i-2", "i-3"]
+    found.heard(ENDPOINTS[1])
+    assert len(usable(found, later)) == 4
+
+
+def test_groups_that_are_gone_are_forgotten():
+    found = known()
+    found.suspect(ENDPOINTS[0], NOW)
+    found.learn([], set(), NOW)
+    assert found.suspicion_by_group == {} and found.group_by_address == {}
+
+
+def test_callers_come_back_after_the_outage_and_not_all_at_once():
+    # Pattern: a group stands for 2 to 6 s and 28 callers a second arrive, who
+    # heed a time of up to a third of what they have left.
+    rng = random.Random(1)
+    times = [outage.come_back_ms(NOW, NOW + 100, 8000, rng) for _ in range(50)]
+    assert min(times) >= outage.LEAST_OUTAGE_MS * (1 - outage.SPREAD)
+    assert max(times) <= 8000 / 3
+    assert max(times) - min(times) > 100
+    late = [outage.come_back_ms(NOW, NOW + 100, 900, rng) for _ in range(50)]
+    assert max(late) <= 300
--- a/dunlinpoint/routing/tests/test_pick.py
+++ b/dunlinpoint/routing/tests/test_pick.py
@@ -29,7 +29,7 @@
 
 def test_another_zone_is_used_once_the_own_one_is_busier():
     picker = pick.Picker("z0")
-    members = [member("far", "z1"), member("near")]
+    members = [member("near"), member("far", "z1")]
     assert chosen(picker, members) == "near"
     picker.began("near")
     assert chosen(picker, members) == "near"
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -125,6 +125,9 @@
   16: i64 controls_known,
   // The last round that a control instance knows of.
   17: i64 round,
+  // How the group of a rank stands: its epoch, and whether it is broken.
+  18: i64 epoch,
+  19: bool broken,
 }
 
 struct Member {
@@ -143,6 +146,8 @@
   13: i64 sequence,
   14: bool gone,
   15: string engine,
+  16: i64 epoch,
+  17: bool broken,
 }
 
 // A control instance that may vote. node_id is drawn anew with an empty disk,
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -818,11 +818,13 @@
      - engine
      - controls_known
      - round
+     - epoch
+     - broken
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, controls_known=None, round=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, controls_known=None, round=None, epoch=None, broken=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -840,6 +842,8 @@
         self.engine = engine
         self.controls_known = controls_known
         self.round = round
+        self.epoch = epoch
+        self.broken = broken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -935,6 +939,16 @@
                     self.round = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.broken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1013,6 +1027,14 @@
             oprot.writeFieldBegin('round', TType.I64, 17)
             oprot.writeI64(self.round)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 18)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.broken is not None:
+            oprot.writeFieldBegin('broken', TType.BOOL, 19)
+            oprot.writeBool(self.broken)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1049,11 +1071,13 @@
      - sequence
      - gone
      - engine
+     - epoch
+     - broken
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None, engine=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, epoch=None, broken=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -1069,6 +1093,8 @@
         self.sequence = sequence
         self.gone = gone
         self.engine = engine
+        self.epoch = epoch
+        self.broken = broken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1154,6 +1180,16 @@
                     self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.broken = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1224,6 +1260,14 @@
             oprot.writeFieldBegin('engine', TType.STRING, 15)
             oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
             oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 16)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.broken is not None:
+            oprot.writeFieldBegin('broken', TType.BOOL, 17)
+            oprot.writeBool(self.broken)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1996,6 +2040,8 @@
     (15, TType.STRING, 'engine', 'UTF8', None, ),  # 15
     (16, TType.I64, 'controls_known', None, None, ),  # 16
     (17, TType.I64, 'round', None, None, ),  # 17
+    (18, TType.I64, 'epoch', None, None, ),  # 18
+    (19, TType.BOOL, 'broken', None, None, ),  # 19
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -2015,6 +2061,8 @@
     (13, TType.I64, 'sequence', None, None, ),  # 13
     (14, TType.BOOL, 'gone', None, None, ),  # 14
     (15, TType.STRING, 'engine', 'UTF8', None, ),  # 15
+    (16, TType.I64, 'epoch', None, None, ),  # 16
+    (17, TType.BOOL, 'broken', None, None, ),  # 17
 )
 all_structs.append(Voter)
 Voter.thrift_spec = (
