--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -164,7 +164,7 @@
             control_id=self.settings.control_id,
             revision=self.membership.revision,
             unchanged=unchanged,
-            settled=local.settled,
+            settled=local.settled and local.votes,
             lease_ms=self.membership.lease_ms,
             node_id=local.node_id,
             place=place,
--- a/dunlinpoint/forward/answers.py
+++ b/dunlinpoint/forward/answers.py
@@ -4,6 +4,10 @@
 the request has not run; none of ours bears an endpoint's signature.
 """
 
+from dunlinpoint import logs
+
+log = logs.logger("entry")
+
 RETRY_AFTER_MS = 150
 # How lately a majority of controls must have vouched for the document before
 # a request is denied by it.
@@ -29,12 +33,27 @@
     return value
 
 
-def answer(forward, request, status, reason, retry_ms=None):
-    """End *request* with a final answer of our own, at once."""
+def answer(forward, request, status, reason, retry_ms=None, **why):
+    """End *request* with a final answer of our own, at once.
+
+    *why* holds the log line's fields beyond those every such answer has.
+    """
     if 500 <= status or status in (408, 429):
         forward.counters.refused(reason)
     else:
         forward.counters.incr(f"denied.{reason}")
+    vouched = forward.view.vouched_ms
+    log.warning(
+        "answered_ourselves",
+        request=header(request, forward.names.request_id),
+        status=status,
+        reason=reason,
+        retry_ms=retry_ms if retry_ms is None else round(retry_ms),
+        version=forward.table.version,
+        vouched_ms=None if vouched is None else forward.clock.now() - vouched,
+        in_flight=forward.in_flight,
+        **why,
+    )
     body = reason.encode()
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"text/plain")
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -168,6 +168,9 @@
     expired: bool = False
     connection: pool.Connection | None = None
     last_failure: tuple | None = None
+    arrived_ms: int = 0
+    first_ms: int | None = None
+    at_endpoint: int = 0
 
     def stop(self):
         """Drop the try under way."""
@@ -224,6 +227,7 @@
         request_id=request_id.encode("latin-1") if request_id else None,
         events=events.Events(int(last_id) if last_id.isdigit() else None),
         streaming=route.kind == config.STREAMING,
+        arrived_ms=forward.clock.now(),
     )
 
 
@@ -262,7 +266,16 @@
         yield tries(forward, call)
         return
     if not found.has_room():
-        refuse(forward, call, "no_room", forward.rng.uniform(*ROOM_MS))
+        answers.answer(
+            forward,
+            call.request,
+            503,
+            "no_room",
+            forward.rng.uniform(*ROOM_MS),
+            service=call.service,
+            limit=found.limit,
+            pause_ms=found.pause_ms,
+        )
         return
     found.began()
     try:
@@ -314,9 +327,14 @@
     return outage.come_back_ms(since, now, call.deadline_ms - now, forward.rng)
 
 
-def refuse(forward, call, reason, retry_ms):
-    """Refuse a request that was sent to nobody."""
-    answers.answer(forward, call.request, 503, reason, retry_ms)
+def told(forward, call):
+    """What a log line tells of *call* beside its id."""
+    return {
+        "route": call.route.name,
+        "service": call.service,
+        "tries": call.tries,
+        "left_ms": call.deadline_ms - forward.clock.now(),
+    }
 
 
 def give_up(forward, call, reason, retry_ms=answers.RETRY_AFTER_MS):
@@ -327,6 +345,13 @@
     if call.started:
         # A chunked answer without its last chunk cannot be taken for whole.
         forward.counters.incr("gave_up.stream_broken")
+        log.warning(
+            "stream_broken",
+            request=text(call.request_id),
+            reason=reason,
+            events=call.events.count,
+            **told(forward, call),
+        )
         request.channel.loseConnection()
     elif call.last_failure is not None:
         head, body = call.last_failure
@@ -334,13 +359,43 @@
         answers.copy_head(request, head, len(body))
         answers.finish(forward, request, body)
     elif not call.may_have_run:
-        answers.answer(forward, request, 503, reason, retry_ms)
+        answers.answer(forward, request, 503, reason, retry_ms, **told(forward, call))
     else:
-        answers.answer(forward, request, 504 if call.expired else 502, reason)
+        status = 504 if call.expired else 502
+        answers.answer(forward, request, status, reason, **told(forward, call))
+
+
+def text(value):
+    """Header bytes as text for a log line."""
+    return value.decode("latin-1") if value is not None else None
 
 
 @defer.inlineCallbacks
 def one_try(forward, call, member):
+    """Send the request to *member*, and log how it ended: the try's state."""
+    began_ms = forward.clock.now()
+    call.at_endpoint = forward.picker.record(member.endpoint_id).in_flight
+    events_before = call.events.count
+    state = yield send_to(forward, call, member)
+    took_ms = forward.clock.now() - began_ms
+    forward.counters.timed("try", took_ms)
+    if state != DONE:
+        log.warning(
+            "try_ended",
+            request=text(call.request_id),
+            outcome=state,
+            endpoint_id=member.endpoint_id,
+            at_endpoint=call.at_endpoint,
+            generation=forward.view.generation,
+            took_ms=took_ms,
+            events=call.events.count - events_before,
+            **told(forward, call),
+        )
+    return state
+
+
+@defer.inlineCallbacks
+def send_to(forward, call, member):
     """Send the request to *member*: the state of the try."""
     endpoint_id = member.endpoint_id
     forward.picker.began(endpoint_id)
@@ -375,11 +430,32 @@
     if state == DONE:
         forward.picker.succeeded(endpoint_id)
         forward.outages.heard(member)
+        note_done(forward, call, member)
     elif state == FAILED:
         call.may_have_run = True
     return state
 
 
+def note_done(forward, call, member):
+    """Log and time a request that got its endpoint's answer."""
+    took_ms = forward.clock.now() - call.arrived_ms
+    forward.counters.timed("answer", took_ms)
+    log.info(
+        "answered",
+        request=text(call.request_id),
+        workspace=call.workspace.name if call.workspace else None,
+        endpoint_id=member.endpoint_id,
+        at_endpoint=call.at_endpoint,
+        generation=forward.view.generation,
+        version=forward.table.version,
+        status=call.request.code,
+        took_ms=took_ms,
+        first_ms=call.first_ms,
+        events=call.events.count,
+        **told(forward, call),
+    )
+
+
 def outgoing(forward, call, member):
     """The request as *member* gets it."""
     named = answers.header(call.request, b"connection") or ""
@@ -483,8 +559,13 @@
         out = call.events.feed(data)
         if not out or call.over:
             return
-        if service_pace is not None and last_ms is not None:
-            service_pace.saw(now - last_ms, now)
+        if last_ms is not None:
+            forward.counters.timed("pause", now - last_ms)
+            if service_pace is not None:
+                service_pace.saw(now - last_ms, now)
+        if call.first_ms is None:
+            call.first_ms = now - call.arrived_ms
+            forward.counters.timed("first_event", call.first_ms)
         last_ms = now
         if not call.started:
             call.started = True
--- a/dunlinpoint/metrics.py
+++ b/dunlinpoint/metrics.py
@@ -1,30 +1,55 @@
-"""Counters: sent to statsd and kept in the process for its status page.
+"""Counters and latency histograms: sent to statsd, served on a metrics address.
 
 Each refusal and each retry is counted under its reason, as
 ``<role>.refused.<reason>`` or ``<role>.retried.<reason>``. The local copy lets
-tests and ``dunlinctl`` read them without a statsd server.
+tests and ``dunlinctl`` read them without a statsd server, and is served as
+text where the settings name an address for it.
 """
 
 import collections
 
 import attrs
+import prometheus_client
 import statsd
+from klein import Klein
+from prometheus_client import core
 from twisted.internet import task
+from twisted.web import server
 
 from dunlinpoint import clock
 
 # How often the counts of the last second or so go out, in one datagram: one
 # for each increment cost an entry more system calls than its requests did.
 FLUSH_MS = 1000
+# Bounds of the histograms, in ms: from a round trip between zones to the
+# longest that callers wait, closer around what they want answered by.
+BUCKETS_MS = (2, 5, 10, 20, 50, 80, 120, 200, 300, 400, 600, 1000, 2000, 4000, 8000)
+# What is timed, and what it tells.
+TIMED = {
+    "first_event": "from a request's arrival to its stream's first event",
+    "pause": "between two events of a stream",
+    "answer": "from a request's arrival to the end of its final answer",
+    "try": "one exchange with an endpoint",
+    "connect": "opening a connection to an endpoint",
+    "in_force": "from hearing of a document to its being in force here",
+    "agreement": "one change, from its arrival to its acknowledgement",
+    "sync": "writing the state to disk",
+    "switch": "a change of map, from its first order to its last",
+}
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Counters:
-    """statsd counters with a local tally by name."""
+    """statsd counters with a local tally by name, and histograms by name."""
 
     client: statsd.StatsClient | None
     by_name: collections.Counter = attrs.field(factory=collections.Counter)
     sent_by_name: collections.Counter = attrs.field(factory=collections.Counter)
+    registry: object = attrs.field(factory=prometheus_client.CollectorRegistry)
+    histogram_by_name: dict = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.registry.register(self)
 
     @classmethod
     def from_config(cls, address, prefix):
@@ -46,10 +71,35 @@
         """Count one retry for *reason*."""
         self.incr(f"retried.{reason}")
 
+    def timed(self, name, ms):
+        """Note that what ``TIMED`` calls *name* took *ms* milliseconds."""
+        histogram = self.histogram_by_name.get(name)
+        if histogram is None:
+            histogram = self.histogram_by_name[name] = prometheus_client.Histogram(
+                f"dunlinpoint_{name}_ms",
+                TIMED[name],
+                buckets=BUCKETS_MS,
+                registry=self.registry,
+            )
+        histogram.observe(ms)
+
     def snapshot(self):
         """The local tally as a plain ``dict`` of name to count."""
         return dict(self.by_name)
 
+    def collect(self):
+        """The counters, as the metrics library asks for them."""
+        family = core.CounterMetricFamily(
+            "dunlinpoint_events", "Refusals, retries and other events", labels=["name"]
+        )
+        for name, count in self.by_name.items():
+            family.add_metric([name], count)
+        yield family
+
+    def render(self):
+        """Counters and histograms as text (``bytes``)."""
+        return prometheus_client.generate_latest(self.registry)
+
     def flush(self):
         """Send what was counted since the last flush."""
         if self.client is None:
@@ -67,3 +117,16 @@
         loop.clock = reactor
         loop.start(clock.seconds(FLUSH_MS), now=False)
         reactor.addSystemEventTrigger("after", "shutdown", self.flush)
+
+
+def listen(reactor, counters, address):
+    """Serve *counters* at ``/metrics`` of *address* (``(host, port)``)."""
+    web = Klein()
+
+    @web.route("/metrics", methods=["GET"])
+    def metrics(request):
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+        return counters.render()
+
+    host, port = address
+    return reactor.listenTCP(port, server.Site(web.resource()), interface=host)
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -42,6 +42,15 @@
     return [(host, port) for host, _ in seeds]
 
 
+def metered(metrics_address):
+    """Counters, served on *metrics_address* if there is one."""
+    counters = metrics.Counters(None)
+    if metrics_address:
+        address = checks.address(metrics_address, "metrics")
+        metrics.listen(reactor, counters, address)
+    return counters
+
+
 def first_port(ports):
     """The first of a comma-joined list of ports."""
     return checks.port(str(ports).split(",")[0], "inner-ports")
@@ -65,6 +74,7 @@
     inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
     revoke_ms: Annotated[str, flag("DUNLIN_REVOKE_MS", "a key's end, ms", "0")]
     grace_s: Annotated[str, flag("DUNLIN_GRACE_S", "SIGTERM to SIGKILL", "8")]
+    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
 
     def __call__(self):
         zone = checks.name(self.zone, "zone")
@@ -79,7 +89,7 @@
         entry_view = view.View.from_config(reactor, zone, controls)
         entry_view.follower = f"{zone}/{self.listen}"
         forward = exchange.Forward.from_config(
-            reactor, entry_view, metrics.Counters(None), dialect.HEADERS, lease_ms
+            reactor, entry_view, metered(self.metrics), dialect.HEADERS, lease_ms
         )
         entry_view.follow(reactor)
         listening = site.listen(reactor, forward, host, port)
@@ -103,7 +113,7 @@
             await listening.stopListening()
             while forward.in_flight and forward.clock.now() < ends:
                 await pause(STEP_MS)
-            exchange.log.info("stopped", **forward.counters.snapshot())
+            exchange.log.info("stopped", counters=forward.counters.snapshot())
 
         reactor.addSystemEventTrigger("before", "shutdown", start(stop))
         exchange.log.info("started", zone=zone, port=port)
@@ -132,6 +142,7 @@
     data: Annotated[str, flag("DUNLIN_DATA", "data folder")]
     beat_ms: Annotated[str, flag("DUNLIN_BEAT_MS", "servers' heartbeat", "1200")]
     bootstrap: Annotated[str, flag("DUNLIN_BOOTSTRAP", "first start", "false")]
+    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
 
     def __call__(self):
         host, port = checks.address(self.listen, "listen")
@@ -148,7 +159,7 @@
             bootstrap=self.bootstrap == "true",
         )
         logs.setup()
-        state = control_server.run(reactor, settings, metrics.Counters(None))
+        state = control_server.run(reactor, settings, metered(self.metrics))
         web = server.Site(admin.make_app(reactor, state).resource())
         reactor.listenTCP(port, web, interface=host)
         reactor.run()
@@ -165,6 +176,7 @@
     seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
     inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
     beat_ms: Annotated[str, flag("DUNLIN_BEAT_MS", "heartbeat, ms", "1200")]
+    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
 
     def __call__(self):
         zone = checks.name(self.zone, "zone")
@@ -172,7 +184,7 @@
         port = first_port(self.inner_ports)
         controls = inner(checks.addresses(self.seeds, "seeds"), port)
         logs.setup()
-        counters = metrics.Counters(None)
+        counters = metered(self.metrics)
         engine = rank.Engine.from_config(
             reactor, f"{host}:{app_port}", rank.Calls(), documents.to_rank_state
         )
--- a/dunlinpoint/routing/pace.py
+++ b/dunlinpoint/routing/pace.py
@@ -38,6 +38,7 @@
     in_flight: int = 0
     pauses_ms: list = attrs.field(factory=list)
     turn_ms: int = 0
+    pause_ms: float | None = None
 
     def saw(self, pause_ms, now):
         """A stream's next event came *pause_ms* after the one before it."""
@@ -50,7 +51,7 @@
         if len(self.pauses_ms) < LEAST_PAUSES:
             return
         self.turn_ms = now
-        pause_ms = statistics.median(self.pauses_ms)
+        pause_ms = self.pause_ms = statistics.median(self.pauses_ms)
         self.pauses_ms = []
         if pause_ms > HIGH * self.allowed_ms:
             known = self.in_flight if self.limit is None else self.limit
--- /dev/null
+++ b/dunlinpoint/tests/test_logs.py
@@ -0,0 +1,86 @@
+"""Log lines: bounded under a flood, never waiting for a reader, fields named."""
+
+import ast
+import json
+import os
+import pathlib
+
+import logbook
+
+import dunlinpoint
+from dunlinpoint import logs, metrics
+
+LEVELS = {"info", "warning", "error"}
+
+
+def lines_of(data):
+    return [json.loads(line) for line in data.decode().splitlines()]
+
+
+def test_a_flood_of_lines_is_cut_and_what_is_left_out_is_told(monkeypatch):
+    # Pattern: ten times today's load, most of it refused, in one second.
+    reader, writer = os.pipe()
+    seconds = [100.0]
+    monkeypatch.setattr(logs.time, "monotonic", lambda: seconds[0])
+    handler = logs.Lines(logs.Output(writer), "INFO")
+    log = logbook.Logger("entry")
+    with handler.applicationbound():
+        for i in range(500):
+            log.info("answered", request=str(i))
+            log.warning("answered_ourselves", request=str(i))
+        seconds[0] += 1
+        log.info("answered", request="last")
+    found = lines_of(os.read(reader, 1 << 20))
+    events = [line["event"] for line in found]
+    assert events.count("answered") == logs.INFO_PER_S + 1
+    assert events.count("answered_ourselves") == logs.FAILURE_PER_S
+    lost = next(line for line in found if line["event"] == "lines_lost")
+    assert lost["omitted"]["answered"] == 500 - logs.INFO_PER_S
+
+
+def test_a_reader_that_stopped_reading_does_not_stop_the_process():
+    # Symptom: a process hangs while it serves. Sequence: whatever reads
+    # its output stops reading; the pipe fills; the next line waits for it.
+    reader, writer = os.pipe()
+    output = logs.Output(writer)
+    line = b"x" * 999 + b"\n"
+    for _ in range(2000):
+        output.write(line)
+    assert output.dropped > 1000
+    assert len(output.buffer) <= logs.BUFFER_BYTES
+    read = 0
+    while read < 2000 * len(line) and (output.buffer or read == 0):
+        read += len(os.read(reader, 1 << 16))
+        output.flush()
+    assert not output.buffer
+
+
+def test_a_reader_that_is_gone_does_not_end_the_process():
+    reader, writer = os.pipe()
+    os.close(reader)
+    output = logs.Output(writer)
+    output.write(b"line\n")
+    assert output.dropped == 1
+
+
+def test_every_field_of_every_line_is_named():
+    folder = pathlib.Path(dunlinpoint.__file__).parent
+    unnamed = []
+    for path in folder.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            func = node.func
+            if isinstance(func, ast.Attribute) and func.attr in LEVELS:
+                names = [k.arg for k in node.keywords if k.arg]
+                unnamed += [(path.name, n) for n in names if n not in logs.FIELDS]
+    assert unnamed == []
+
+
+def test_counters_and_histograms_are_served_as_text():
+    counters = metrics.Counters(None)
+    counters.refused("no_room")
+    counters.timed("first_event", 130)
+    text = counters.render().decode()
+    assert 'dunlinpoint_events_total{name="refused.no_room"} 1.0' in text
+    assert 'dunlinpoint_first_event_ms_bucket{le="200.0"} 1.0' in text
