--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -11,6 +11,8 @@
   document's ``leaving`` list (``--back`` takes it out again).
 - ``dunlinctl outcome KEY --controls ...`` tells what became of a
   non-idempotent call, from the agents that keep its key.
+- ``dunlinctl explain REQUEST_ID FILES...`` tells a request's story from the
+  logs of several processes.
 
 Exit codes: 0 done, 1 refused (conflict, invalid, no quorum), 2 bad usage.
 """
@@ -25,7 +27,7 @@
 import cappa
 from twisted.internet import defer, task
 
-from dunlinpoint.cli import checks
+from dunlinpoint.cli import checks, explain
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.control import discovery
@@ -265,12 +267,35 @@
         return 1
 
 
+@dataclass
+class Explain:
+    """Tell one request's story from the log files of several processes."""
+
+    request_id: str
+    files: list[str]
+    json: Annotated[bool, cappa.Arg(long=True, default=False, help="as JSON")]
+
+    def __call__(self):
+        try:
+            lines = explain.story(explain.read(self.files), self.request_id)
+        except OSError as exc:
+            raise checks.SettingError(f"files: {exc}") from None
+        for line in lines:
+            print(json.dumps(line.fields) if self.json else line.text())
+        if not lines:
+            hint = "no line bears this id: give the files of every entry"
+            print(f"dunlinctl: {self.request_id}: {hint}", file=sys.stderr)
+            sys.exit(1)
+
+
 @cappa.command(name="dunlinctl")
 @dataclass
 class Ctl:
     """dunlinctl: steer dunlinpoint through its configuration document."""
 
-    command: cappa.Subcommands[Validate | Apply | Show | Members | Drain | Outcome]
+    command: cappa.Subcommands[
+        Validate | Apply | Show | Members | Drain | Outcome | Explain
+    ]
 
 
 def main(argv=None):
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -44,3 +44,11 @@
         yield running
     finally:
         running.stop_all()
+
+
+@pytest.fixture(scope="module")
+def platform(tmp_path_factory):
+    """An entry and a control on the platform's calls, with two servers."""
+    from tests.integration import platform_lab
+
+    yield from platform_lab.run(tmp_path_factory.mktemp("platform"))
--- /dev/null
+++ b/tests/integration/platform_lab.py
@@ -0,0 +1,237 @@
+"""Stand-ins for the users' platform, and the real processes that meet them.
+
+A small server of ours stands in for the platform's: it announces itself by
+heartbeats and misbehaves by path.
+"""
+
+import http.client
+import http.server
+import json
+import os
+import subprocess
+import sys
+import threading
+
+import attrs
+
+from dunlinpoint.lab import deploy
+from tests.integration.conftest import wait_for
+
+HOST = "plan.example"
+ATTEMPT = "X-Dunlinpoint-Attempt-Id"
+SIGNATURE = "X-Dunlinpoint-Server-Signature"
+EVENTS = 6
+
+
+def event(number):
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+class Server(http.server.BaseHTTPRequestHandler):
+    """One server of the platform; ``runs`` notes (server id, request id)."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, body, **headers):
+        self.send_response(status)
+        headers.setdefault("attempt", self.headers[ATTEMPT])
+        self.send_header(ATTEMPT, headers.pop("attempt"))
+        if headers.pop("signed", True):
+            self.send_header(SIGNATURE, self.server.id)
+        for name, value in headers.items():
+            self.send_header(name.replace("_", "-"), value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        kind = self.path.rsplit("/", 1)[1]
+        if kind == "full":
+            self.answer(503, b"", signed=False, X_Dunlinpoint_Not_Executed="1")
+            return
+        self.server.runs.append((self.server.id, self.headers[ATTEMPT]))
+        if kind == "unsigned":
+            self.answer(200, b"unsigned", signed=False)
+        elif kind == "foreign":
+            self.answer(200, b"another's", attempt="someone-else")
+        elif kind in ("stream", "broken"):
+            last = int(self.headers.get("Last-Event-Id", 0))
+            self.stream(last, always=kind == "broken")
+        else:
+            seen = {name.lower(): value for name, value in self.headers.items()}
+            self.answer(200, json.dumps(seen).encode())
+
+    def stream(self, last, always=False):
+        """Events after *last*; broken off inside the fourth, or on a first run only."""
+        self.send_response(200)
+        self.send_header(ATTEMPT, self.headers[ATTEMPT])
+        self.send_header(SIGNATURE, self.server.id)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(last + 1, EVENTS + 1):
+            data = event(number)
+            if number == 4 and (always or not last):
+                self.chunk(data[:9])
+                self.close_connection = True
+                return
+            self.chunk(data)
+        self.chunk(b"")
+
+    def chunk(self, data):
+        self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+@attrs.define
+class Platform:
+    """The processes, the servers, and the ports that tests speak to."""
+
+    entry: subprocess.Popen
+    control: subprocess.Popen
+    entry_port: int
+    ready_port: int
+    admin_port: int
+    servers: list
+    runs: list
+    folder: object
+    metrics_port: int
+
+    def admin(self, method, path, body=None):
+        status, _, text = ask(self.admin_port, method, path, body)
+        return status, text
+
+    def call(self, kind, attempt, prefix="/once/", **headers):
+        headers = {ATTEMPT: attempt, "X-Dunlinpoint-Deadline-Ms": "4000"} | headers
+        headers.setdefault("Authorization", "Bearer key-1")
+        return ask(self.entry_port, "POST", prefix + kind, b"{}", headers)
+
+    def ran(self, attempt):
+        return [server for server, ran in self.runs if ran == attempt]
+
+
+def ask(port, method, path, body=None, headers=None):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        connection.request(method, path, body, {"Host": HOST} | (headers or {}))
+        response = connection.getresponse()
+        return response.status, response.headers, response.read()
+    finally:
+        connection.close()
+
+
+def start(folder, role, **settings):
+    env = os.environ | {f"DUNLIN_{k.upper()}": str(v) for k, v in settings.items()}
+    with open(folder / f"{role}.log", "ab") as log:
+        return subprocess.Popen(
+            [sys.executable, "-m", "dunlinpoint", role], env=env, stdout=log
+        )
+
+
+def route(prefix, kind, attempts=2):
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeKind": kind,
+        "timeoutMs": 5000,
+        "service": "desk",
+        "maxAttempts": attempts,
+        "resumable": kind == "streaming",
+    }
+
+
+def document(version, keys=("key-1",)):
+    return {
+        "version": version,
+        "routes": [
+            route("/once/", "non_idempotent"),
+            route("/often/", "idempotent"),
+            route("/stream/", "streaming"),
+        ],
+        "services": [{"name": "desk", "healthPath": "/healthz", "maxConns": 9}],
+        "tenants": [{"name": "brand-a", "apiKeys": list(keys)}],
+    }
+
+
+def run(folder):
+    """A generator of one running ``Platform``, its logs under *folder*."""
+    ports = [deploy.free_port() for _ in range(5)]
+    entry_port, ready_port, admin_port, inner, metrics_port = ports
+    seeds = f"127.0.0.1:{admin_port}"
+    common = {"zone": "z1", "seeds": seeds, "inner_ports": inner}
+    control = start(
+        folder,
+        "platform-control",
+        ip="127.0.0.1",
+        listen=seeds,
+        data=folder / "control",
+        bootstrap="true",
+        **common,
+    )
+    entry = start(
+        folder,
+        "platform-entry",
+        listen=f"127.0.0.1:{entry_port}",
+        ready=f"127.0.0.1:{ready_port}",
+        grace_s=6,
+        metrics=f"127.0.0.1:{metrics_port}",
+        **common,
+    )
+    runs, servers = [], []
+    beats = threading.Event()
+    for number in range(2):
+        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
+        server.id, server.runs = f"i-{number}", runs
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        servers.append(server)
+    running = Platform(
+        entry,
+        control,
+        entry_port,
+        ready_port,
+        admin_port,
+        servers,
+        runs,
+        folder,
+        metrics_port,
+    )
+    try:
+        wait_for(lambda: deploy.listening(admin_port) and deploy.listening(ready_port))
+        threading.Thread(target=beat, args=(running, beats), daemon=True).start()
+        put = json.dumps(document(3))
+        wait_for(lambda: running.admin("POST", "/api/config/replace", put)[0] == 200)
+        wait_for(lambda: ask(ready_port, "GET", "/api/readyz")[0] == 200)
+        wait_for(lambda: running.call("plain", "warm")[0] == 200)
+        yield running
+    finally:
+        beats.set()
+        for process in (entry, control):
+            process.kill()
+            process.wait(10)
+        for server in servers:
+            server.shutdown()
+
+
+def beat(running, ended):
+    """Heartbeats of the servers, as the platform sends them."""
+    sequence = 0
+    while not ended.wait(0.3):
+        sequence += 1
+        for server in running.servers:
+            body = {
+                "service": "desk",
+                "address": f"127.0.0.1:{server.server_address[1]}",
+                "zone": "z1",
+                "slots": 4,
+                "state": "ready",
+                "seqNo": sequence,
+            }
+            path = f"/api/instances/{server.id}/heartbeat"
+            try:
+                running.admin("POST", path, json.dumps(body))
+            except OSError:
+                return
