A stopping entry leaves once its answers have left, not once they were handed on

Cause: the process exits when nothing is in flight any more, with the last bytes still in its buffers. Red first: 2,096,940 of 12,582,912 bytes reached a slow caller.

--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -18,7 +18,7 @@
 from twisted.internet import defer, reactor, task
 from twisted.web import server
 
-from dunlinpoint import clock, logs, metrics
+from dunlinpoint import callers, clock, logs, metrics
 from dunlinpoint.agent import server as agent_server
 from dunlinpoint.cli import checks
 from dunlinpoint.control import server as control_server
@@ -79,11 +79,15 @@
             reactor, zone, controls, counters(self.statsd, "entry")
         )
         entry.view.follow(reactor)
-        listen_http(port, self.host, entry_app.make_app(entry))
+        site = callers.Site(entry_app.make_app(entry).resource())
+        reactor.listenTCP(port, site, interface=self.host)
 
+        @defer.inlineCallbacks
         def stop():
             entry.life.close()
-            return wait_idle(lambda: entry.in_flight, ENTRY_DRAIN_MS)
+            ends_ms = entry.clock.now() + ENTRY_DRAIN_MS
+            yield wait_idle(lambda: entry.in_flight, ENTRY_DRAIN_MS)
+            yield site.close_all(entry.clock, ends_ms)
 
         reactor.addSystemEventTrigger("before", "shutdown", stop)
         entry_app.log.info("started", zone=zone, port=port)
--- a/dunlinpoint/forward/site.py
+++ b/dunlinpoint/forward/site.py
@@ -7,7 +7,7 @@
 
 from twisted.web import resource, server
 
-from dunlinpoint import clock, logs
+from dunlinpoint import callers, clock, logs
 from dunlinpoint.forward import exchange
 
 log = logs.logger("entry")
@@ -37,17 +37,8 @@
         return server.NOT_DONE_YET
 
 
-class Site(server.Site):
-    """A site without an access log: counters tell what it did."""
-
-    noisy = False
-
-    def log(self, request):
-        """No line per request."""
-
-
 def listen(reactor, forward, host, port):
-    """Serve callers on *host*:*port*; the listening port."""
+    """Serve callers on *host*:*port*; the ``Site`` and its listening port."""
     idle_ms = forward.limits.idle_ms + IDLE_MARGIN_MS
-    site = Site(Forwarded(forward), timeout=clock.seconds(idle_ms))
-    return reactor.listenTCP(port, site, interface=host, backlog=512)
+    site = callers.Site(Forwarded(forward), timeout=clock.seconds(idle_ms))
+    return site, reactor.listenTCP(port, site, interface=host, backlog=512)
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -92,7 +92,7 @@
             reactor, entry_view, metered(self.metrics), dialect.HEADERS, lease_ms
         )
         entry_view.follow(reactor)
-        listening = site.listen(reactor, forward, host, port)
+        callers, listening = site.listen(reactor, forward, host, port)
 
         def is_ready():
             return (
@@ -113,6 +113,7 @@
             await listening.stopListening()
             while forward.in_flight and forward.clock.now() < ends:
                 await pause(STEP_MS)
+            await callers.close_all(forward.clock, ends)
             exchange.log.info("stopped", counters=forward.counters.snapshot())
 
         reactor.addSystemEventTrigger("before", "shutdown", start(stop))
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -21,6 +21,8 @@
 ATTEMPT = "X-Dunlinpoint-Attempt-Id"
 SIGNATURE = "X-Dunlinpoint-Server-Signature"
 EVENTS = 6
+# More than what a connection's buffers hold on both sides.
+BIG_BYTES = 12 * 1024 * 1024
 
 
 def event(number):
@@ -61,6 +63,8 @@
         elif kind in ("stream", "broken"):
             last = int(self.headers.get("Last-Event-Id", 0))
             self.stream(last, always=kind == "broken")
+        elif kind == "big":
+            self.answer(200, b"x" * BIG_BYTES)
         else:
             seen = {name.lower(): value for name, value in self.headers.items()}
             self.answer(200, json.dumps(seen).encode())
