--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -74,6 +74,7 @@
     )
     voting: list = attrs.field(factory=list)
     on_document: list = attrs.field(factory=list)
+    on_members: list = attrs.field(factory=list)
     wait_ms: int = WAIT_MS
     lease_ms: int = 0
     follower: str = ""
@@ -91,6 +92,13 @@
 
     def merge(self, follow, shown, asked_ms):
         """Take in one control's ``View``, asked for at *asked_ms*."""
+        generation = self.generation
+        self._merge(follow, shown, asked_ms)
+        if self.generation != generation:
+            for hear in self.on_members:
+                hear()
+
+    def _merge(self, follow, shown, asked_ms):
         now = self.clock.now()
         self.lease_ms = shown.lease_ms
         follow.answered_ms = now
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -86,6 +86,7 @@
             key_lease_ms=key_lease_ms,
         )
         entry_view.on_document.append(forward.take)
+        entry_view.on_members.append(forward.arrange)
         return forward
 
     def take(self, document):
@@ -101,12 +102,16 @@
         Arranged anew only when the members have changed: done for each
         request, it cost more than the request with some hundred endpoints.
         """
+        self.arrange()
+        return self.members_by_service.get(service, [])
+
+    def arrange(self):
+        """Arrange the members if they have changed."""
         live = self.view.live("service")
         state = self.view.generation, self.view.place, self.view.places
         if self.arranged != state:
             self.arranged = state
             self._arrange(live)
-        return self.members_by_service.get(service, [])
 
     def _arrange(self, live):
         by_service = {}
@@ -124,13 +129,29 @@
         self.pool.forget(live_ids)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(rank.KIND)
-        for group in self.outages.learn(ranks, addresses, self.clock.now()):
+        opened = self.outages.learn(ranks, addresses, self.clock.now())
+        if opened:
+            waiting, self.outages.waiting = self.outages.waiting, []
+            for waiter in waiting:
+                self.clock.later(0, self.end_wait, waiter, True)
+        for group in opened:
             log.info("group_open", group=group)
             for member in live:
                 address = outage.address_of(member)
                 if self.outages.group_by_address.get(address) == group:
                     self.picker.succeeded(member.endpoint_id)
 
+    def stop_wait(self, waiter):
+        """A request has waited long enough for its group to open."""
+        if waiter in self.outages.waiting:
+            self.outages.waiting.remove(waiter)
+        self.end_wait(waiter, False)
+
+    def end_wait(self, waiter, opened):
+        """Let a request that waited go on."""
+        if not waiter.called:
+            waiter.callback(opened)
+
     def pace(self, call):
         """The ``Pace`` of *call*'s service, or ``None`` where no pause is set."""
         if not call.streaming or not call.route.pause_ms:
@@ -171,6 +192,7 @@
     arrived_ms: int = 0
     first_ms: int | None = None
     at_endpoint: int = 0
+    waited: bool = False
 
     def stop(self):
         """Drop the try under way."""
@@ -292,6 +314,9 @@
         members = forward.members(call.service)
         usable = forward.outages.usable(members, now)
         if members and not usable:
+            opened = yield group_opens(forward, call, now)
+            if opened:
+                continue
             give_up(forward, call, "group_stands", outage_ms(forward, call, members))
             return
         member = forward.picker.pick(usable, now, exclude=call.tried)
@@ -309,6 +334,22 @@
         forward.counters.retried(state)
 
 
+@defer.inlineCallbacks
+def group_opens(forward, call, now):
+    """Wait for a standing group if the caller can't come back; whether it opened."""
+    left_ms = call.deadline_ms - now
+    if call.waited or not call.streaming or outage.may_come_back(left_ms):
+        return False
+    call.waited = True
+    opened = defer.Deferred()
+    forward.outages.waiting.append(opened)
+    timer = forward.clock.later(min(outage.WAIT_MS, left_ms), forward.stop_wait, opened)
+    found = yield opened
+    if timer.active():
+        timer.cancel()
+    return found and not call.over
+
+
 def may_try_again(forward, call, state):
     """Whether another endpoint may get the request after a try's *state*."""
     if call.over:
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -16,9 +16,13 @@
 
 # A probe finds out within one stall; more of them would only wait as well.
 PROBE_MS = 500
-# A group that broke does not stand again for less: its ranks wait for the
-# lost one for 1.5 s and form anew for 0.6 s.
-LEAST_OUTAGE_MS = 2000
+# A group that broke does not open for so long, as a rule: its ranks wait for
+# the lost one for 1.5 s, it takes a second or more to come back, and they form
+# anew for 0.6 s.
+LEAST_OUTAGE_MS = 2500
+# How long a caller may wait here that could not come back late enough. Callers
+# of streams leave after 2 s without an event.
+WAIT_MS = 1500
 # A caller heeds a time to come back of up to a third of what it has left.
 RETRY_AFTER_SHARE = 0.32
 # Callers are sent back spread over this part of the time, so that they do not
@@ -47,6 +51,7 @@
     epoch_by_group: dict = attrs.field(factory=dict)
     broken_since_by_group: dict = attrs.field(factory=dict)
     suspicion_by_group: dict = attrs.field(factory=dict)
+    waiting: list = attrs.field(factory=list)
 
     def learn(self, ranks, live_addresses, now):
         """Take in what the agents of *ranks* say; the groups that opened."""
@@ -122,6 +127,16 @@
         return max(starts, default=now)
 
 
+def may_come_back(left_ms):
+    """Whether a caller heeds a time that is likely to be after the outage.
+
+    One that does is sent away at once. One that has come back already, or was
+    late to begin with, would only be refused again: it waits for the group to
+    open, for which no message is needed but the one that it has.
+    """
+    return left_ms * RETRY_AFTER_SHARE >= LEAST_OUTAGE_MS
+
+
 def come_back_ms(since_ms, now, left_ms, rng):
     """When a caller refused in an outage should come back, in ms from *now*.
 
--- a/dunlinpoint/routing/tests/test_outage.py
+++ b/dunlinpoint/routing/tests/test_outage.py
@@ -93,3 +93,10 @@
     assert max(times) - min(times) > 100
     late = [outage.come_back_ms(NOW, NOW + 100, 900, rng) for _ in range(50)]
     assert max(late) <= 300
+
+
+def test_who_can_come_back_in_time_is_sent_away_and_others_may_wait():
+    # Pattern: an outage of 5 s. Callers with 8 s left come back once, those
+    # that have come back have 5.4 s left and no other try.
+    assert outage.may_come_back(8000)
+    assert not outage.may_come_back(5400)
