--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -74,7 +74,7 @@
     )
     voting: list = attrs.field(factory=list)
     on_document: list = attrs.field(factory=list)
-    on_members: list = attrs.field(factory=list)
+    on_news: list = attrs.field(factory=list)
     wait_ms: int = WAIT_MS
     lease_ms: int = 0
     follower: str = ""
@@ -92,11 +92,9 @@
 
     def merge(self, follow, shown, asked_ms):
         """Take in one control's ``View``, asked for at *asked_ms*."""
-        generation = self.generation
         self._merge(follow, shown, asked_ms)
-        if self.generation != generation:
-            for hear in self.on_members:
-                hear()
+        for hear in self.on_news:
+            hear()
 
     def _merge(self, follow, shown, asked_ms):
         now = self.clock.now()
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -29,7 +29,7 @@
 from dunlinpoint.entry import limits as workspace_limits
 from dunlinpoint.experts import rank
 from dunlinpoint.follow import view
-from dunlinpoint.forward import answers, events, names, pool, routes
+from dunlinpoint.forward import answers, events, names, pool, routes, waiting
 from dunlinpoint.forward import guard as guards
 from dunlinpoint.routing import budget, outage, pace, pick, spread
 
@@ -37,6 +37,11 @@
 
 OWN_HEADERS = {b"content-length", b"authorization", b"expect"}
 DEFAULT_DEADLINE_MS = 60_000
+# How long after its start an entry may not know yet what there is: servers
+# announce themselves every 1.2 s, and a control may start with it.
+STARTING_MS = 4000
+# How long a request may wait for that: callers of streams leave after 2 s.
+STARTING_WAIT_MS = 1500
 # Less than this left is not worth handing to an endpoint.
 LEAST_LEFT_MS = 10
 # When a caller should come back whom the pace leaves no room: streams last a
@@ -55,6 +60,7 @@
     counters: metrics.Counters
     pool: pool.Pool
     picker: pick.Picker
+    waiting: waiting.Waiting
     names: names.Names = names.DEFAULT
     budget: budget.Budget = attrs.field(factory=budget.Budget)
     table: routes.Table = attrs.field(factory=routes.Table)
@@ -68,6 +74,7 @@
     pace_by_service: dict = attrs.field(factory=dict)
     members_by_service: dict = attrs.field(factory=dict)
     arranged: tuple | None = None
+    started_ms: int = 0
 
     @classmethod
     def from_config(cls, reactor, entry_view, counters, dialect, key_lease_ms=0):
@@ -76,9 +83,12 @@
         With *key_lease_ms* above 0, keyed requests are refused once no
         majority of controls has vouched for the document for so long.
         """
+        ticks = clock.Clock(reactor)
         forward = cls(
             view=entry_view,
-            clock=clock.Clock(reactor),
+            clock=ticks,
+            waiting=waiting.Waiting(ticks),
+            started_ms=ticks.now(),
             counters=counters,
             pool=pool.Pool.from_config(reactor),
             picker=pick.Picker(entry_view.zone),
@@ -86,7 +96,7 @@
             key_lease_ms=key_lease_ms,
         )
         entry_view.on_document.append(forward.take)
-        entry_view.on_members.append(forward.arrange)
+        entry_view.on_news.append(forward.news)
         return forward
 
     def take(self, document):
@@ -105,6 +115,21 @@
         self.arrange()
         return self.members_by_service.get(service, [])
 
+    def news(self):
+        """Something was heard of the deployment: whoever waits looks again."""
+        if self.waiting.waiters:
+            self.waiting.news()
+
+    def knows(self, service=None):
+        """Whether the document, and endpoints of *service*, are known."""
+        if not self.table.version or self.view.vouched_ms is None:
+            return False
+        return service is None or bool(self.members(service))
+
+    def is_starting(self):
+        """Whether what is not known may only not be known yet."""
+        return self.clock.now() - self.started_ms < STARTING_MS
+
     def arrange(self):
         """Arrange the members if they have changed."""
         live = self.view.live("service")
@@ -129,29 +154,13 @@
         self.pool.forget(live_ids)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(rank.KIND)
-        opened = self.outages.learn(ranks, addresses, self.clock.now())
-        if opened:
-            waiting, self.outages.waiting = self.outages.waiting, []
-            for waiter in waiting:
-                self.clock.later(0, self.end_wait, waiter, True)
-        for group in opened:
+        for group in self.outages.learn(ranks, addresses, self.clock.now()):
             log.info("group_open", group=group)
             for member in live:
                 address = outage.address_of(member)
                 if self.outages.group_by_address.get(address) == group:
                     self.picker.succeeded(member.endpoint_id)
 
-    def stop_wait(self, waiter):
-        """A request has waited long enough for its group to open."""
-        if waiter in self.outages.waiting:
-            self.outages.waiting.remove(waiter)
-        self.end_wait(waiter, False)
-
-    def end_wait(self, waiter, opened):
-        """Let a request that waited go on."""
-        if not waiter.called:
-            waiter.callback(opened)
-
     def pace(self, call):
         """The ``Pace`` of *call*'s service, or ``None`` where no pause is set."""
         if not call.streaming or not call.route.pause_ms:
@@ -214,7 +223,7 @@
         return self.left or self.expired
 
 
-def admit(forward, request):
+def admit(forward, request, arrived_ms):
     """The ``Call`` of *request*, or ``None`` after a final answer."""
     table = forward.table
     if not table.version or forward.view.vouched_ms is None:
@@ -236,8 +245,7 @@
         if workspace is None:
             answers.deny(forward, request, 401, "unknown_key")
             return None
-    given = answers.header(request, forward.names.deadline_ms) or ""
-    wait_ms = int(given) if given.isdigit() else DEFAULT_DEADLINE_MS
+    wait_ms = deadline_of(forward, request)
     last_id = answers.header(request, forward.names.last_event_id) or ""
     request_id = answers.header(request, forward.names.request_id)
     return Call(
@@ -245,14 +253,35 @@
         route=route,
         service=routes.service_of(route, forward.rng),
         workspace=workspace,
-        deadline_ms=forward.clock.now() + min(wait_ms, route.timeout_ms),
+        deadline_ms=arrived_ms + min(wait_ms, route.timeout_ms),
         request_id=request_id.encode("latin-1") if request_id else None,
         events=events.Events(int(last_id) if last_id.isdigit() else None),
         streaming=route.kind == config.STREAMING,
-        arrived_ms=forward.clock.now(),
+        arrived_ms=arrived_ms,
     )
 
 
+def deadline_of(forward, request):
+    """How long the caller of *request* waits, in ms."""
+    given = answers.header(request, forward.names.deadline_ms) or ""
+    return int(given) if given.isdigit() else DEFAULT_DEADLINE_MS
+
+
+@defer.inlineCallbacks
+def start_up(forward, request, gone, service=None):
+    """Wait for what an entry that has just started does not know yet.
+
+    After all processes were killed, entries were back a second before the
+    first control answered. They refused everyone, who came back at once, was
+    refused again and had no try left, though a second later all was well.
+    *gone* tells whether the caller has left.
+    """
+    if forward.knows(service) or not forward.is_starting():
+        return
+    limit_ms = min(STARTING_WAIT_MS, deadline_of(forward, request) // 2)
+    yield forward.waiting.until(lambda: gone() or forward.knows(service), limit_ms)
+
+
 @defer.inlineCallbacks
 def serve(forward, request):
     """Forward one request; every path ends in exactly one final answer."""
@@ -261,7 +290,11 @@
         # end of the grace time and be cut.
         answers.not_run(forward, request, "stopping")
         return
-    call = admit(forward, request)
+    arrived_ms = forward.clock.now()
+    left = []
+    request.notifyFinish().addErrback(left.append)
+    yield start_up(forward, request, lambda: bool(left))
+    call = None if left else admit(forward, request, arrived_ms)
     if call is None:
         return
     name = call.workspace.name if call.workspace is not None else ""
@@ -272,7 +305,9 @@
     request.notifyFinish().addErrback(call.caller_left)
     timer = forward.clock.later(call.deadline_ms - forward.clock.now(), call.expire)
     try:
-        yield paced(forward, call)
+        yield start_up(forward, request, lambda: call.over, call.service)
+        if not call.left:
+            yield paced(forward, call)
     finally:
         forward.in_flight -= 1
         forward.work.leave(name)
@@ -341,13 +376,14 @@
     if call.waited or not call.streaming or outage.may_come_back(left_ms):
         return False
     call.waited = True
-    opened = defer.Deferred()
-    forward.outages.waiting.append(opened)
-    timer = forward.clock.later(min(outage.WAIT_MS, left_ms), forward.stop_wait, opened)
-    found = yield opened
-    if timer.active():
-        timer.cancel()
-    return found and not call.over
+
+    def ready():
+        members = forward.members(call.service)
+        return call.over or forward.outages.usable(members, forward.clock.now())
+
+    limit_ms = min(outage.WAIT_MS, left_ms)
+    opened = yield forward.waiting.until(ready, limit_ms)
+    return opened and not call.over
 
 
 def may_try_again(forward, call, state):
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -51,7 +51,6 @@
     epoch_by_group: dict = attrs.field(factory=dict)
     broken_since_by_group: dict = attrs.field(factory=dict)
     suspicion_by_group: dict = attrs.field(factory=dict)
-    waiting: list = attrs.field(factory=list)
 
     def learn(self, ranks, live_addresses, now):
         """Take in what the agents of *ranks* say; the groups that opened."""
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -209,6 +209,8 @@
         put = json.dumps(document(3))
         wait_for(lambda: running.admin("POST", "/api/config/replace", put)[0] == 200)
         wait_for(lambda: ask(ready_port, "GET", "/api/readyz")[0] == 200)
+        # An entry that knows one server only has no second one to try.
+        wait_for(lambda: knows_both(running))
         wait_for(lambda: running.call("plain", "warm")[0] == 200)
         yield running
     finally:
@@ -220,6 +222,12 @@
             server.shutdown()
 
 
+def knows_both(running):
+    """Whether a request that fails at one server goes on to the other."""
+    running.call("unsigned", "warm-both", prefix="/often/")
+    return len(set(running.ran("warm-both"))) == len(running.servers)
+
+
 def beat(running, ended):
     """Heartbeats of the servers, as the platform sends them."""
     sequence = 0
