--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -58,13 +58,30 @@
 EXPERT_SHARE = 0.85
 # A pass is taken to last no longer than this: an idle group makes none.
 PASS_LIMIT_MS = 200
-# Fewer choices than this are too few to plan by.
-LEAST_COUNT = 2000
+# While passes are shorter than this part of the pause that callers allow, a
+# map must save more, up to so many times as much: nobody gains by an answer
+# that was in time already, and every copy costs the group.
+TIGHT = 0.75
+EASE = 3.0
+# Fewer choices of a set than this are too few to plan by. One request makes
+# some ten thousand, all among the experts of its subject: planned by the first
+# two or three after a restart, a group moved 44 experts and soon moved back.
+LEAST_COUNT = 200_000
 # Versions are drawn with gaps, so that an order of an earlier lead that is
 # carried out late does not carry a number this lead gives to another map.
 VERSION_GAP = 1000
 
 
+def allowed_ms(doc, service):
+    """The shortest pause that a route to *service* allows, 0 for none."""
+    pauses = [
+        route.pause_ms
+        for route in doc.routes
+        if route.pause_ms and any(share.service == service for share in route.split)
+    ]
+    return min(pauses, default=0)
+
+
 def least_saved_ms(shape, moved, ranks):
     """What a map that moves so many experts must save of a pass, in ms."""
     cost_weight = 1 - shape.skew_weight
@@ -72,6 +89,13 @@
     return LEAST_SAVED_MS + SAVED_PER_MOVE_MS * cost_weight * share
 
 
+def ease(pass_ms, allowed_ms):
+    """How much more than else a map must save while passes are short."""
+    if not allowed_ms:
+        return 1.0
+    return 1.0 + EASE * max(0.0, 1 - pass_ms / (TIGHT * allowed_ms))
+
+
 def saved_ms(pass_ms, before, after):
     """What a pass is shorter with load *after* instead of *before*, in ms."""
     return pass_ms * EXPERT_SHARE * (1 - after / before)
@@ -89,6 +113,7 @@
     handler: rank.Handler
     links: rpc.Links
     shape: config.Experts | None = None
+    allowed_ms: int = 0
     window: window.Window = attrs.field(factory=window.Window)
     rng: random.Random = attrs.field(factory=random.Random)
     epoch: int | None = None
@@ -116,6 +141,7 @@
         doc = config.parse(packed.unpack(document.body))
         found = [s.experts for s in doc.services if s.name == self.service]
         self.shape = found[0] if found else None
+        self.allowed_ms = allowed_ms(doc, self.service)
 
     @property
     def pass_ms(self):
@@ -317,6 +343,7 @@
     after = placement.step_load(proposed, counts)
     moved = placement.moved(lead.mapping, proposed)
     least = least_saved_ms(shape, moved, group.size)
+    least *= ease(lead.pass_ms, lead.allowed_ms)
     if saved_ms(lead.pass_ms, before, after) < least:
         return
     highest = max(max(s.map_version, s.prepared, s.armed) for s in states.values())
