A busy endpoint is not taken for one that is gone

The way to the endpoint is tried now before a try is ended; a kept connection that went silent is left as before. Red with the old rule: test_a_busy_endpoint_keeps_its_request.

--- a/dunlinpoint/forward/guard.py
+++ b/dunlinpoint/forward/guard.py
@@ -1,4 +1,10 @@
-"""When a try is ended so that another endpoint can still answer."""
+"""When a try is ended so that another endpoint can still answer.
+
+An endpoint that alone is silent may be out of reach, its connection may have
+gone silent, or its queue may be long. Taken for gone in the last case, requests
+were moved to other busy endpoints and their callers told 502 after a second
+such move; so the way to it is tried before the request is given up there.
+"""
 
 import attrs
 
@@ -20,23 +26,42 @@
     member: object
     connection: object
     timer: object = None
+    stopped: bool = False
 
     def check_again(self, pause_ms):
         """Look whether the endpoint is gone after *pause_ms*."""
         self.timer = self.forward.clock.later(pause_ms, self.check)
 
     def check(self):
-        """Close the connection if only this endpoint is silent."""
+        """Look further if only this endpoint is silent."""
         members = self.forward.members(self.call.service)
         now = self.forward.clock.now()
-        if self.forward.picker.is_gone(self.member.endpoint_id, members, now):
-            self.forward.counters.incr("endpoint.silent")
-            self.connection.close()
-        else:
+        if not self.forward.picker.is_gone(self.member.endpoint_id, members, now):
             self.check_again(GUARD_MS)
+        elif self.connection.used_before:
+            self.give_up("silent_connection")
+        else:
+            found = self.forward.pool.reaches(self.member)
+            found.addCallback(self.reached)
+
+    def reached(self, answers):
+        """A new connection to the endpoint was accepted, or not."""
+        if self.stopped:
+            return
+        if answers:
+            self.forward.counters.incr("endpoint.busy")
+            self.check_again(pick.SILENCE_MS)
+        else:
+            self.give_up("out_of_reach")
+
+    def give_up(self, reason):
+        """End the try here."""
+        self.forward.counters.incr(f"endpoint.{reason}")
+        self.connection.close()
 
     def stop(self):
         """The try is over."""
+        self.stopped = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
 
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -91,6 +91,7 @@
         self.idle_limit_ms = IDLE_MS
         self.has_extra = False
         self.was_reset = False
+        self.used_before = False
 
     def _finishResponse(self, rest):
         if rest:
@@ -167,7 +168,23 @@
         limit_ms = IDLE_MS * 4 if repeatable else FRESH_MS
         connection = self._idle(member.endpoint_id, limit_ms)
         if connection is not None:
+            connection.used_before = True
             return connection
+        connection = yield self._open(member)
+        return connection
+
+    @defer.inlineCallbacks
+    def reaches(self, member):
+        """Whether *member* accepts a new connection, which is kept."""
+        try:
+            connection = yield self._open(member)
+        except NotSent:
+            return False
+        self._keep(member.endpoint_id, connection)
+        return True
+
+    @defer.inlineCallbacks
+    def _open(self, member):
         endpoint = endpoints.TCP4ClientEndpoint(
             self.reactor,
             member.host,
