--- a/dunlinpoint/control/discovery.py
+++ b/dunlinpoint/control/discovery.py
@@ -46,6 +46,10 @@
     heard_by_id: dict = attrs.field(factory=dict)
     shown_ms_by_address: dict = attrs.field(factory=dict)
 
+    def reseed(self, seeds):
+        """Take *seeds* in the place of those told before."""
+        self.seeds = list(seeds)
+
     def hear(self, beat, now):
         """Take in another instance's announcement."""
         voter = voters.Voter(beat.endpoint_id, beat.host, beat.port, beat.zone)
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -178,6 +178,10 @@
             ]
         return live
 
+    def reseed(self, seeds):
+        """Take *seeds* in the place of those told before."""
+        self.controls.seeds = list(seeds)
+
     def endpoints(self):
         """All known members that are endpoints."""
         members = [seen.member for seen in self.by_id.values()]
--- a/dunlinpoint/platform/__init__.py
+++ b/dunlinpoint/platform/__init__.py
@@ -6,6 +6,7 @@
 ``dialect``     the platform's header names and paths
 ``documents``   its configuration bodies to and from our document
 ``admin``       calls of endpoints and operators at a control instance
+``settings``    settings that change while a process runs
 ``ready``       the readiness question at an entry
 ``roles``       the daemon's roles as the platform starts them
 ==============  ==========================================================
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -18,7 +18,7 @@
 from dunlinpoint.experts import lead, rank
 from dunlinpoint.follow import view
 from dunlinpoint.forward import exchange, site
-from dunlinpoint.platform import admin, dialect, documents, ready
+from dunlinpoint.platform import admin, dialect, documents, ready, settings
 
 # A stopping entry goes on taking connections while the balancer finds out.
 ACCEPT_AFTER_STOP_MS = 3000
@@ -80,9 +80,8 @@
         zone = checks.name(self.zone, "zone")
         host, port = checks.address(self.listen, "listen")
         ready_host, ready_port = checks.address(self.ready, "ready")
-        controls = inner(
-            checks.addresses(self.seeds, "seeds"), first_port(self.inner_ports)
-        )
+        inner_port = first_port(self.inner_ports)
+        controls = inner(checks.addresses(self.seeds, "seeds"), inner_port)
         lease_ms = int(whole(self.revoke_ms, "revoke-ms") * KEY_LEASE_SHARE)
         grace_ms = whole(self.grace_s, "grace-s") * clock.MS_PER_SECOND
         logs.setup()
@@ -92,6 +91,9 @@
             reactor, entry_view, metered(self.metrics), dialect.HEADERS, lease_ms
         )
         entry_view.follow(reactor)
+        settings.watch(
+            reactor, lambda seeds: entry_view.reseed(inner(seeds, inner_port))
+        )
         callers, listening = site.listen(reactor, forward, host, port)
 
         def is_ready():
@@ -149,7 +151,7 @@
         host, port = checks.address(self.listen, "listen")
         seeds = checks.addresses(self.seeds, "seeds")
         own_port = first_port(self.inner_ports)
-        settings = control_server.Settings(
+        control = control_server.Settings(
             control_id=self.ip,
             zone=checks.name(self.zone, "zone"),
             host=self.ip,
@@ -160,7 +162,10 @@
             bootstrap=self.bootstrap == "true",
         )
         logs.setup()
-        state = control_server.run(reactor, settings, metered(self.metrics))
+        state = control_server.run(reactor, control, metered(self.metrics))
+        settings.watch(
+            reactor, lambda seeds: state.controls.reseed(inner(seeds, own_port))
+        )
         web = server.Site(admin.make_app(reactor, state).resource())
         reactor.listenTCP(port, web, interface=host)
         reactor.run()
@@ -203,4 +208,10 @@
             lambda state: rank.announce_state(engine, announcer, address, state)
         )
         lead.run(reactor, leading)
+
+        def reseed(seeds):
+            leading.view.reseed(inner(seeds, port))
+            announcer.seeds = inner(seeds, port)
+
+        settings.watch(reactor, reseed)
         reactor.run()
--- /dev/null
+++ b/dunlinpoint/soak/faults.py
@@ -0,0 +1,143 @@
+"""The schedule of faults that a seed gives.
+
+Faults come in series and overlap; each heals by itself after a while. Only one
+control at a time loses its disk or refuses to write, which is what three are
+meant to bear; anything else may meet.
+"""
+
+import os
+import random
+import shutil
+import signal
+
+import attrs
+
+LENGTH_S = 12.0
+PAUSE_S = (0.2, 1.6)
+LASTS_S = (0.3, 2.5)
+KINDS = {
+    "kill_entry": 2,
+    "kill_control": 2,
+    "freeze_entry": 1,
+    "freeze_control": 2,
+    "term_entry": 3,
+    "term_control": 1,
+    "hup": 2,
+    "lose_disk": 1,
+    "disk_full": 1,
+    "cut": 2,
+    "freeze_link": 2,
+    "one_way": 2,
+    "delay": 2,
+    "drain": 1,
+    "change": 6,
+    "race": 2,
+}
+# Faults that take a control's disk or its writes from it.
+DISK_KINDS = {"lose_disk", "disk_full", "kill_control", "freeze_control"}
+
+
+@attrs.frozen
+class Fault:
+    """One fault: when, what, on which of the things it fits, for how long."""
+
+    at_s: float
+    kind: str
+    index: int
+    lasts_s: float
+
+
+def schedule(seed):
+    """The faults of *seed*, in order of time."""
+    rng = random.Random(f"faults {seed}")
+    faults, now, disk_free_s = [], 1.0, 0.0
+    while now < LENGTH_S:
+        kind = rng.choices(list(KINDS), KINDS.values())[0]
+        lasts_s = rng.uniform(*LASTS_S)
+        if kind in DISK_KINDS:
+            if now < disk_free_s:
+                kind = "change"
+            else:
+                # Long enough to be back and a voter again.
+                disk_free_s = now + lasts_s + 4.0
+        faults.append(Fault(now, kind, rng.randrange(64), lasts_s))
+        now += rng.uniform(*PAUSE_S)
+    return faults
+
+
+def begin(world, operator, fault):
+    """Put *fault* in force; a function that heals it."""
+    kind, index = fault.kind, fault.index
+    entry = world.entries[index % len(world.entries)]
+    control = world.controls[index % len(world.controls)]
+    if kind in ("change", "race"):
+        operator.change(2 if kind == "race" else 1)
+        return None
+    if kind == "hup":
+        entry.signal(signal.SIGHUP)
+        control.signal(signal.SIGHUP)
+        return None
+    if kind == "drain":
+        operator.drain(index)
+        return None
+    if kind in ("cut", "freeze_link", "one_way", "delay"):
+        return _on_link(world, kind, index)
+    node = entry if kind.endswith("entry") else control
+    return _on_process(node, kind)
+
+
+def _on_link(world, kind, index):
+    index %= len(world.proxies)
+    if kind == "delay":
+        world.steer(index, "delay", delay_ms=20 + index * 10)
+    elif kind == "one_way":
+        world.steer(index, "freeze", "down" if index % 2 else "up")
+    else:
+        world.steer(index, "cut" if kind == "cut" else "freeze")
+    return lambda: world.steer(index, "pass")
+
+
+def _on_process(node, kind):
+    what = kind.partition("_")[0]
+    if what == "freeze":
+        node.signal(signal.SIGSTOP)
+        return lambda: node.signal(signal.SIGCONT)
+    if what == "term":
+        return _terminate(node)
+    if what == "disk":
+        return _refuse_writes(node)
+    node.signal(signal.SIGCONT)
+    node.signal(signal.SIGKILL)
+    node.popen.wait(10)
+    if what == "lose":
+        shutil.rmtree(node.env["data"], ignore_errors=True)
+    return node.start
+
+
+def _terminate(node):
+    """A planned stop; the process is started again once it has ended."""
+    node.signal(signal.SIGCONT)
+    node.stopped_s = node.disturbed_s
+    node.signal(signal.SIGTERM)
+
+    def heal():
+        node.popen.wait(15)
+        node.start()
+
+    return heal
+
+
+def _refuse_writes(node):
+    """A folder in the place of the file that is written next."""
+    blocked = os.path.join(node.env["data"], "control-state.json.new")
+    node.disturb()
+    try:
+        os.makedirs(blocked, exist_ok=True)
+    except FileExistsError:
+        return None
+
+    def heal():
+        node.disturb()
+        shutil.rmtree(blocked, ignore_errors=True)
+
+    return heal
--- /dev/null
+++ b/dunlinpoint/soak/world.py
@@ -0,0 +1,201 @@
+"""The processes of one run, each on a loopback address of its own.
+
+Controls and entries are the daemon's own roles as the platform starts them.
+Each back end is reached through a fault-injecting proxy of its own.
+"""
+
+import http.client
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+import attrs
+
+from dunlinpoint.lab import client, deploy
+from dunlinpoint.soak import servers
+
+CONTROLS = 3
+ENTRIES = 2
+BACKENDS = 4
+ZONES = ("z1", "z2")
+HOST = "soak.example"
+KEY = "key-1"
+GRACE_S = 4
+BEAT_S = 0.4
+CALL_S = 2.0
+
+
+def ask(host, port, method, path, body=None, headers=None, timeout=CALL_S):
+    """One call on a new connection: ``(status, headers, body)``."""
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, {"Host": HOST} | (headers or {}))
+        answer = connection.getresponse()
+        return answer.status, answer.headers, answer.read()
+    finally:
+        connection.close()
+
+
+@attrs.define(eq=False)
+class Node:
+    """One daemon process of ours, and when it was last disturbed."""
+
+    name: str
+    host: str
+    role: str
+    env: dict
+    log_path: str
+    popen: subprocess.Popen | None = None
+    disturbed_s: float = 0.0
+    lives: int = 0
+    stopped_s: float = 0.0
+
+    def start(self):
+        """Start the process; it must not be running."""
+        env = os.environ | {f"DUNLIN_{k.upper()}": str(v) for k, v in self.env.items()}
+        with open(self.log_path, "ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", "dunlinpoint", self.role],
+                env=env,
+                stdout=log,
+                stderr=log,
+            )
+        self.env["bootstrap"] = "false"
+        self.disturb()
+        self.lives += 1
+
+    def disturb(self):
+        """Note that a fault touched the process now."""
+        self.disturbed_s = time.monotonic()
+
+    def signal(self, number):
+        """Send *number* to the process, if it runs."""
+        self.disturb()
+        if self.popen is not None and self.popen.poll() is None:
+            os.kill(self.popen.pid, number)
+
+    def end(self):
+        """Kill the process and wait for its end."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait(10)
+
+
+@attrs.define(eq=False)
+class World:
+    """Everything of one run."""
+
+    folder: str
+    seed: int
+    controls: list = attrs.field(factory=list)
+    entries: list = attrs.field(factory=list)
+    backends: list = attrs.field(factory=list)
+    proxies: list = attrs.field(factory=list)
+    runs: list = attrs.field(factory=list)
+    admin_port: int = 0
+    port: int = 0
+    ended: threading.Event = attrs.field(factory=threading.Event)
+
+    @classmethod
+    def from_seed(cls, folder, seed):
+        """The processes of *seed*'s run, not yet started."""
+        world = cls(folder, seed)
+        world.admin_port, world.port = deploy.free_port(), deploy.free_port()
+        inner, ready = deploy.free_port(), deploy.free_port()
+        # Runs side by side must not meet: each has addresses of its own.
+        net = f"127.{1 + os.getpid() % 200}.{seed % 250}"
+        seeds = ",".join(f"{net}.{i + 1}:{world.admin_port}" for i in range(CONTROLS))
+        common = {"seeds": seeds, "inner_ports": inner, "beat_ms": int(BEAT_S * 1000)}
+        for i in range(CONTROLS):
+            host = f"{net}.{i + 1}"
+            env = common | {"zone": ZONES[i % 2], "ip": host, "bootstrap": "true"}
+            env |= {"listen": f"{host}:{world.admin_port}"}
+            env |= {"data": os.path.join(folder, f"data-{i}")}
+            world.add(world.controls, f"control-{i}", host, "platform-control", env)
+        for i in range(ENTRIES):
+            host = f"{net}.{i + 101}"
+            env = common | {"zone": ZONES[i % 2], "listen": f"{host}:{world.port}"}
+            env |= {"ready": f"{host}:{ready}", "grace_s": GRACE_S, "revoke_ms": 5000}
+            world.add(world.entries, f"entry-{i}", host, "platform-entry", env)
+        return world
+
+    def add(self, nodes, name, host, role, env):
+        """One more process of ours."""
+        log = os.path.join(self.folder, f"{name}.log")
+        nodes.append(Node(name, host, role, env, log))
+
+    def start(self):
+        """Start everything and wait until the first document is in force."""
+        rng = random.Random(self.seed)
+        for i in range(BACKENDS):
+            self.start_backend(f"i-{i}", random.Random(rng.random()))
+        for node in self.controls + self.entries:
+            node.start()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def start_backend(self, server_id, rng):
+        """One back end behind its proxy."""
+        backend = servers.Backend(server_id, "desk", rng, self.runs)
+        backend.start()
+        listen, steer = deploy.free_port(), deploy.free_port()
+        log = os.path.join(self.folder, f"proxy-{server_id}.log")
+        argv = ["proxy", "--listen", str(listen), "--steer", str(steer)]
+        argv += ["--target", f"127.0.0.1:{backend.port}"]
+        proxy = deploy.Process(f"proxy-{server_id}", argv, listen, log)
+        proxy.start()
+        self.backends.append(backend)
+        self.proxies.append((proxy, listen, steer))
+
+    def steer(self, index, mode, direction="both", delay_ms=0):
+        """Put a fault in force on the way to back end *index*."""
+        client.fault(self.proxies[index][2], mode, direction, delay_ms)
+
+    def tell(self, path, body):
+        """Tell any control that answers; whether one acknowledged."""
+        for node in self.controls:
+            try:
+                if ask(node.host, self.admin_port, "POST", path, body)[0] == 200:
+                    return True
+            except (OSError, http.client.HTTPException):
+                continue
+        return False
+
+    def beat(self):
+        """Heartbeats of the back ends until the run ends."""
+        while not self.ended.wait(BEAT_S):
+            for backend, (_, listen, _) in zip(
+                self.backends, self.proxies, strict=False
+            ):
+                if not backend.gone:
+                    self.announce(backend, listen)
+
+    def announce(self, backend, port):
+        """One heartbeat; whether a control acknowledged it."""
+        backend.sequence += 1
+        beat = {
+            "service": backend.service,
+            "address": f"127.0.0.1:{port}",
+            "zone": ZONES[0],
+            "slots": 8,
+            "state": "draining" if backend.draining else "ready",
+            "seqNo": backend.sequence,
+        }
+        path = f"/api/instances/{backend.server_id}/heartbeat"
+        return self.tell(path, json.dumps(beat))
+
+    def stop(self):
+        """End every process that this run started."""
+        self.ended.set()
+        for node in self.controls + self.entries:
+            node.end()
+        for proxy, _, _ in self.proxies:
+            proxy.signal(signal.SIGKILL)
+            proxy.wait(10)
+        for backend in self.backends:
+            backend.stop()
