--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -63,10 +63,8 @@
 # that was in time already, and every copy costs the group.
 TIGHT = 0.75
 EASE = 3.0
-# Fewer choices of a set than this are too few to plan by. One request makes
-# some ten thousand, all among the experts of its subject: planned by the first
-# two or three after a restart, a group moved 44 experts and soon moved back.
-LEAST_COUNT = 200_000
+# Fewer choices of a set than this are too few to plan by.
+LEAST_COUNT = 2000
 # Versions are drawn with gaps, so that an order of an earlier lead that is
 # carried out late does not carry a number this lead gives to another map.
 VERSION_GAP = 1000
@@ -365,6 +363,8 @@
         "expert_map",
         version=version,
         moved=moved,
+        choices=round(sum(counts[0])),
+        pass_ms=round(lead.pass_ms),
         before=round(before / even, 2),
         after=round(after / even, 2),
     )
--- a/dunlinpoint/faults/proxy.py
+++ b/dunlinpoint/faults/proxy.py
@@ -26,6 +26,7 @@
 
 from __future__ import annotations
 
+import collections
 import json
 import random
 
@@ -74,6 +75,7 @@
     direction: str
     to: object = None
     held: list = attrs.field(factory=list)
+    delayed: collections.deque = attrs.field(factory=collections.deque)
     release_ms: int = 0
 
 
@@ -107,19 +109,29 @@
         if not fault.applies(pipe.direction) or fault.mode == "pass":
             if pipe.held:
                 pipe.held.append(data)
+            elif pipe.delayed:
+                # Sent at once, it would overtake what is still delayed, which
+                # no connection does: a stream came out with its events swapped.
+                self.delay(pipe, data, 0)
             else:
                 self.send(pipe, data)
         elif fault.mode == "freeze":
             pipe.held.append(data)
-        elif fault.mode in ("delay", "reorder"):
-            wait = fault.delay_ms
-            if fault.mode == "reorder":
-                wait = self.rng.randint(0, fault.delay_ms)
-            now = clock.Clock(self.reactor).now()
-            pipe.release_ms = max(pipe.release_ms, now + wait)
-            self.reactor.callLater(
-                (pipe.release_ms - now) / 1000, self.send, pipe, data
-            )
+        elif fault.mode == "delay":
+            self.delay(pipe, data, fault.delay_ms)
+        elif fault.mode == "reorder":
+            self.delay(pipe, data, self.rng.randint(0, fault.delay_ms))
+
+    def delay(self, pipe, data, wait_ms):
+        """Send *data* after *wait_ms*, and after all that is delayed already."""
+        now = clock.Clock(self.reactor).now()
+        pipe.release_ms = max(pipe.release_ms, now + wait_ms)
+        pipe.delayed.append(data)
+        self.reactor.callLater(clock.seconds(pipe.release_ms - now), self.release, pipe)
+
+    def release(self, pipe):
+        """Send the piece that was delayed first."""
+        self.send(pipe, pipe.delayed.popleft())
 
     def send(self, pipe, data):
         if pipe.to is not None and pipe.to.transport is not None:
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -76,6 +76,8 @@
     "armed": "ranks that are armed",
     "missing": "ranks that did not answer",
     "moved": "experts copied",
+    "choices": "choices of experts in the first set that a map was planned by",
+    "pass_ms": "how long a pass takes",
     "left": "what is still to do",
     "leaving": "endpoints that are leaving",
     "done": "whether it was carried out",
--- /dev/null
+++ b/tests/integration/test_soak.py
@@ -0,0 +1,19 @@
+"""Seeds of the fault soak: some for every run, and each that ever failed."""
+
+import pytest
+
+from dunlinpoint.soak import run
+
+SEEDS = [1]
+# A seed that failed stays, with its cause.
+FAILED = {
+    11: "the proxy let bytes overtake delayed ones: a stream with an event missing",
+}
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", SEEDS + sorted(FAILED))
+def test_no_promise_is_broken(seed):
+    verdict = run.play(seed)
+    assert verdict.broken == []
+    assert verdict.answered > verdict.requests / 2
