--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -62,9 +62,11 @@
 # has this many times the mean: only then does it show how even it is with
 # requests that it was not planned by.
 SETTLE_MS = 2500
-URGENT_SKEW = 1.9
-# How much the newest of those showings weighs.
+URGENT_SKEW = 1.7
+# How much the newest of those showings weighs, and what they count for at the
+# most: demand that shifts within the time shows more.
 FLOOR_SHARE = 0.4
+FLOOR_MOST = 1.35
 # Fewer choices of a set than this are too few to plan by.
 LEAST_COUNT = 2000
 # Versions are drawn with gaps, so that an order of an earlier lead that is
@@ -151,7 +153,7 @@
             return False
         if now - self.switched_ms < SETTLE_MS:
             return skew < URGENT_SKEW
-        self.floor += FLOOR_SHARE * (skew - self.floor)
+        self.floor += FLOOR_SHARE * (min(skew, FLOOR_MOST) - self.floor)
         self.switched_ms = None
         return False
 
