--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -597,12 +597,14 @@
 def not_run(forward, member, head):
     """Take note that *member* did not run a request, and whose fault it was."""
     forward.counters.incr("endpoint.not_run")
+    now = forward.clock.now()
     at_fault = head.headers.getRawHeaders(forward.names.fault_at, [b""])[-1]
-    if at_fault and at_fault.decode("latin-1") != member.endpoint_id:
+    elsewhere = at_fault and at_fault.decode("latin-1") != member.endpoint_id
+    # 421 says that another endpoint is at this address now: no group stands.
+    if head.code == 503 and elsewhere and forward.outages.suspect(member, now):
         forward.counters.incr("endpoint.group_stands")
-        forward.outages.suspect(member, forward.clock.now())
     else:
-        forward.picker.failed(member.endpoint_id, forward.clock.now())
+        forward.picker.failed(member.endpoint_id, now)
 
 
 def closing(connection, why):
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -81,10 +81,17 @@
         return sorted(opened)
 
     def suspect(self, member, now):
-        """*member* named another endpoint as the cause of a refusal."""
+        """*member* named another endpoint as the cause of a refusal.
+
+        Returns whether its group is known; without one, the endpoint itself
+        is the one to avoid.
+        """
         group = self.group_by_address.get(address_of(member))
-        if group is not None and group not in self.suspicion_by_group:
+        if group is None:
+            return False
+        if group not in self.suspicion_by_group:
             self.suspicion_by_group[group] = Suspicion(now, now + PROBE_MS)
+        return True
 
     def heard(self, member):
         """Something came from *member*: its group does not stand."""
--- a/dunlinpoint/routing/tests/test_outage.py
+++ b/dunlinpoint/routing/tests/test_outage.py
@@ -100,3 +100,13 @@
     # that have come back have 5.4 s left and no other try.
     assert outage.may_come_back(8000)
     assert not outage.may_come_back(5400)
+
+
+def test_an_endpoint_of_no_known_group_is_avoided_itself():
+    # Symptom: an entry sends request after request to one endpoint that runs
+    # none. Sequence: its address is another service's now, or its group is
+    # not known yet; its refusals name another endpoint. Cause: blaming a group
+    # that is not there, and nobody else.
+    found = outage.Outages()
+    assert not found.suspect(ENDPOINTS[0], NOW)
+    assert known().suspect(ENDPOINTS[0], NOW)
