--- a/dunlinpoint/forward/__init__.py
+++ b/dunlinpoint/forward/__init__.py
@@ -10,7 +10,10 @@
 ``guard``       when a try is ended so that another endpoint can answer
 ``answers``     final answers: our own, and an endpoint's passed on
 ``waiting``     requests that wait for news
-``exchange``    one caller's request from arrival to its final answer
+``state``       what requests at one entry share, and what each carries
+``admission``   who is let in: from a request's arrival to its first try
+``tries``       which endpoint next, how often, and when to give up
+``exchange``    one try: sent to an endpoint, its answer passed on
 ``site``        the HTTP server that callers connect to
 ==============  ==========================================================
 """
--- /dev/null
+++ b/dunlinpoint/forward/admission.py
@@ -0,0 +1,132 @@
+"""Who is let in: a request from its arrival to its first try."""
+
+from twisted.internet import defer
+
+from dunlinpoint.config import document as config
+from dunlinpoint.forward import answers, events, routes, state, tries
+
+DEFAULT_DEADLINE_MS = 60_000
+# How long a request may wait for what a starting entry does not know yet:
+# callers of streams leave after 2 s.
+STARTING_WAIT_MS = 1500
+# When a caller should come back whom the pace leaves no room: streams last a
+# second or two, and as many end in that time as would have to.
+ROOM_MS = (500, 1500)
+
+
+def admit(forward, request, arrived_ms):
+    """The ``Call`` of *request*, or ``None`` after a final answer."""
+    table = forward.table
+    if not table.version or forward.view.vouched_ms is None:
+        answers.not_run(forward, request, "no_document")
+        return None
+    path = request.path.decode("latin-1")
+    route = table.match(answers.header(request, b"host") or "", path)
+    if route is None:
+        answers.deny(forward, request, 404, "no_route")
+        return None
+    workspace = None
+    if table.keyed and not route.public:
+        if forward.key_lease_ended():
+            answers.answer(
+                forward, request, 503, "document_not_vouched", answers.RETRY_AFTER_MS
+            )
+            return None
+        workspace = table.workspace(answers.header(request, b"authorization"))
+        if workspace is None:
+            answers.deny(forward, request, 401, "unknown_key")
+            return None
+    wait_ms = deadline_of(forward, request)
+    last_id = answers.header(request, forward.names.last_event_id) or ""
+    request_id = answers.header(request, forward.names.request_id)
+    return state.Call(
+        request=request,
+        route=route,
+        service=routes.service_of(route, forward.rng),
+        workspace=workspace,
+        deadline_ms=arrived_ms + min(wait_ms, route.timeout_ms),
+        request_id=request_id.encode("latin-1") if request_id else None,
+        events=events.Events(int(last_id) if last_id.isdigit() else None),
+        streaming=route.kind == config.STREAMING,
+        arrived_ms=arrived_ms,
+    )
+
+
+def deadline_of(forward, request):
+    """How long the caller of *request* waits, in ms."""
+    given = answers.header(request, forward.names.deadline_ms) or ""
+    return int(given) if given.isdigit() else DEFAULT_DEADLINE_MS
+
+
+@defer.inlineCallbacks
+def start_up(forward, request, gone, service=None):
+    """Wait for what an entry that has just started does not know yet.
+
+    After all processes were killed, entries were back a second before the
+    first control answered. They refused everyone, who came back at once, was
+    refused again and had no try left, though a second later all was well.
+    *gone* tells whether the caller has left.
+    """
+    if forward.knows(service) or not forward.is_starting():
+        return
+    limit_ms = min(STARTING_WAIT_MS, deadline_of(forward, request) // 2)
+    yield forward.waiting.until(lambda: gone() or forward.knows(service), limit_ms)
+
+
+@defer.inlineCallbacks
+def serve(forward, request):
+    """Forward one request; every path ends in exactly one final answer."""
+    if forward.life.is_stopping():
+        # Taken now on a kept connection, it could still be running at the
+        # end of the grace time and be cut.
+        answers.not_run(forward, request, "stopping")
+        return
+    arrived_ms = forward.clock.now()
+    left = []
+    request.notifyFinish().addErrback(left.append)
+    yield start_up(forward, request, lambda: bool(left))
+    call = None if left else admit(forward, request, arrived_ms)
+    if call is None:
+        return
+    name = call.workspace.name if call.workspace is not None else ""
+    if not forward.work.enter(name):
+        answers.answer(forward, request, 429, "workspace_limit", answers.RETRY_AFTER_MS)
+        return
+    forward.in_flight += 1
+    request.notifyFinish().addErrback(call.caller_left)
+    timer = forward.clock.later(call.deadline_ms - forward.clock.now(), call.expire)
+    try:
+        yield start_up(forward, request, lambda: call.over, call.service)
+        if not call.left:
+            yield paced(forward, call)
+    finally:
+        forward.in_flight -= 1
+        forward.work.leave(name)
+        if timer.active():
+            timer.cancel()
+
+
+@defer.inlineCallbacks
+def paced(forward, call):
+    """Try endpoints if the pace leaves room for one stream more."""
+    found = forward.pace(call)
+    if found is None:
+        yield tries.run(forward, call)
+        return
+    if not found.has_room():
+        answers.answer(
+            forward,
+            call.request,
+            503,
+            "no_room",
+            forward.rng.uniform(*ROOM_MS),
+            service=call.service,
+            limit=found.limit,
+            pause_ms=found.pause_ms,
+        )
+        return
+    found.began()
+    try:
+        yield tries.run(forward, call)
+    finally:
+        found.ended()
--- a/dunlinpoint/forward/site.py
+++ b/dunlinpoint/forward/site.py
@@ -8,7 +8,7 @@
 from twisted.web import resource, server
 
 from dunlinpoint import callers, clock, logs
-from dunlinpoint.forward import exchange
+from dunlinpoint.forward import admission
 
 log = logs.logger("entry")
 
@@ -18,7 +18,7 @@
 
 
 class Forwarded(resource.Resource):
-    """Every path and method, handed to :func:`exchange.serve`."""
+    """Every path and method, handed to :func:`admission.serve`."""
 
     isLeaf = True
 
@@ -33,7 +33,7 @@
             if not request._disconnected and not request.finished:
                 request.channel.loseConnection()
 
-        exchange.serve(self.forward, request).addErrback(failed)
+        admission.serve(self.forward, request).addErrback(failed)
         return server.NOT_DONE_YET
 
 
--- /dev/null
+++ b/dunlinpoint/forward/state.py
@@ -0,0 +1,194 @@
+"""What requests at one entry share, and what each of them carries."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from dunlinpoint import clock, life, logs, metrics
+from dunlinpoint.config import document as config
+from dunlinpoint.config import packed
+from dunlinpoint.entry import limits as workspace_limits
+from dunlinpoint.experts import rank
+from dunlinpoint.follow import view
+from dunlinpoint.forward import events, names, pool, routes, waiting
+from dunlinpoint.routing import budget, outage, pace, pick, spread
+
+log = logs.logger("entry")
+
+# How long after its start an entry may not know yet what there is: servers
+# announce themselves every 1.2 s, and a control may start with it.
+STARTING_MS = 4000
+
+
+@attrs.define
+class Forward:
+    """What every request at this entry shares."""
+
+    view: view.View
+    clock: clock.Clock
+    counters: metrics.Counters
+    pool: pool.Pool
+    picker: pick.Picker
+    waiting: waiting.Waiting
+    names: names.Names = names.DEFAULT
+    budget: budget.Budget = attrs.field(factory=budget.Budget)
+    table: routes.Table = attrs.field(factory=routes.Table)
+    limits: config.Limits = attrs.field(factory=config.Limits)
+    rng: random.Random = attrs.field(factory=random.Random)
+    work: workspace_limits.Work = attrs.field(factory=workspace_limits.Work)
+    key_lease_ms: int = 0
+    in_flight: int = 0
+    life: life.Life = attrs.field(factory=life.begin)
+    outages: outage.Outages = attrs.field(factory=outage.Outages)
+    pace_by_service: dict = attrs.field(factory=dict)
+    members_by_service: dict = attrs.field(factory=dict)
+    arranged: tuple | None = None
+    started_ms: int = 0
+
+    @classmethod
+    def from_config(cls, reactor, entry_view, counters, dialect, key_lease_ms=0):
+        """Forwarding at the entry whose view is *entry_view*.
+
+        With *key_lease_ms* above 0, keyed requests are refused once no
+        majority of controls has vouched for the document for so long.
+        """
+        ticks = clock.Clock(reactor)
+        forward = cls(
+            view=entry_view,
+            clock=ticks,
+            waiting=waiting.Waiting(ticks),
+            started_ms=ticks.now(),
+            counters=counters,
+            pool=pool.Pool.from_config(reactor),
+            picker=pick.Picker(entry_view.zone),
+            names=dialect,
+            key_lease_ms=key_lease_ms,
+        )
+        entry_view.on_document.append(forward.take)
+        entry_view.on_news.append(forward.news)
+        return forward
+
+    def take(self, document):
+        """Put a newer document in force."""
+        doc = config.parse(packed.unpack(document.body))
+        self.table = routes.Table.from_document(doc, document.version)
+        self.limits = doc.limits
+        self.work.limit_by_name = {w.name: w.max_in_flight for w in doc.workspaces}
+
+    def members(self, service):
+        """Endpoints of *service* that take new work, in this entry's order.
+
+        Arranged anew only when the members have changed: done for each
+        request, it cost more than the request with some hundred endpoints.
+        """
+        self.arrange()
+        return self.members_by_service.get(service, [])
+
+    def news(self):
+        """Something was heard of the deployment: whoever waits looks again."""
+        if self.waiting.waiters:
+            self.waiting.news()
+
+    def knows(self, service=None):
+        """Whether the document, and endpoints of *service*, are known."""
+        if not self.table.version or self.view.vouched_ms is None:
+            return False
+        return service is None or bool(self.members(service))
+
+    def is_starting(self):
+        """Whether what is not known may only not be known yet."""
+        return self.clock.now() - self.started_ms < STARTING_MS
+
+    def arrange(self):
+        """Arrange the members if they have changed."""
+        live = self.view.live("service")
+        state = self.view.generation, self.view.place, self.view.places
+        if self.arranged != state:
+            self.arranged = state
+            self._arrange(live)
+
+    def _arrange(self, live):
+        by_service = {}
+        for member in sorted(live, key=lambda m: m.endpoint_id):
+            by_service.setdefault(member.service_name, []).append(member)
+        place, places = self.view.place, self.view.places
+        self.members_by_service = {
+            name: spread.arranged(members, self.view.zone, place, places)
+            for name, members in by_service.items()
+        }
+        # Without this the records and idle connections of every endpoint
+        # that there ever was stay in memory until a restart.
+        live_ids = {m.endpoint_id for m in live}
+        self.picker.forget(live_ids)
+        self.pool.forget(live_ids)
+        addresses = {outage.address_of(m) for m in live}
+        ranks = self.view.live(rank.KIND)
+        for group in self.outages.learn(ranks, addresses, self.clock.now()):
+            log.info("group_open", group=group)
+            for member in live:
+                address = outage.address_of(member)
+                if self.outages.group_by_address.get(address) == group:
+                    self.picker.succeeded(member.endpoint_id)
+
+    def pace(self, call):
+        """The ``Pace`` of *call*'s service, or ``None`` where no pause is set."""
+        if not call.streaming or not call.route.pause_ms:
+            return None
+        found = self.pace_by_service.get(call.service)
+        if found is None:
+            found = self.pace_by_service[call.service] = pace.Pace(call.route.pause_ms)
+        return found
+
+    def key_lease_ended(self):
+        """Whether keys may have been taken away without our hearing of it."""
+        if not self.key_lease_ms:
+            return False
+        vouched = self.view.vouched_ms
+        return vouched is None or self.clock.now() - vouched > self.key_lease_ms
+
+
+@attrs.define(eq=False)
+class Call:
+    """One request at this entry."""
+
+    request: object
+    route: config.Route
+    service: str
+    workspace: config.Workspace | None
+    deadline_ms: int
+    request_id: bytes | None
+    events: events.Events
+    streaming: bool
+    tried: set = attrs.field(factory=set)
+    tries: int = 0
+    may_have_run: bool = False
+    started: bool = False
+    left: bool = False
+    expired: bool = False
+    connection: pool.Connection | None = None
+    last_failure: tuple | None = None
+    arrived_ms: int = 0
+    first_ms: int | None = None
+    at_endpoint: int = 0
+    waited: bool = False
+
+    def stop(self):
+        """Drop the try under way."""
+        if self.connection is not None:
+            self.connection.close()
+
+    def caller_left(self, _reason=None):
+        """The caller closed its connection."""
+        self.left = True
+        self.stop()
+
+    def expire(self):
+        """The caller's deadline or the route's timeout is reached."""
+        self.expired = True
+        self.stop()
+
+    @property
+    def over(self):
+        return self.left or self.expired
--- /dev/null
+++ b/dunlinpoint/forward/tries.py
@@ -0,0 +1,105 @@
+"""A request's tries: which endpoint next, how often, and when to give up."""
+
+from twisted.internet import defer
+
+from dunlinpoint import logs
+from dunlinpoint.forward import answers, exchange, routes
+from dunlinpoint.routing import outage
+
+log = logs.logger("entry")
+
+# Less than this left is not worth handing to an endpoint.
+LEAST_LEFT_MS = 10
+
+
+@defer.inlineCallbacks
+def run(forward, call):
+    """Try endpoints until one answers or no other may be tried."""
+    while True:
+        now = forward.clock.now()
+        members = forward.members(call.service)
+        usable = forward.outages.usable(members, now)
+        if members and not usable:
+            opened = yield group_opens(forward, call, now)
+            if opened:
+                continue
+            give_up(forward, call, "group_stands", outage_ms(forward, call, members))
+            return
+        member = forward.picker.pick(usable, now, exclude=call.tried)
+        if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
+            give_up(forward, call, "no_endpoint" if member is None else "too_late")
+            return
+        forward.outages.probe(member, now)
+        call.tried.add(member.endpoint_id)
+        state = yield exchange.one_try(forward, call, member)
+        if state == exchange.DONE or call.left:
+            return
+        if not may_try_again(forward, call, state):
+            give_up(forward, call, state)
+            return
+        forward.counters.retried(state)
+
+
+@defer.inlineCallbacks
+def group_opens(forward, call, now):
+    """Wait for a standing group if the caller can't come back; whether it opened."""
+    left_ms = call.deadline_ms - now
+    if call.waited or not call.streaming or outage.may_come_back(left_ms):
+        return False
+    call.waited = True
+
+    def ready():
+        members = forward.members(call.service)
+        return call.over or forward.outages.usable(members, forward.clock.now())
+
+    limit_ms = min(outage.WAIT_MS, left_ms)
+    opened = yield forward.waiting.until(ready, limit_ms)
+    return opened and not call.over
+
+
+def may_try_again(forward, call, state):
+    """Whether another endpoint may get the request after a try's *state*."""
+    if call.over:
+        return False
+    if state != exchange.NOT_RUN and not routes.repeatable(call.route):
+        return False
+    if call.tries >= call.route.max_attempts:
+        return False
+    return call.tries == 0 or forward.budget.spend(call.service)
+
+
+def outage_ms(forward, call, members):
+    """When a caller should come back whose endpoints' groups all stand."""
+    now = forward.clock.now()
+    since = forward.outages.since_ms(members, now)
+    return outage.come_back_ms(since, now, call.deadline_ms - now, forward.rng)
+
+
+def give_up(forward, call, reason, retry_ms=answers.RETRY_AFTER_MS):
+    """The final answer of a request that no endpoint answered."""
+    request = call.request
+    if call.left:
+        return
+    if call.started:
+        # A chunked answer without its last chunk cannot be taken for whole.
+        forward.counters.incr("gave_up.stream_broken")
+        log.warning(
+            "stream_broken",
+            request=exchange.text(call.request_id),
+            reason=reason,
+            events=call.events.count,
+            **exchange.told(forward, call),
+        )
+        request.channel.loseConnection()
+    elif call.last_failure is not None:
+        head, body = call.last_failure
+        forward.counters.incr("answered.endpoint_failure")
+        answers.copy_head(request, head, len(body))
+        answers.finish(forward, request, body)
+    elif not call.may_have_run:
+        answers.answer(
+            forward, request, 503, reason, retry_ms, **exchange.told(forward, call)
+        )
+    else:
+        status = 504 if call.expired else 502
+        answers.answer(forward, request, status, reason, **exchange.told(forward, call))
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -17,9 +17,11 @@
 from dunlinpoint.control import server as control_server
 from dunlinpoint.experts import lead, rank
 from dunlinpoint.follow import view
-from dunlinpoint.forward import exchange, site
+from dunlinpoint.forward import site, state
 from dunlinpoint.platform import admin, dialect, documents, ready, settings
 
+log = logs.logger("entry")
+
 # A stopping entry goes on taking connections while the balancer finds out.
 ACCEPT_AFTER_STOP_MS = 3000
 # Streams last up to the whole grace time; what is left is for the exit itself.
@@ -87,7 +89,7 @@
         logs.setup()
         entry_view = view.View.from_config(reactor, zone, controls)
         entry_view.follower = self.listen
-        forward = exchange.Forward.from_config(
+        forward = state.Forward.from_config(
             reactor, entry_view, metered(self.metrics), dialect.HEADERS, lease_ms
         )
         entry_view.follow(reactor)
@@ -109,17 +111,17 @@
         async def stop():
             forward.life.drain()
             ends = forward.clock.now() + grace_ms - STOP_MARGIN_MS
-            exchange.log.info("draining", in_flight=forward.in_flight)
+            log.info("draining", in_flight=forward.in_flight)
             await pause(min(ACCEPT_AFTER_STOP_MS, grace_ms // 3))
             forward.life.close()
             await listening.stopListening()
             while forward.in_flight and forward.clock.now() < ends:
                 await pause(STEP_MS)
             await callers.close_all(forward.clock, ends)
-            exchange.log.info("stopped", counters=forward.counters.snapshot())
+            log.info("stopped", counters=forward.counters.snapshot())
 
         reactor.addSystemEventTrigger("before", "shutdown", start(stop))
-        exchange.log.info("started", zone=zone, port=port)
+        log.info("started", zone=zone, port=port)
         reactor.run()
 
 
@@ -162,11 +164,11 @@
             bootstrap=self.bootstrap == "true",
         )
         logs.setup()
-        state = control_server.run(reactor, control, metered(self.metrics))
+        running = control_server.run(reactor, control, metered(self.metrics))
         settings.watch(
-            reactor, lambda seeds: state.controls.reseed(inner(seeds, own_port))
+            reactor, lambda seeds: running.controls.reseed(inner(seeds, own_port))
         )
-        web = server.Site(admin.make_app(reactor, state).resource())
+        web = server.Site(admin.make_app(reactor, running).resource())
         reactor.listenTCP(port, web, interface=host)
         reactor.run()
 
@@ -205,7 +207,7 @@
         announcer = announce.Announcer.from_config(reactor, controls, counters)
         rank.announce(reactor, engine, announcer, address, whole(self.beat_ms, "beat"))
         leading.on_standing.append(
-            lambda state: rank.announce_state(engine, announcer, address, state)
+            lambda found: rank.announce_state(engine, announcer, address, found)
         )
         lead.run(reactor, leading)
 
