--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -147,10 +147,13 @@
 
 @attrs.frozen
 class Workspace:
-    """A customer's workspace, its priority and its limit of requests in flight."""
+    """A customer's workspace, its priority and its limit of requests in flight.
+
+    0 is the most urgent; without a priority of its own, a request has its route's.
+    """
 
     name: str
-    priority: int = 0
+    priority: int | None = None
     max_in_flight: int = 64
     keys: list[str] = attrs.field(factory=list)
 
--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -4,6 +4,7 @@
 
 from dunlinpoint.config import document as config
 from dunlinpoint.forward import answers, events, routes, state, tries
+from dunlinpoint.routing import pace
 
 DEFAULT_DEADLINE_MS = 60_000
 # How long a request may wait for what a starting entry does not know yet:
@@ -113,7 +114,8 @@
     if found is None:
         yield tries.run(forward, call)
         return
-    if not found.has_room():
+    left_ms = call.deadline_ms - forward.clock.now()
+    if not found.has_room(pace.has_returned(left_ms, call.route.timeout_ms)):
         answers.answer(
             forward,
             call.request,
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -25,6 +25,7 @@
 log = logs.logger("entry")
 
 OWN_HEADERS = {b"content-length", b"authorization", b"expect"}
+LEAST_URGENT = 9
 # The state of one try.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 
@@ -130,6 +131,14 @@
     )
 
 
+def priority_of(call):
+    """How urgent *call* is to an endpoint, 0 (first) to 9."""
+    priority = call.route.priority
+    if call.workspace is not None and call.workspace.priority is not None:
+        priority = call.workspace.priority
+    return min(max(priority, 0), LEAST_URGENT)
+
+
 def outgoing(forward, call, member):
     """The request as *member* gets it."""
     named = answers.header(call.request, b"connection") or ""
@@ -148,6 +157,7 @@
     headers.removeHeader(own.workspace)
     if call.workspace is not None:
         headers.setRawHeaders(own.workspace, [call.workspace.name.encode()])
+    headers.setRawHeaders(own.priority, [b"%d" % priority_of(call)])
     if call.streaming and call.events.last_id is not None:
         headers.setRawHeaders(own.last_event_id, [b"%d" % call.events.last_id])
     request = call.request
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -52,7 +52,7 @@
 def _workspace(raw):
     return {
         "name": raw.get("name", ""),
-        "priority": raw.get("priority", 0),
+        "priority": raw.get("priority"),
         "max_in_flight": config.NO_LIMIT,
         "keys": raw.get("apiKeys", []),
     }
--- a/dunlinpoint/routing/pace.py
+++ b/dunlinpoint/routing/pace.py
@@ -25,10 +25,20 @@
 # An entry always lets in so many: with fewer, nothing shows when a group is
 # fast again.
 LEAST_LIMIT = 3.0
+# Callers that came back after a refusal find so much more room: refused again,
+# most have no try left.
+RETURNED_ROOM = 1.3
+# A caller with less than this part of the longest time left has been here.
+FRESH_SHARE = 0.9
 # Pauses beyond this many times the allowed one are no pace: the group stood.
 STOOD = 4
 
 
+def has_returned(left_ms, timeout_ms):
+    """Whether a caller with *left_ms* of a route's *timeout_ms* came back."""
+    return left_ms < FRESH_SHARE * timeout_ms
+
+
 @attrs.define
 class Pace:
     """Streams of one service at this entry; ``limit`` is ``None`` while unbounded."""
@@ -61,9 +71,11 @@
             if self.in_flight >= self.limit - 1:
                 self.limit += 1
 
-    def has_room(self):
-        """Whether one more stream may begin."""
-        return self.limit is None or self.in_flight < self.limit
+    def has_room(self, returned=False):
+        """Whether one more stream may begin, of a caller that has *returned*."""
+        if self.limit is None:
+            return True
+        return self.in_flight < self.limit * (RETURNED_ROOM if returned else 1.0)
 
     def began(self):
         """One more stream is in flight."""
--- a/dunlinpoint/routing/tests/test_pace.py
+++ b/dunlinpoint/routing/tests/test_pace.py
@@ -41,6 +41,17 @@
     assert found.limit > kept
 
 
+def test_a_caller_that_came_back_finds_more_room():
+    # Pattern: a rush; callers refused once come back with less time left and
+    # have no try after it. Those who have just come still have one.
+    found = paced(10)
+    found.limit = 9.0
+    assert not found.has_room()
+    assert found.has_room(returned=True)
+    assert pace.has_returned(6900, 8000)
+    assert not pace.has_returned(7900, 8000)
+
+
 def test_some_are_always_let_in():
     found = paced(1)
     see(found, 200, turns=9)
