--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -39,10 +39,12 @@
     return cappa.Arg(long=True, default=cappa.Env(env, default=str(default)), help=help)
 
 
-def counters(statsd, prefix):
-    """Counters under *prefix*, flushed to *statsd* while the reactor runs."""
+def counters(statsd, prefix, address):
+    """Counters under *prefix*, sent to *statsd* and served on *address*, if any."""
     counted = metrics.Counters.from_config(statsd, prefix)
     counted.follow(reactor)
+    if address:
+        metrics.listen(reactor, counted, checks.address(address, "metrics"))
     return counted
 
 
@@ -68,6 +70,7 @@
     controls: Annotated[str, flag("DUNLIN_CONTROLS", "control host:port list")]
     host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
     statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
+    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
 
     def __call__(self):
         zone = checks.name(self.zone, "zone")
@@ -76,7 +79,7 @@
         checks.address(self.statsd, "statsd")
         logs.setup()
         entry = entry_app.Entry.from_config(
-            reactor, zone, controls, counters(self.statsd, "entry")
+            reactor, zone, controls, counters(self.statsd, "entry", self.metrics)
         )
         entry.view.follow(reactor)
         site = callers.Site(entry_app.make_app(entry).resource())
@@ -112,6 +115,7 @@
     ]
     weights: Annotated[str, flag("DUNLIN_WEIGHTS", "weight store URL", "")]
     statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
+    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
 
     def __call__(self):
         if not self.backend.startswith("http"):
@@ -134,7 +138,9 @@
             incarnation=int(self.incarnation),
         )
         logs.setup()
-        state = agent_server.run(reactor, settings, counters(self.statsd, "agent"))
+        state = agent_server.run(
+            reactor, settings, counters(self.statsd, "agent", self.metrics)
+        )
         reactor.addSystemEventTrigger(
             "before", "shutdown", agent_server.drain, reactor, state
         )
@@ -160,6 +166,7 @@
         str, flag("DUNLIN_HOST", "own address, as peers name it", "127.0.0.1")
     ]
     statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
+    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
 
     def __call__(self):
         own = self.host, checks.port(self.port)
@@ -174,7 +181,9 @@
             bootstrap=self.bootstrap,
         )
         logs.setup()
-        control_server.run(reactor, settings, counters(self.statsd, "control"))
+        control_server.run(
+            reactor, settings, counters(self.statsd, "control", self.metrics)
+        )
         reactor.run()
 
 
--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -354,6 +354,7 @@
     version = max(highest, lead.last_version) + lead.rng.randint(1, VERSION_GAP)
     lead.last_version = version
     plan = switch.Plan(version, proposed, lead.epoch)
+    began_ms = lead.clock.now()
     try:
         yield switch.run(group, plan, lead.passes_per_s)
     except switch.SwitchError as exc:
@@ -363,6 +364,7 @@
         return
     lead.mapping, lead.map_version = proposed, version
     lead.switched_ms = lead.clock.now()
+    lead.counters.timed("switch", lead.switched_ms - began_ms)
     lead.counters.incr("rebalanced")
     lead.counters.incr("experts_moved", moved)
     log.info(
--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -85,15 +85,24 @@
     arrived_ms = forward.clock.now()
     left = []
     request.notifyFinish().addErrback(left.append)
-    yield start_up(forward, request, lambda: bool(left))
-    call = None if left else admit(forward, request, arrived_ms)
-    if call is None:
-        return
+    forward.in_flight += 1
+    try:
+        yield start_up(forward, request, lambda: bool(left))
+        call = None if left else admit(forward, request, arrived_ms)
+        if call is not None:
+            yield carry_out(forward, call)
+    finally:
+        forward.in_flight -= 1
+
+
+@defer.inlineCallbacks
+def carry_out(forward, call):
+    """Try an admitted request within its workspace's limit and its time."""
+    request = call.request
     name = call.workspace.name if call.workspace is not None else ""
     if not forward.work.enter(name):
         answers.answer(forward, request, 429, "workspace_limit", answers.RETRY_AFTER_MS)
         return
-    forward.in_flight += 1
     request.notifyFinish().addErrback(call.caller_left)
     timer = forward.clock.later(call.deadline_ms - forward.clock.now(), call.expire)
     try:
@@ -101,7 +110,6 @@
         if not call.left:
             yield paced(forward, call)
     finally:
-        forward.in_flight -= 1
         forward.work.leave(name)
         if timer.active():
             timer.cancel()
--- a/dunlinpoint/metrics.py
+++ b/dunlinpoint/metrics.py
@@ -30,10 +30,7 @@
     "pause": "between two events of a stream",
     "answer": "from a request's arrival to the end of its final answer",
     "try": "one exchange with an endpoint",
-    "connect": "opening a connection to an endpoint",
-    "in_force": "from hearing of a document to its being in force here",
     "agreement": "one change, from its arrival to its acknowledgement",
-    "sync": "writing the state to disk",
     "switch": "a change of map, from its first order to its last",
 }
 
--- a/dunlinpoint/platform/admin.py
+++ b/dunlinpoint/platform/admin.py
@@ -5,10 +5,13 @@
 from klein import Klein
 from twisted.internet import defer
 
+from dunlinpoint import logs
 from dunlinpoint.config import document as config
 from dunlinpoint.control import agreement, operators
 from dunlinpoint.platform import dialect, documents
 
+log = logs.logger("control")
+
 JSON = b"application/json"
 
 
@@ -46,7 +49,17 @@
         except config.DocumentError as exc:
             state.counters.refused("invalid_document")
             return reply(request, 400, {"error": str(exc)})
+        arrived_ms = state.clock.now()
         outcome = yield operators.replace(reactor, state.peers, numbers, doc)
+        took_ms = state.clock.now() - arrived_ms
+        state.counters.timed("agreement", took_ms)
+        log.info(
+            "document_proposed",
+            version=outcome.version,
+            outcome="accepted" if outcome.accepted else "refused",
+            reason=outcome.reason,
+            took_ms=took_ms,
+        )
         if outcome.accepted:
             state.counters.incr("applied")
             return reply(request, 200, {})
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -45,7 +45,7 @@
 
 
 def metered(metrics_address):
-    """Counters, served on *metrics_address* if there is one."""
+    """Counters of a platform role, served on *metrics_address* if there is one."""
     counters = metrics.Counters(None)
     if metrics_address:
         address = checks.address(metrics_address, "metrics")
