--- /dev/null
+++ b/dunlinpoint/forward/tests/test_routes.py
@@ -0,0 +1,69 @@
+"""Routes and keys as they are looked up."""
+
+import collections
+import random
+
+import pytest
+
+from dunlinpoint.config import document as config
+from dunlinpoint.forward import routes
+
+
+def route(prefix, **fields):
+    split = fields.pop("split", [config.Share("s")])
+    kind = fields.pop("kind", config.IDEMPOTENT)
+    return config.Route(prefix, "Plan.example", prefix, kind, 1000, split, **fields)
+
+
+TABLE = routes.Table.from_document(
+    config.Document(
+        1,
+        "d",
+        routes=[route("/a/"), route("/a/b/"), route("/")],
+        workspaces=[config.Workspace("w", keys=["k1", "k2"])],
+    ),
+    7,
+)
+
+
+@pytest.mark.parametrize(
+    "host, path, prefix",
+    [
+        ("plan.example", "/a/b/c", "/a/b/"),
+        ("plan.example:8080", "/a/bc", "/a/"),
+        ("PLAN.example", "/a", "/"),
+        ("plan.example", "//a/b/", "/"),
+        ("other.example", "/a/", None),
+    ],
+)
+def test_the_longest_prefix_that_begins_the_path_wins(host, path, prefix):
+    found = TABLE.match(host, path)
+    assert (found.prefix if found else None) == prefix
+
+
+def test_a_key_leads_to_its_workspace_only():
+    assert TABLE.workspace("Bearer k2").name == "w"
+    for value in (None, "", "Bearer", "Bearer k3", "Basic k1", "k1"):
+        assert TABLE.workspace(value) is None
+
+
+def test_services_are_drawn_by_weight():
+    split = [config.Share("a", 90), config.Share("b", 10), config.Share("c", 0)]
+    rng = random.Random(1)
+    drawn = collections.Counter(
+        routes.service_of(route("/", split=split), rng) for _ in range(2000)
+    )
+    assert drawn["c"] == 0 and 120 < drawn["b"] < 280
+
+
+@pytest.mark.parametrize(
+    "kind, resumable, again",
+    [
+        (config.IDEMPOTENT, False, True),
+        (config.NON_IDEMPOTENT_KIND, True, False),
+        (config.STREAMING, True, True),
+        (config.STREAMING, False, False),
+    ],
+)
+def test_what_may_run_again_follows_from_the_kind(kind, resumable, again):
+    assert routes.repeatable(route("/", kind=kind, resumable=resumable)) is again
