A read asks the voters of a round that it learned while asking

Cause, found by reading: read() compared the old voters' answers with the round held when they came, not when they were asked. If a change of voters was learned in between, a document that the new voters had accepted and acknowledged was passed over, and an older one shown as sure. Red first: test_a_read_asks_the_voters... got 'first' for 'second'. Ruled out: decide(), which gives up when its round is not the next one any more.

--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -169,15 +169,17 @@
     local = peers.local
     for _ in range(READ_ROUNDS):
         voting = peers.voters
+        number = local.committed.round
         states = yield peers.inspect(voting)
         sound = [state for state in states if state.ok]
         if not voting or len(sound) < voters.majority(voting):
             return None
         newest = max(sound, key=lambda state: state.committed.round)
-        if local.take(acceptors.Decision.from_message(newest.committed)):
-            # Its voters may be others, and are the ones to be asked.
+        local.take(acceptors.Decision.from_message(newest.committed))
+        if local.committed.round != number:
+            # Learned from these answers or while they were on their way. Its
+            # voters may be others, and are the ones to be asked.
             continue
-        number = local.committed.round
         if not any(s.accepted and s.accepted.round > number for s in sound):
             return local.committed
         yield decide(peers, number + 1, None)
--- a/dunlinpoint/control/tests/test_recovery.py
+++ b/dunlinpoint/control/tests/test_recovery.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 from twisted.internet import task
 
 from dunlinpoint.config import document as config
@@ -174,3 +175,35 @@
     assert put(net, "c0", numbered(7, "first")).accepted
     assert put(net, "c1", numbered(7, "second")).reason == "held"
     assert text_at(net, "c2")["name"] == "first"
+
+
+def test_a_read_asks_the_voters_of_what_it_learned_while_asking(tmp_path):
+    # Symptom: a document read back is older than one acknowledged. Sequence:
+    # c1 and c2 accept that c3, c4 and c5 vote from now on; these accept
+    # "second"; c0 asks c1 and c2 and hears of the new voters before their
+    # answers come. Cause: answers of the old voters taken for sure about a
+    # round that others decide.
+    net = cluster.make(tmp_path)
+    assert net.propose("c0", 0, "first").accepted
+    for host in ("c3", "c4", "c5"):
+        net.start(host)
+    voting = tuple(net.voter(host) for host in ("c3", "c4", "c5"))
+    moved = attrs.evolve(net.by_host["c1"].committed, round=2, voters=voting)
+    for host in ("c1", "c2"):
+        node = net.by_host[host]
+        node.prepare(2, 1 << 33, node.node_id)
+        assert node.accept(2, 1 << 33, moved.to_message(), node.node_id)
+    for host in ("c3", "c4", "c5"):
+        net.by_host[host].take(moved)
+    net.cut("c0", "c3")
+    assert net.propose("c3", 1, "second").accepted
+    net.cuts = set()
+    peers = net.peers("c0")
+    link_to = peers.link_to
+
+    def hears_first(host, port):
+        net.by_host["c0"].take(moved)
+        return link_to(host, port)
+
+    peers.link_to = hears_first
+    assert cluster.result(agreement.read(peers)).change_id == "second"
