The soak's checks of a planned stop and of leaving see what they are there for

Cause, found by reading: a process kept only its last planned stop and its last disturbance, and ending it at the end of a run counted as one. So a request cut by an earlier stop was passed over, and the check of a leaving back end never judged anything. All stops and disturbances are kept now; the end of a run is none; what a back end broke off, or a disturbed way to it, excuses a cut request. Red with the old checks: the first and the drain test of soak/tests/test_checks.py.

--- a/dunlinpoint/soak/checks.py
+++ b/dunlinpoint/soak/checks.py
@@ -12,6 +12,8 @@
 # How long after a fault a process is not held to bounds in time.
 CALM_S = 4.0
 NOT_RUN = (408, 421, 429, 503)
+# Moods of a back end in which it ends an answer before its end.
+BROKE_OFF = {"drop", "break"}
 
 
 def broken(world, seen, operator):
@@ -62,12 +64,20 @@
 
 
 def _planned_stop(world, request, runs):
-    """A request that was under way at a planned stop has its whole answer."""
+    """A request that was under way at a planned stop has its whole answer.
+
+    Not judged where a back end broke off or the way to one was disturbed.
+    """
     node = next(n for n in world.entries if n.name == request.entry)
-    if not node.stopped_s or not request.sent_s <= node.stopped_s <= request.ended_s:
+    span = request.sent_s, request.ended_s
+    if not _any_within(node.stopped_s, *span):
         return []
     if request.status and request.whole or not runs:
         return []
+    if any(run.mood in BROKE_OFF for run in runs):
+        return []
+    if _any_within(world.link_faults_s, span[0] - CALM_S, span[1]):
+        return []
     return [f"{request.request_id}: cut by a planned stop of {request.entry}"]
 
 
@@ -85,21 +95,28 @@
     return found
 
 
+def _any_within(times_s, first_s, last_s):
+    return any(first_s <= at_s <= last_s for at_s in times_s)
+
+
 def _drained(world, operator):
+    """A back end that is leaving gets nothing new after a while.
+
+    Judged only where no process of ours was disturbed in between.
+    """
     found = []
-    calm_s = max(n.disturbed_s for n in world.entries + world.controls)
+    nodes = world.entries + world.controls
     for drained in operator.drained:
-        # Judged only where everything was calm around it.
-        if any(
-            drained.at_s - CALM_S < n.disturbed_s < drained.at_s + CALM_S
-            for n in world.entries + world.controls
-        ):
-            continue
+        runs = [r for r in world.runs if r.server_id == drained.server_id]
         late = [
-            r
-            for r in world.runs
-            if r.server_id == drained.server_id and r.at_s > drained.at_s + DRAIN_S
+            run
+            for run in runs
+            if run.at_s > drained.at_s + DRAIN_S
+            and not any(
+                _any_within(n.disturbed_s, drained.at_s - CALM_S, run.at_s)
+                for n in nodes
+            )
         ]
-        if late and calm_s < late[0].at_s:
+        if late:
             found.append(f"{drained.server_id} got {len(late)} requests while leaving")
     return found
--- a/dunlinpoint/soak/faults.py
+++ b/dunlinpoint/soak/faults.py
@@ -117,7 +117,7 @@
 def _terminate(node):
     """A planned stop; the process is started again once it has ended."""
     node.signal(signal.SIGCONT)
-    node.stopped_s = node.disturbed_s
+    node.stopped_s.append(node.disturb())
     node.signal(signal.SIGTERM)
 
     def heal():
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -57,6 +57,7 @@
     server_id: str
     request_id: str
     at_s: float
+    mood: str
 
 
 @attrs.define(eq=False)
@@ -110,7 +111,7 @@
         if mood == "full":
             self.head(503, {NOT_RUN: "1"}, b"")
             return
-        run = Run(backend.server_id, request_id, time.monotonic())
+        run = Run(backend.server_id, request_id, time.monotonic(), mood)
         backend.runs.append(run)
         if mood == "drop":
             self.close_connection = True
--- a/dunlinpoint/soak/world.py
+++ b/dunlinpoint/soak/world.py
@@ -43,7 +43,7 @@
 
 @attrs.define(eq=False)
 class Node:
-    """One daemon process of ours, and when it was last disturbed."""
+    """One daemon process of ours, and when it was disturbed or told to stop."""
 
     name: str
     host: str
@@ -51,9 +51,9 @@
     env: dict
     log_path: str
     popen: subprocess.Popen | None = None
-    disturbed_s: float = 0.0
+    disturbed_s: list = attrs.field(factory=list)
+    stopped_s: list = attrs.field(factory=list)
     lives: int = 0
-    stopped_s: float = 0.0
 
     def start(self):
         """Start the process; it must not be running."""
@@ -70,8 +70,9 @@
         self.lives += 1
 
     def disturb(self):
-        """Note that a fault touched the process now."""
-        self.disturbed_s = time.monotonic()
+        """Note that a fault touched the process now; when that was."""
+        self.disturbed_s.append(time.monotonic())
+        return self.disturbed_s[-1]
 
     def signal(self, number):
         """Send *number* to the process, if it runs."""
@@ -80,10 +81,9 @@
             os.kill(self.popen.pid, number)
 
     def end(self):
-        """Kill the process and wait for its end."""
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        if self.popen is not None:
+        """Kill the process at the end of a run, which is no fault, and wait."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.kill()
             self.popen.wait(10)
 
 
@@ -100,6 +100,7 @@
     runs: list = attrs.field(factory=list)
     admin_port: int = 0
     port: int = 0
+    link_faults_s: list = attrs.field(factory=list)
     ended: threading.Event = attrs.field(factory=threading.Event)
 
     @classmethod
@@ -154,6 +155,7 @@
 
     def steer(self, index, mode, direction="both", delay_ms=0):
         """Put a fault in force on the way to back end *index*."""
+        self.link_faults_s.append(time.monotonic())
         client.fault(self.proxies[index][2], mode, direction, delay_ms)
 
     def tell(self, path, body):
