--- a/dunlinpoint/control/acceptor.py
+++ b/dunlinpoint/control/acceptor.py
@@ -169,19 +169,14 @@
         """Whether this acceptor is a voter of the round to come."""
         return any(v.node_id == self.node_id for v in self.committed.voters)
 
-    def _shown(self, known_round):
-        """The last decision, its text only above *known_round*."""
-        return self.committed.to_message(self.committed.round > known_round)
-
     def _promise(self, ok, known_round):
+        """The state as a message, the last text only above *known_round*."""
         return ttypes.Promise(
             ok=ok,
             promised=self.promised,
             accepted_ballot=self.accepted_ballot,
             accepted=self.accepted.to_message() if self.accepted else None,
-            committed=self._shown(known_round),
-            node_id=self.node_id,
-            unfounded=self.unfounded,
+            committed=self.committed.to_message(self.committed.round > known_round),
         )
 
     def inspect(self, known_round, node_id):
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -107,11 +107,6 @@
         local.on_learn.append(state.changed)
         return state
 
-    @property
-    def document(self):
-        """The decision in force here, as a ``Document`` message."""
-        return self.peers.local.committed.to_message()
-
     def changed(self):
         """Answer every follower that waits for a change."""
         waiting, self.waiting = self.waiting, []
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -170,8 +170,7 @@
         if connection is not None:
             connection.used_before = True
             return connection
-        connection = yield self._open(member)
-        return connection
+        return (yield self._open(member))
 
     @defer.inlineCallbacks
     def reaches(self, member):
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -60,10 +60,10 @@
             if address not in live_addresses:
                 del self.group_by_address[address]
         opened = set()
-        by_group = {}
+        ranks_by_group = {}
         for rank in ranks:
-            by_group.setdefault(rank.group, []).append(rank)
-        for group, members in by_group.items():
+            ranks_by_group.setdefault(rank.group, []).append(rank)
+        for group, members in ranks_by_group.items():
             epoch = max(m.epoch or 0 for m in members)
             broken = any(m.broken for m in members if (m.epoch or 0) == epoch)
             if broken:
@@ -74,10 +74,14 @@
                 self.suspicion_by_group.pop(group, None)
                 opened.add(group)
             self.epoch_by_group[group] = epoch
-        known = set(by_group) | set(self.group_by_address.values())
-        for by_name in (self.broken_since_by_group, self.suspicion_by_group):
-            for group in [g for g in by_name if g not in known]:
-                del by_name[group]
+        known = set(ranks_by_group) | set(self.group_by_address.values())
+        for by_group in (
+            self.epoch_by_group,
+            self.broken_since_by_group,
+            self.suspicion_by_group,
+        ):
+            for group in [g for g in by_group if g not in known]:
+                del by_group[group]
         return sorted(opened)
 
     def suspect(self, member, now):
--- a/dunlinpoint/routing/tests/test_outage.py
+++ b/dunlinpoint/routing/tests/test_outage.py
@@ -81,6 +81,7 @@
     found.suspect(ENDPOINTS[0], NOW)
     found.learn([], set(), NOW)
     assert found.suspicion_by_group == {} and found.group_by_address == {}
+    assert found.epoch_by_group == {}
 
 
 def test_callers_come_back_after_the_outage_and_not_all_at_once():
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -207,17 +207,13 @@
 
 // -- control <-> control: one agreement round per decision ------------------
 
-// node_id names the acceptor that answers. It is empty at one that was asked
-// as another: its predecessor at the same address, whose disk is gone.
+// committed comes without its text where the asker knows the round.
 struct Promise {
   1: bool ok,
   2: i64 promised,
   3: i64 accepted_ballot,
   4: Document accepted,
   5: Document committed,
-  6: string node_id,
-  // The answer of an acceptor that does not know yet whether it is a founder.
-  7: bool unfounded,
 }
 
 service Control {
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -1839,20 +1839,16 @@
      - accepted_ballot
      - accepted
      - committed
-     - node_id
-     - unfounded
 
     """
 
 
-    def __init__(self, ok=None, promised=None, accepted_ballot=None, accepted=None, committed=None, node_id=None, unfounded=None,):
+    def __init__(self, ok=None, promised=None, accepted_ballot=None, accepted=None, committed=None,):
         self.ok = ok
         self.promised = promised
         self.accepted_ballot = accepted_ballot
         self.accepted = accepted
         self.committed = committed
-        self.node_id = node_id
-        self.unfounded = unfounded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1890,16 +1886,6 @@
                     self.committed.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRING:
-                    self.node_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.BOOL:
-                    self.unfounded = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1930,14 +1916,6 @@
             oprot.writeFieldBegin('committed', TType.STRUCT, 5)
             self.committed.write(oprot)
             oprot.writeFieldEnd()
-        if self.node_id is not None:
-            oprot.writeFieldBegin('node_id', TType.STRING, 6)
-            oprot.writeString(self.node_id.encode('utf-8') if sys.version_info[0] == 2 else self.node_id)
-            oprot.writeFieldEnd()
-        if self.unfounded is not None:
-            oprot.writeFieldBegin('unfounded', TType.BOOL, 7)
-            oprot.writeBool(self.unfounded)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2118,8 +2096,6 @@
     (3, TType.I64, 'accepted_ballot', None, None, ),  # 3
     (4, TType.STRUCT, 'accepted', [Document, None], None, ),  # 4
     (5, TType.STRUCT, 'committed', [Document, None], None, ),  # 5
-    (6, TType.STRING, 'node_id', 'UTF8', None, ),  # 6
-    (7, TType.BOOL, 'unfounded', None, None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
