--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -98,3 +98,26 @@
     known.follow_by_address["a", 7000].answered_ms = 20
     known.update([("a", 7000)], 20 + controls.LOST_MS + 1)
     assert set(known.follow_by_address) == {("a", 7000), ("seed", 7000)}
+
+
+def test_a_list_that_says_nothing_new_changes_nothing():
+    # Symptom: an entry sorts all its endpoints again for most requests.
+    # Sequence: one member of many changes; the whole list comes, in which
+    # every lease has a little less time left. Cause: taking that for news.
+    _, found, by_name = follower()
+
+    def listed(lease_left_ms, **changed):
+        fields = {"endpoint_id": "e", "host": "h", "port": 1, "kind": "service"}
+        member = ttypes.Member(lease_left_ms=lease_left_ms, **(fields | changed))
+        answer = shown("a")
+        answer.members = [member]
+        return answer
+
+    found.merge(by_name["a"], listed(900), 10)
+    known = found.generation
+    found.merge(by_name["a"], listed(800), 20)
+    assert found.generation == known
+    for changed in ({"draining": True}, {"load": 3}, {"broken": True}, {"port": 2}):
+        found.merge(by_name["a"], listed(700, **changed), 30)
+        assert found.generation > known
+        known = found.generation
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -22,7 +22,7 @@
 
 from dunlinpoint import clock, logs
 from dunlinpoint.config import packed
-from dunlinpoint.control import discovery, voters
+from dunlinpoint.control import discovery, membership, voters
 from dunlinpoint.follow import controls
 from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
@@ -61,6 +61,11 @@
     )
 
 
+def shape(member):
+    """What of a member a choice among members depends on."""
+    return *membership.routed(member), member.load, member.group, member.engine
+
+
 @attrs.define
 class View:
     """Members by endpoint id, and the document in force."""
@@ -143,7 +148,7 @@
             self.by_id[member.endpoint_id] = Seen(member, expires_ms)
             self._changed()
         elif newer(member, seen.member):
-            if member != seen.member:
+            if shape(member) != shape(seen.member):
                 self._changed()
             seen.member = member
             seen.expires_ms = max(seen.expires_ms, expires_ms)
--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -68,7 +68,7 @@
     refused again and had no try left, though a second later all was well.
     *gone* tells whether the caller has left.
     """
-    if forward.knows(service) or not forward.is_starting():
+    if not forward.is_starting() or forward.knows(service):
         return
     limit_ms = min(STARTING_WAIT_MS, deadline_of(forward, request) // 2)
     yield forward.waiting.until(lambda: gone() or forward.knows(service), limit_ms)
