--- a/dunlinpoint/__main__.py
+++ b/dunlinpoint/__main__.py
@@ -1,13 +1,15 @@
-"""``python -m dunlinpoint``."""
+"""``dunlinpoint`` and ``python -m dunlinpoint``: where every process begins."""
 
 import signal
 
-# Until the daemon handles SIGHUP, the signal ends the process. Its libraries
-# take a second to load; a platform that tells of new settings meanwhile killed
-# a process that it had just started.
+# By default SIGHUP ends a process. A platform sends it when it has written a
+# process's settings anew; the process died and cut what was in flight. Ignored
+# only once the libraries were loaded, it ended a process that was just starting.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from dunlinpoint.cli import daemon  # noqa: E402
 
+main = daemon.main
+
 if __name__ == "__main__":
-    daemon.main()
+    main()
--- a/dunlinpoint/cli/daemon.py
+++ b/dunlinpoint/cli/daemon.py
@@ -10,7 +10,6 @@
 flight finish, tells control, and exits.
 """
 
-import signal
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -18,9 +17,9 @@
 from twisted.internet import defer, reactor, task
 from twisted.web import server
 
-from dunlinpoint import callers, clock, logs, metrics
+from dunlinpoint import callers, clock, logs
 from dunlinpoint.agent import server as agent_server
-from dunlinpoint.cli import checks
+from dunlinpoint.cli import checks, flags
 from dunlinpoint.control import server as control_server
 from dunlinpoint.entry import app as entry_app
 from dunlinpoint.faults import proxy
@@ -32,22 +31,6 @@
 ENTRY_DRAIN_MS = 30000
 
 
-def flag(env, help, default=None):
-    """A long flag with environment variable *env* behind it."""
-    if default is None:
-        return cappa.Arg(long=True, default=cappa.Env(env), help=help)
-    return cappa.Arg(long=True, default=cappa.Env(env, default=str(default)), help=help)
-
-
-def counters(statsd, prefix, address):
-    """Counters under *prefix*, sent to *statsd* and served on *address*, if any."""
-    counted = metrics.Counters.from_config(statsd, prefix)
-    counted.follow(reactor)
-    if address:
-        metrics.listen(reactor, counted, checks.address(address, "metrics"))
-    return counted
-
-
 def listen_http(port, host, web):
     return reactor.listenTCP(port, server.Site(web.resource()), interface=host)
 
@@ -65,12 +48,12 @@
 class Entry:
     """Callers' HTTP front: routes requests to endpoint agents."""
 
-    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone of this entry")]
-    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port for callers", 8080)]
-    controls: Annotated[str, flag("DUNLIN_CONTROLS", "control host:port list")]
-    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
-    statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
-    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
+    zone: flags.Zone
+    port: Annotated[str, flags.flag("DUNLIN_PORT", "HTTP port for callers", 8080)]
+    controls: flags.Controls
+    host: flags.Host
+    statsd: flags.Statsd
+    metrics: flags.Metrics
 
     def __call__(self):
         zone = checks.name(self.zone, "zone")
@@ -79,7 +62,10 @@
         checks.address(self.statsd, "statsd")
         logs.setup()
         entry = entry_app.Entry.from_config(
-            reactor, zone, controls, counters(self.statsd, "entry", self.metrics)
+            reactor,
+            zone,
+            controls,
+            flags.counters(reactor, self.metrics, self.statsd, "entry"),
         )
         entry.view.follow(reactor)
         site = callers.Site(entry_app.make_app(entry).resource())
@@ -101,21 +87,23 @@
 class Agent:
     """The agent beside one endpoint instance."""
 
-    endpoint_id: Annotated[str, flag("DUNLIN_ENDPOINT_ID", "this endpoint's id")]
-    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone of the endpoint")]
-    port: Annotated[str, flag("DUNLIN_PORT", "thrift port for entries")]
-    backend: Annotated[str, flag("DUNLIN_BACKEND", "the local engine or service URL")]
-    controls: Annotated[str, flag("DUNLIN_CONTROLS", "control host:port list")]
-    kind: Annotated[str, flag("DUNLIN_KIND", "engine or service", "engine")]
-    group: Annotated[str, flag("DUNLIN_GROUP", "model group of an engine", "")]
-    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
-    incarnation: Annotated[str, flag("DUNLIN_INCARNATION", "restart counter", 0)]
+    endpoint_id: Annotated[str, flags.flag("DUNLIN_ENDPOINT_ID", "this endpoint's id")]
+    zone: flags.Zone
+    port: Annotated[str, flags.flag("DUNLIN_PORT", "thrift port for entries")]
+    backend: Annotated[
+        str, flags.flag("DUNLIN_BACKEND", "the local engine or service URL")
+    ]
+    controls: flags.Controls
+    kind: Annotated[str, flags.flag("DUNLIN_KIND", "engine or service", "engine")]
+    group: Annotated[str, flags.flag("DUNLIN_GROUP", "model group of an engine", "")]
+    host: flags.Host
+    incarnation: Annotated[str, flags.flag("DUNLIN_INCARNATION", "restart counter", 0)]
     announce: Annotated[
-        str, flag("DUNLIN_ANNOUNCE", "host:port others reach it at", "")
+        str, flags.flag("DUNLIN_ANNOUNCE", "host:port others reach it at", "")
     ]
-    weights: Annotated[str, flag("DUNLIN_WEIGHTS", "weight store URL", "")]
-    statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
-    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
+    weights: Annotated[str, flags.flag("DUNLIN_WEIGHTS", "weight store URL", "")]
+    statsd: flags.Statsd
+    metrics: flags.Metrics
 
     def __call__(self):
         if not self.backend.startswith("http"):
@@ -139,7 +127,9 @@
         )
         logs.setup()
         state = agent_server.run(
-            reactor, settings, counters(self.statsd, "agent", self.metrics)
+            reactor,
+            settings,
+            flags.counters(reactor, self.metrics, self.statsd, "agent"),
         )
         reactor.addSystemEventTrigger(
             "before", "shutdown", agent_server.drain, reactor, state
@@ -151,11 +141,13 @@
 class Control:
     """A control instance: document, membership, agreement."""
 
-    control_id: Annotated[str, flag("DUNLIN_CONTROL_ID", "this instance's id")]
-    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
-    port: Annotated[str, flag("DUNLIN_PORT", "thrift port")]
-    peers: Annotated[str, flag("DUNLIN_PEERS", "other controls' host:port", "")]
-    data: Annotated[str, flag("DUNLIN_DATA", "data folder (none: memory only)", "")]
+    control_id: Annotated[str, flags.flag("DUNLIN_CONTROL_ID", "this instance's id")]
+    zone: flags.Zone
+    port: Annotated[str, flags.flag("DUNLIN_PORT", "thrift port")]
+    peers: Annotated[str, flags.flag("DUNLIN_PEERS", "other controls' host:port", "")]
+    data: Annotated[
+        str, flags.flag("DUNLIN_DATA", "data folder (none: memory only)", "")
+    ]
     bootstrap: Annotated[
         bool, cappa.Arg(long=True, default=False, help="first start: vote at once")
     ]
@@ -163,10 +155,10 @@
         bool, cappa.Arg(long=True, default=False, help="added later: found nothing")
     ]
     host: Annotated[
-        str, flag("DUNLIN_HOST", "own address, as peers name it", "127.0.0.1")
+        str, flags.flag("DUNLIN_HOST", "own address, as peers name it", "127.0.0.1")
     ]
-    statsd: Annotated[str, flag("DUNLIN_STATSD", "statsd host:port", "127.0.0.1:8125")]
-    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
+    statsd: flags.Statsd
+    metrics: flags.Metrics
 
     def __call__(self):
         own = self.host, checks.port(self.port)
@@ -182,7 +174,9 @@
         )
         logs.setup()
         control_server.run(
-            reactor, settings, counters(self.statsd, "control", self.metrics)
+            reactor,
+            settings,
+            flags.counters(reactor, self.metrics, self.statsd, "control"),
         )
         reactor.run()
 
@@ -191,13 +185,13 @@
 class Engine:
     """Stand-in: a model engine, a group of ranks on one expert map."""
 
-    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port")]
-    ranks: Annotated[int, flag("DUNLIN_RANKS", "ranks in the group", 4)]
-    experts: Annotated[int, flag("DUNLIN_EXPERTS", "experts a layer", 16)]
+    port: Annotated[str, flags.flag("DUNLIN_PORT", "HTTP port")]
+    ranks: Annotated[int, flags.flag("DUNLIN_RANKS", "ranks in the group", 4)]
+    experts: Annotated[int, flags.flag("DUNLIN_EXPERTS", "experts a layer", 16)]
     ignore_fence: Annotated[
         bool, cappa.Arg(long=True, default=False, help="obey stale orders")
     ]
-    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+    host: flags.Host
 
     def __call__(self):
         settings = engine_standin.Settings(
@@ -214,10 +208,10 @@
 class Service:
     """Stand-in: a plain service with non-idempotent calls."""
 
-    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port")]
-    record: Annotated[str, flag("DUNLIN_RECORD", "file of executions", "")]
-    delay_ms: Annotated[int, flag("DUNLIN_DELAY_MS", "time a call takes", 0)]
-    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+    port: Annotated[str, flags.flag("DUNLIN_PORT", "HTTP port")]
+    record: Annotated[str, flags.flag("DUNLIN_RECORD", "file of executions", "")]
+    delay_ms: Annotated[int, flags.flag("DUNLIN_DELAY_MS", "time a call takes", 0)]
+    host: flags.Host
 
     def __call__(self):
         service = service_standin.Service(self.record or None, int(self.delay_ms))
@@ -230,10 +224,10 @@
 class Weights:
     """Stand-in: the rate-limited weight store."""
 
-    port: Annotated[str, flag("DUNLIN_PORT", "HTTP port")]
-    bytes_per_s: Annotated[int, flag("DUNLIN_BYTES_PER_S", "rate", 4_000_000)]
-    expert_bytes: Annotated[int, flag("DUNLIN_EXPERT_BYTES", "size", 1_000_000)]
-    host: Annotated[str, flag("DUNLIN_HOST", "address to listen on", "127.0.0.1")]
+    port: Annotated[str, flags.flag("DUNLIN_PORT", "HTTP port")]
+    bytes_per_s: Annotated[int, flags.flag("DUNLIN_BYTES_PER_S", "rate", 4_000_000)]
+    expert_bytes: Annotated[int, flags.flag("DUNLIN_EXPERT_BYTES", "size", 1_000_000)]
+    host: flags.Host
 
     def __call__(self):
         store = weights_standin.Store.from_config(
@@ -247,9 +241,9 @@
 class Proxy:
     """Fault-injecting TCP proxy for tests, steered over its own HTTP port."""
 
-    listen: Annotated[str, flag("DUNLIN_LISTEN", "port to accept on")]
-    target: Annotated[str, flag("DUNLIN_TARGET", "host:port to forward to")]
-    steer: Annotated[str, flag("DUNLIN_STEER", "HTTP port for fault orders")]
+    listen: Annotated[str, flags.flag("DUNLIN_LISTEN", "port to accept on")]
+    target: Annotated[str, flags.flag("DUNLIN_TARGET", "host:port to forward to")]
+    steer: Annotated[str, flags.flag("DUNLIN_STEER", "HTTP port for fault orders")]
 
     def __call__(self):
         fault = proxy.Proxy(target=checks.address(self.target, "target"))
@@ -279,14 +273,7 @@
     ]
 
 
-def keep_running(_number, _frame):
-    """SIGHUP: settings are read at start only, so there is nothing to do."""
-
-
 def main(argv=None):
     """Run the daemon; exit code 2 on a bad setting."""
-    # By default SIGHUP ends a process. A platform sends it when it has written
-    # a process's settings anew; the process died and cut what was in flight.
-    signal.signal(signal.SIGHUP, keep_running)
     clock.steady(reactor)
     checks.invoke(Daemon, argv, "dunlinpoint")
--- a/dunlinpoint/platform/roles.py
+++ b/dunlinpoint/platform/roles.py
@@ -7,13 +7,12 @@
 from dataclasses import dataclass
 from typing import Annotated
 
-import cappa
 from twisted.internet import defer, reactor, task
 from twisted.web import server
 
-from dunlinpoint import clock, logs, metrics
+from dunlinpoint import clock, logs
 from dunlinpoint.agent import announce
-from dunlinpoint.cli import checks
+from dunlinpoint.cli import checks, flags
 from dunlinpoint.control import server as control_server
 from dunlinpoint.experts import lead, rank
 from dunlinpoint.follow import view
@@ -33,26 +32,11 @@
 MEMBER_LEASE_BEATS = 4
 
 
-def flag(env, help, default=None):
-    """A long flag behind environment variable *env*."""
-    source = cappa.Env(env) if default is None else cappa.Env(env, default=default)
-    return cappa.Arg(long=True, default=source, help=help)
-
-
 def inner(seeds, port):
     """The seeds' addresses for our own protocol, on inner *port*."""
     return [(host, port) for host, _ in seeds]
 
 
-def metered(metrics_address):
-    """Counters of a platform role, served on *metrics_address* if there is one."""
-    counters = metrics.Counters(None)
-    if metrics_address:
-        address = checks.address(metrics_address, "metrics")
-        metrics.listen(reactor, counters, address)
-    return counters
-
-
 def first_port(ports):
     """The first of a comma-joined list of ports."""
     return checks.port(str(ports).split(",")[0], "inner-ports")
@@ -69,14 +53,14 @@
 class PlatformEntry:
     """An entry on the platform: forwards callers' HTTP to servers."""
 
-    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
-    listen: Annotated[str, flag("DUNLIN_LISTEN", "host:port for callers")]
-    ready: Annotated[str, flag("DUNLIN_READY", "host:port of the ready question")]
-    seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
-    inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
-    revoke_ms: Annotated[str, flag("DUNLIN_REVOKE_MS", "a key's end, ms", "0")]
-    grace_s: Annotated[str, flag("DUNLIN_GRACE_S", "SIGTERM to SIGKILL", "8")]
-    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
+    zone: flags.Zone
+    listen: Annotated[str, flags.flag("DUNLIN_LISTEN", "host:port for callers")]
+    ready: Annotated[str, flags.flag("DUNLIN_READY", "host:port of the ready question")]
+    seeds: flags.Seeds
+    inner_ports: flags.InnerPorts
+    revoke_ms: Annotated[str, flags.flag("DUNLIN_REVOKE_MS", "a key's end, ms", "0")]
+    grace_s: Annotated[str, flags.flag("DUNLIN_GRACE_S", "SIGTERM to SIGKILL", "8")]
+    metrics: flags.Metrics
 
     def __call__(self):
         zone = checks.name(self.zone, "zone")
@@ -90,7 +74,11 @@
         entry_view = view.View.from_config(reactor, zone, controls)
         entry_view.follower = self.listen
         forward = state.Forward.from_config(
-            reactor, entry_view, metered(self.metrics), dialect.HEADERS, lease_ms
+            reactor,
+            entry_view,
+            flags.counters(reactor, self.metrics),
+            dialect.HEADERS,
+            lease_ms,
         )
         entry_view.follow(reactor)
         settings.watch(
@@ -139,15 +127,15 @@
 class PlatformControl:
     """A control instance on the platform, with its admin calls."""
 
-    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
-    ip: Annotated[str, flag("DUNLIN_IP", "this machine's address")]
-    listen: Annotated[str, flag("DUNLIN_LISTEN", "host:port for admin calls")]
-    seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
-    inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
-    data: Annotated[str, flag("DUNLIN_DATA", "data folder")]
-    beat_ms: Annotated[str, flag("DUNLIN_BEAT_MS", "servers' heartbeat", "1200")]
-    bootstrap: Annotated[str, flag("DUNLIN_BOOTSTRAP", "first start", "false")]
-    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
+    zone: flags.Zone
+    ip: flags.Ip
+    listen: Annotated[str, flags.flag("DUNLIN_LISTEN", "host:port for admin calls")]
+    seeds: flags.Seeds
+    inner_ports: flags.InnerPorts
+    data: Annotated[str, flags.flag("DUNLIN_DATA", "data folder")]
+    beat_ms: flags.BeatMs
+    bootstrap: Annotated[str, flags.flag("DUNLIN_BOOTSTRAP", "first start", "false")]
+    metrics: flags.Metrics
 
     def __call__(self):
         host, port = checks.address(self.listen, "listen")
@@ -164,7 +152,9 @@
             bootstrap=self.bootstrap == "true",
         )
         logs.setup()
-        running = control_server.run(reactor, control, metered(self.metrics))
+        running = control_server.run(
+            reactor, control, flags.counters(reactor, self.metrics)
+        )
         settings.watch(
             reactor, lambda seeds: running.controls.reseed(inner(seeds, own_port))
         )
@@ -177,14 +167,14 @@
 class PlatformAgent:
     """The agent beside one rank's model server on the platform."""
 
-    zone: Annotated[str, flag("DUNLIN_ZONE", "availability zone")]
-    ip: Annotated[str, flag("DUNLIN_IP", "this machine's address")]
-    app: Annotated[str, flag("DUNLIN_APP", "host:port of the model server")]
-    service: Annotated[str, flag("DUNLIN_SERVICE", "the service it belongs to")]
-    seeds: Annotated[str, flag("DUNLIN_SEEDS", "controls' host:port list")]
-    inner_ports: Annotated[str, flag("DUNLIN_INNER_PORTS", "ports among ourselves")]
-    beat_ms: Annotated[str, flag("DUNLIN_BEAT_MS", "heartbeat, ms", "1200")]
-    metrics: Annotated[str, flag("DUNLIN_METRICS", "host:port of metrics", "")]
+    zone: flags.Zone
+    ip: flags.Ip
+    app: Annotated[str, flags.flag("DUNLIN_APP", "host:port of the model server")]
+    service: Annotated[str, flags.flag("DUNLIN_SERVICE", "the service it belongs to")]
+    seeds: flags.Seeds
+    inner_ports: flags.InnerPorts
+    beat_ms: flags.BeatMs
+    metrics: flags.Metrics
 
     def __call__(self):
         zone = checks.name(self.zone, "zone")
@@ -192,7 +182,7 @@
         port = first_port(self.inner_ports)
         controls = inner(checks.addresses(self.seeds, "seeds"), port)
         logs.setup()
-        counters = metered(self.metrics)
+        counters = flags.counters(reactor, self.metrics)
         engine = rank.Engine.from_config(
             reactor, f"{host}:{app_port}", rank.Calls(), documents.to_rank_state
         )
