Tests: waiting has a module of its own, and no fixture imports inside itself

Cause, found by reading: conftest imported the platform's stand-ins inside a fixture because these imported conftest.

--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -1,10 +1,10 @@
 """A local deployment of real processes for each integration test module."""
 
-import time
-
 import pytest
 
 from dunlinpoint.lab import client, deploy
+from tests.integration import platform_lab
+from tests.integration.waits import wait_for
 
 SMALL = {
     "zones": ["z1", "z2"],
@@ -15,17 +15,6 @@
 }
 
 
-def wait_for(check, timeout_s=15, every_s=0.05):
-    """Wait until ``check()`` is true; its value, or fail the test at the bound."""
-    deadline = time.monotonic() + timeout_s
-    while time.monotonic() < deadline:
-        value = check()
-        if value:
-            return value
-        time.sleep(every_s)
-    raise AssertionError(f"not true within {timeout_s} s: {check}")
-
-
 def members_seen(port):
     return client.get(port, "/v1/status")["members"]
 
@@ -49,6 +38,4 @@
 @pytest.fixture(scope="module")
 def platform(tmp_path_factory):
     """An entry and a control on the platform's calls, with two servers."""
-    from tests.integration import platform_lab
-
     yield from platform_lab.run(tmp_path_factory.mktemp("platform"))
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -15,7 +15,7 @@
 import attrs
 
 from dunlinpoint.lab import deploy
-from tests.integration.conftest import wait_for
+from tests.integration.waits import wait_for
 
 HOST = "plan.example"
 ATTEMPT = "X-Dunlinpoint-Attempt-Id"
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -3,7 +3,7 @@
 import signal
 
 from dunlinpoint.lab import client
-from tests.integration.conftest import wait_for
+from tests.integration.waits import wait_for
 
 
 def runs(deployment, key):
--- a/tests/integration/test_config.py
+++ b/tests/integration/test_config.py
@@ -7,7 +7,7 @@
 
 from dunlinpoint.config import document as config
 from dunlinpoint.lab import client
-from tests.integration.conftest import wait_for
+from tests.integration.waits import wait_for
 
 IN_FORCE_BOUND_S = 5
 
--- a/tests/integration/test_control_faults.py
+++ b/tests/integration/test_control_faults.py
@@ -9,7 +9,8 @@
 import pytest
 
 from dunlinpoint.lab import client, deploy
-from tests.integration.conftest import members_seen, wait_for
+from tests.integration.conftest import members_seen
+from tests.integration.waits import wait_for
 
 PROFILE = {
     "zones": ["z1", "z2"],
--- a/tests/integration/test_explain.py
+++ b/tests/integration/test_explain.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.integration.conftest import wait_for
 from tests.integration.platform_lab import ask
+from tests.integration.waits import wait_for
 
 FAILURES = [
     # kind of server, route, status, the lines that must tell the cause
--- a/tests/integration/test_faults.py
+++ b/tests/integration/test_faults.py
@@ -8,7 +8,8 @@
 
 from dunlinpoint.lab import client, deploy
 from dunlinpoint.routing import owners
-from tests.integration.conftest import members_seen, wait_for
+from tests.integration.conftest import members_seen
+from tests.integration.waits import wait_for
 
 PROXIED = {
     "zones": ["z1", "z2"],
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -9,7 +9,7 @@
 
 from dunlinpoint.config import document as config
 from dunlinpoint.lab import client
-from tests.integration.conftest import wait_for
+from tests.integration.waits import wait_for
 
 
 def ctl(deployment, *argv):
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -49,7 +49,7 @@
     # orders a new map while steps run, under load. Cause guarded against:
     # a map taking effect at a rank mid-step instead of at a step boundary
     # for all ranks.
-    from tests.integration.conftest import wait_for
+    from tests.integration.waits import wait_for
 
     ports = [p for ps in deployment.entries_by_zone.values() for p in ps]
     engines = [
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -4,8 +4,8 @@
 import socket
 import time
 
-from tests.integration.conftest import wait_for
 from tests.integration.platform_lab import ATTEMPT, BIG_BYTES, HOST, ask
+from tests.integration.waits import wait_for
 
 # Longer than the entry takes connections after SIGTERM, shorter than its grace.
 READS_AFTER_S = 3.5
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.integration.conftest import wait_for
 from tests.integration.platform_lab import EVENTS, SIGNATURE, ask, document, event
+from tests.integration.waits import wait_for
 
 
 def test_request_reaches_a_server_with_the_workspace_and_without_the_key(platform):
