--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -37,9 +37,9 @@
 # How far ahead of the group's step the switch is set, in ms of passes: while
 # ranks answer, and while orders go unanswered. A step reached before every
 # rank is armed stands still, and with it every answer of the group.
-AHEAD_MS = 350
+AHEAD_MS = 150
 AHEAD_UNANSWERED_MS = 1500
-LEAST_AHEAD = 5
+LEAST_AHEAD = 2
 POLL_MS = 60
 COPY_TIMEOUT_MS = 4000
 HOLD_TRIES = 3
