A follower has members listed again that it dropped in a cut; room comes back faster

Ruled out: the division over groups (no member of any service was known), the key lease (vouched 0.5 s before). Test: red without the mend.

Room: a limit left by the first map's passes grew by one a turn; it now grows by what passes are shorter than allowed, at most a quarter a turn.

--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -121,3 +121,29 @@
         found.merge(by_name["a"], listed(700, **changed), 30)
         assert found.generation > known
         known = found.generation
+
+
+def test_members_dropped_in_a_cut_are_listed_again():
+    # Symptom: an entry refuses everyone ("no_endpoint") for seconds after a cut
+    # has healed. Sequence: cut off for longer than a lease; control b, whose list
+    # has changed, answers first, and what only a vouches for is dropped; a then
+    # says that its own list is as it was. Cause: an unchanged list renewed what
+    # was still known and did not bring back the rest.
+    clock, found, by_name = follower()
+    listed = shown("a")
+    listed.members = [
+        ttypes.Member(
+            endpoint_id="e", host="h", port=1, kind="service", lease_left_ms=900
+        )
+    ]
+    found.merge(by_name["a"], listed, 10)
+    assert [m.endpoint_id for m in found.live("service")] == ["e"]
+    clock.advance(5)
+    found.merge(by_name["b"], shown("b"), 5_000)
+    assert found.live("service") == []
+    as_it_was = shown("a")
+    as_it_was.unchanged = True
+    found.merge(by_name["a"], as_it_was, 5_010)
+    assert by_name["a"].revision == view.NO_REVISION
+    found.merge(by_name["a"], listed, 5_060)
+    assert [m.endpoint_id for m in found.live("service")] == ["e"]
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -36,6 +36,8 @@
 # taken in batches.
 PAUSE_MS = 50
 RETRY_MS = 300
+# The revision of no list: whoever is asked with it lists all members.
+NO_REVISION = 0
 # How often it is looked whose lease has run out.
 FORGET_MS = 50
 # How often it is looked whether other controls are to be followed.
@@ -110,10 +112,7 @@
         if shown.places and (shown.zone == self.zone or self.places == 1):
             self.place, self.places = shown.place, shown.places
         if shown.unchanged:
-            for endpoint_id in follow.member_ids:
-                seen = self.by_id.get(endpoint_id)
-                if seen is not None:
-                    seen.expires_ms = now + shown.lease_ms
+            self._renew(follow, now + shown.lease_ms)
         else:
             follow.revision = shown.revision
             follow.member_ids = [m.endpoint_id for m in shown.members]
@@ -131,6 +130,21 @@
         if shown.settled:
             follow.vouched_ms = asked_ms
 
+    def _renew(self, follow, expires_ms):
+        """All that *follow* listed is as it was.
+
+        Members of its list that were dropped meanwhile must be listed again. After
+        a cut, the first control to answer has those dropped that only others vouch
+        for; one of these whose list had not changed then said so, and an entry went
+        on without any endpoint for as long as nothing changed (17 s seen).
+        """
+        for endpoint_id in follow.member_ids:
+            seen = self.by_id.get(endpoint_id)
+            if seen is not None:
+                seen.expires_ms = expires_ms
+            else:
+                follow.revision = NO_REVISION
+
     def _enforce(self, document):
         """Put a newer *document* in force, and follow its voters."""
         changed = document.version != self.document.version
--- a/dunlinpoint/routing/pace.py
+++ b/dunlinpoint/routing/pace.py
@@ -22,6 +22,11 @@
 HIGH = 0.87
 LOW = 0.72
 SHRINK = 0.8
+# While passes are far shorter than allowed, the limit grows by as much, at most to
+# this many times itself a turn: after an outage it is what the first map's passes
+# left of it, and one more a turn refused callers for seconds at pauses of half the
+# allowed.
+GROWTH = 1.25
 # An entry always lets in so many: with fewer, nothing shows when a group is
 # fast again.
 LEAST_LIMIT = 3.0
@@ -69,7 +74,8 @@
             self.limit = max(LEAST_LIMIT, lower)
         elif self.limit is not None and pause_ms < LOW * self.allowed_ms:
             if self.in_flight >= self.limit - 1:
-                self.limit += 1
+                room = min(GROWTH, LOW * self.allowed_ms / max(1, pause_ms))
+                self.limit = max(self.limit + 1, self.limit * room)
 
     def has_room(self, returned=False):
         """Whether one more stream may begin, of a caller that has *returned*."""
--- a/dunlinpoint/routing/tests/test_pace.py
+++ b/dunlinpoint/routing/tests/test_pace.py
@@ -58,6 +58,19 @@
     assert found.has_room()
 
 
+def test_room_comes_back_fast_where_passes_are_short():
+    # Pattern: everyone returns after an outage. Symptom: refused for want of room
+    # at pauses of half the allowed. Cause: a limit of 17 that grew by one a turn.
+    found = paced(20)
+    found.limit = 16.6
+    see(found, 55, turns=3)
+    assert found.limit > 16.6 * 1.5
+    careful = paced(20)
+    careful.limit = 16.6
+    see(careful, 84, turns=3)
+    assert careful.limit < 16.6 + 4
+
+
 def test_a_group_that_stood_is_no_slow_one():
     # Symptom: after an outage, entries refuse what the group could serve.
     # Sequence: the group stands for 3 s; each stream sees one pause of 3 s.
