--- a/dunlinpoint/experts/placement.py
+++ b/dunlinpoint/experts/placement.py
@@ -38,44 +38,33 @@
 
     *places* is how many experts of a set a rank holds, *spare* how many that
     are new to it of one set, and *new* how many over all sets, in one change.
-    *paces* is by rank how many times longer its work takes than that of a
-    rank in order; ``None`` if all are.
     """
 
     places: int
     spare: int
     new: int
-    paces: list | None = None
 
-    def pace(self, rank):
-        """How many times longer work takes at *rank*."""
-        return 1.0 if self.paces is None else self.paces[rank]
 
-
-def set_loads(holders, counts, paces=None):
+def set_loads(holders, counts):
     """Load by rank of one set, from *counts* by expert."""
     copies = [0] * len(counts)
     for held in holders:
         for expert in held:
             copies[expert] += 1
-    loads = [sum(counts[e] / copies[e] for e in held) for held in holders]
-    if paces is None:
-        return loads
-    return [load * pace for load, pace in zip(loads, paces, strict=True)]
+    return [sum(counts[e] / copies[e] for e in held) for held in holders]
 
 
-def step_load(mapping, counts, paces=None):
+def step_load(mapping, counts):
     """The sum over sets of the highest load; *counts* by set and expert."""
     return sum(
-        max(set_loads(holders, chosen, paces))
+        max(set_loads(holders, chosen))
         for holders, chosen in zip(mapping, counts, strict=True)
     )
 
 
-def even_load(counts, ranks, paces=None):
+def even_load(counts, ranks):
     """What :func:`step_load` would be if every rank had the same load."""
-    speed = ranks if paces is None else sum(1 / pace for pace in paces)
-    return sum(sum(chosen) / speed for chosen in counts)
+    return sum(sum(chosen) / ranks for chosen in counts)
 
 
 def moved(old, new):
@@ -146,7 +135,7 @@
             room=room,
             before=[set(held) for held in holders],
             copies=copies,
-            load=set_loads(holders, counts, room.paces),
+            load=set_loads(holders, counts),
             new_by_rank=new_by_rank,
         )
 
@@ -184,13 +173,12 @@
                 if drop is None:
                     continue
                 freed = self.share(drop)
-            top_pace, to_pace = self.room.pace(top), self.room.pace(to)
             whole, shared = count / copies, count / (copies + 1)
-            top_after = self.load[top] - (whole - shared) * top_pace
-            to_after = self.load[to] + (shared - freed) * to_pace
+            top_after = self.load[top] - (whole - shared)
+            to_after = self.load[to] + shared - freed
             yield Change(max(top_after, to_after), expert, top, to, drop, leaves=False)
-            top_after = self.load[top] - whole * top_pace
-            to_after = self.load[to] + (whole - freed) * to_pace
+            top_after = self.load[top] - whole
+            to_after = self.load[to] + whole - freed
             yield Change(max(top_after, to_after), expert, top, to, drop, leaves=True)
             return
 
@@ -218,7 +206,7 @@
             self.holders[change.top].discard(change.expert)
         else:
             self.copies[change.expert] += 1
-        self.load = set_loads(self.holders, self.counts, self.room.paces)
+        self.load = set_loads(self.holders, self.counts)
 
 
 def improve(mapping, counts, room):
--- a/dunlinpoint/experts/tests/test_placement.py
+++ b/dunlinpoint/experts/tests/test_placement.py
@@ -41,19 +41,6 @@
     assert placement.step_load(new, counts) < 0.35 * placement.step_load(old, counts)
 
 
-def test_a_slow_rank_gets_less():
-    # Symptom: every step as long as one slow rank takes for an even share.
-    # Sequence: one of four ranks takes four times as long as the others.
-    counts = [[1.0] * 16]
-    paces = [4.0, 1.0, 1.0, 1.0]
-    old = placement.in_turn(1, 16, 4)
-    room = placement.Room(places=8, spare=4, new=4, paces=paces)
-    new = placement.improve(old, counts, room)
-    load = placement.step_load(new, counts, paces)
-    assert load < 0.45 * placement.step_load(old, counts, paces)
-    assert load >= placement.even_load(counts, 4, paces)
-
-
 def test_what_saves_most_is_copied_first():
     # Two sets, room to copy one expert at each rank: the set in which one
     # expert is hot gets the copies, not the one that is nearly even.
