Streams of a group that was forgotten meanwhile do not count below none

Found by reading. Cause: a group whose endpoints are unknown for a moment loses its count of streams; when these end, a new count began at less than none.

--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -61,7 +61,7 @@
     if groups is None or call.group == group:
         return
     if call.group is not None:
-        groups.pace(call.group).ended()
+        groups.left(call.group)
     if group is not None:
         groups.pace(group).began()
     call.group = group
--- a/dunlinpoint/routing/groups.py
+++ b/dunlinpoint/routing/groups.py
@@ -95,6 +95,16 @@
         weights = [self.share_by_group.get(g, LEAST_SHARE) for g in open_to]
         return rng.choices(open_to, weights)[0]
 
+    def left(self, group):
+        """A stream of *group* is over.
+
+        The group may have been forgotten meanwhile: counted in a new ``Pace``, its
+        streams would leave that with fewer than none in flight, and let in too
+        many when the group is back.
+        """
+        if group in self.pace_by_group:
+            self.pace_by_group[group].ended()
+
     def saw(self, group, pause_ms, now):
         """A stream of *group* had its next event after *pause_ms*."""
         self.pace(group).saw(pause_ms, now)
--- a/dunlinpoint/routing/tests/test_groups.py
+++ b/dunlinpoint/routing/tests/test_groups.py
@@ -71,3 +71,17 @@
     found.learn({"g1": 24, "g2": 24}, {"g2": 24})
     assert set(found.share_by_group) == {"g1", "g2"}
     assert abs(sum(found.share_by_group.values()) - 1) < 0.01
+
+
+def test_streams_of_a_forgotten_group_leave_nothing_behind():
+    # Symptom: after a cut, an entry lets in more streams than passes have room
+    # for. Sequence: a group's endpoints are unknown for a moment while streams of
+    # it are in flight; they end; the group is back. Cause: they were taken off the
+    # count of a group that had just begun at none.
+    found = groups.Groups(120)
+    found.learn({"g1": 24}, {"g1": 24})
+    found.pace("g1").began()
+    found.learn({}, {})
+    found.left("g1")
+    found.learn({"g1": 24}, {"g1": 24})
+    assert found.pace("g1").in_flight == 0
