--- a/tests/integration/test_control_faults.py
+++ b/tests/integration/test_control_faults.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from dunlinpoint.lab import client, deploy
-from tests.integration.conftest import members_seen
+from dunlinpoint.lab import client
+from tests.integration import deployments
 from tests.integration.waits import wait_for
 
 PROFILE = {
@@ -24,18 +24,8 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    folder = str(tmp_path_factory.mktemp("control-faults"))
-    running = deploy.Deployment.from_profile(PROFILE, folder)
-    running.start()
-    try:
-        for ports in running.entries_by_zone.values():
-            for port in ports:
-                wait_for(lambda port=port: members_seen(port) >= 4)
-        yield running
-    finally:
-        for process in running.by_name.values():
-            process.signal(signal.SIGCONT)
-        running.stop_all()
+    with deployments.running(PROFILE, tmp_path_factory.mktemp("faults")) as found:
+        yield found
 
 
 def controls_flag(deployment):
--- a/tests/integration/test_faults.py
+++ b/tests/integration/test_faults.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from dunlinpoint.lab import client, deploy
+from dunlinpoint.lab import client
 from dunlinpoint.routing import owners
-from tests.integration.conftest import members_seen
+from tests.integration import deployments
 from tests.integration.waits import wait_for
 
 PROXIED = {
@@ -29,17 +29,8 @@
 
 @pytest.fixture(scope="module")
 def proxied(tmp_path_factory):
-    folder = str(tmp_path_factory.mktemp("proxied"))
-    running = deploy.Deployment.from_profile(PROXIED, folder)
-    running.start()
-    agents = len(running.steer_by_agent)
-    try:
-        for ports in running.entries_by_zone.values():
-            for port in ports:
-                wait_for(lambda port=port: members_seen(port) >= agents)
-        yield running
-    finally:
-        running.stop_all()
+    with deployments.running(PROXIED, tmp_path_factory.mktemp("proxied")) as found:
+        yield found
 
 
 @pytest.fixture
--- a/tests/integration/test_signals.py
+++ b/tests/integration/test_signals.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.integration.conftest import members_seen
+from tests.integration import deployments
 
 
 @pytest.mark.parametrize("name", ["entry-z1-0", "control-0", "agent-engine-z1-0"])
@@ -18,7 +18,7 @@
     process = deployment.by_name[name]
     process.signal(signal.SIGHUP)
     port = deployment.entries_by_zone["z1"][0]
-    assert members_seen(port) >= 1
+    assert deployments.members_seen(port) >= 1
     assert process.wait(0.5) is None
 
 
