A lead arms ranks only while it has seen the hold a moment ago; deputies wait 600 ms again

With a patience of 350 ms and readings that waited 900 ms for a rank out of reach that is no rare meeting; the gap was there before, at 600 ms. Now: no order to arm unless the holder answered a question asked at most 400 ms ago, given up as soon as the holder is not seen; readings in a switch wait 250 ms at most; a deputy waits 600 ms. Ruled out: copies of orders (late ones are refused as their step has begun). Tests, red before (6): a lead taken for dead that still arms, at seven offsets; a lead that froze between seeing and arming.

--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -40,14 +40,15 @@
 # long, with most streams late.
 BROKEN_TURN_MS = 150
 LINK_TIMEOUT_MS = 900
-# A deputy does not wait long for the lead that it takes for dead.
-DEPUTY_TIMEOUT_MS = 250
+# How long ranks are waited for while a map is switched, by the lead and by the
+# deputy: one that is out of reach must not keep the others waiting.
+STATE_TIMEOUT_MS = 250
 # The rank whose agent watches the lead, and how long the lead may be silent. A
-# lead reads every 100 ms, and while it switches and orders get lost, every 250 ms
-# or sooner; a lead killed right after its hold left the group standing for 0.75 s
-# with a patience of 600 ms.
+# lead reads every 100 ms, and every 400 ms or sooner while it switches and orders
+# get lost. With 350 ms a lead that was merely slow was taken for dead, and armed
+# ranks beside its deputy.
 DEPUTY = 1
-PATIENCE_MS = 350
+PATIENCE_MS = 600
 # Orders that the lead gives to the engines itself, not through their agents:
 # a machine that froze while it passed on the order to hold the group would
 # take the hold with it, out of the deputy's reach.
@@ -173,7 +174,7 @@
     def read(self, group, counts=False, experts=False, leading=True):
         """``RankState`` by rank of those that answer."""
         members = self.agents(group)
-        timeout_ms = LINK_TIMEOUT_MS if leading else DEPUTY_TIMEOUT_MS
+        timeout_ms = LINK_TIMEOUT_MS if counts or experts else STATE_TIMEOUT_MS
         calls = [
             self.link(m).call("state", counts, experts, leading, timeout_ms=timeout_ms)
             for m in members
@@ -225,7 +226,9 @@
         def states():
             return self.read(name, leading=leading)
 
-        return switch.Group(size, states, order, pause, self.orders_get_lost)
+        return switch.Group(
+            size, states, order, pause, self.orders_get_lost, self.clock.now
+        )
 
     def orders_get_lost(self):
         """Whether an order went unanswered lately."""
--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -47,6 +47,10 @@
 POLL_MS = 60
 COPY_TIMEOUT_MS = 4000
 HOLD_TRIES = 3
+# How long ago the holder may have been seen when ranks are armed: well below the
+# time after which a deputy takes a silent lead for dead (600 ms), less that of an
+# order on its way.
+SEEN_MS = 400
 LEAD = 0
 
 
@@ -74,7 +78,8 @@
     ``states()`` gives a Deferred of ``RankState`` by rank, ``None`` where a
     rank did not answer; ``order(rank, dict)`` one of an HTTP status or 0;
     ``pause(ms)`` one that fires later. ``orders_get_lost()`` tells whether orders
-    went unanswered lately.
+    went unanswered lately, ``now()`` the time in ms, and ``seen_ms`` is when the
+    holder was last asked and answered.
     """
 
     size: int
@@ -82,6 +87,8 @@
     order: object
     pause: object
     orders_get_lost: object = lambda: False
+    now: object = lambda: 0
+    seen_ms: int | None = None
 
     @property
     def holder(self):
@@ -93,6 +100,26 @@
         """Every rank but the lead's."""
         return [rank for rank in range(self.size) if rank != LEAD]
 
+    @defer.inlineCallbacks
+    def see(self):
+        """The ranks' states; notes when the holder was asked, if it answered."""
+        asked_ms = self.now()
+        states = yield self.states()
+        if states.get(self.holder) is not None:
+            self.seen_ms = asked_ms
+        return states
+
+    def check_seen(self):
+        """Raise ``SwitchError`` unless the holder answered a moment ago.
+
+        A lead that froze, or waited long for another rank, may have been taken for
+        dead. What it arms then meets a deputy that has seen no rank armed and is
+        about to lift the hold: the step begins with some ranks armed, and mixes
+        two maps.
+        """
+        if self.seen_ms is None or self.now() - self.seen_ms > SEEN_MS:
+            raise SwitchError("the holder was not seen lately")
+
     @defer.inlineCallbacks
     def order_all(self, order, ranks=None):
         """Statuses by rank of *order* at every one of *ranks*."""
@@ -160,7 +187,7 @@
     order = {"operation": "retention", "step": step, "epoch": plan.epoch}
     for _ in range(HOLD_TRIES):
         yield group.order(holder, order)
-        states = live((yield group.states()), plan.epoch)
+        states = live((yield group.see()), plan.epoch)
         if holder in states and states[holder].held == step:
             return
         if holder in states and states[holder].step >= step:
@@ -176,11 +203,13 @@
     order = {"operation": "arm", "version": version, "step": step, "epoch": epoch}
     pending = set(ranks)
     while pending:
+        group.check_seen()
         by_rank = yield group.order_all(order, sorted(pending))
-        states = live((yield group.states()), epoch)
+        states = live((yield group.see()), epoch)
         if group.holder not in states:
-            yield group.pause(POLL_MS)
-            continue
+            # The deputy may lift the hold at any moment. Whatever is armed is
+            # its to disarm, or the lead's next turn's once it sees it again.
+            raise SwitchError("the holder is out of reach")
         if states[group.holder].held != step:
             # A deputy took the lead for dead and lifted the hold.
             raise SwitchError("the hold was lifted")
--- a/dunlinpoint/experts/tests/test_switch.py
+++ b/dunlinpoint/experts/tests/test_switch.py
@@ -10,6 +10,7 @@
 import pytest
 from twisted.internet import defer, task
 
+from dunlinpoint.experts import lead as leads
 from dunlinpoint.experts import switch
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -254,3 +255,62 @@
     assert switch.best([409, 202, 0]) == 202
     assert switch.best([0, 409, 0]) == 409
     assert switch.best([0, 0, 0]) == 0
+
+
+def later(ranks, ms, action):
+    """A Deferred of what *action* returns *ms* from now."""
+    return task.deferLater(ranks.clock, ms / 1000, action)
+
+
+@pytest.mark.parametrize("offset_ms", range(0, 70, 10))
+def test_a_lead_taken_for_dead_arms_nobody(offset_ms):
+    # Symptom: a step with two maps. Sequence: a lead that is slow holds the group;
+    # its deputy takes it for dead, answers it no more, sees nobody armed, and sends
+    # the order to go on; the lead, which does not see the holder, goes on arming
+    # the others; some are armed as the step begins. Cause: arming without having
+    # seen the hold a moment ago.
+    ranks = started()
+    fenced = []
+    lead = ranks.group()
+    lead.now = lambda: round(ranks.clock.seconds() * 1000)
+
+    def states():
+        seen = ranks.states().result
+        if fenced:
+            seen.pop(lead.holder)
+        return later(ranks, 5, lambda: seen)
+
+    def order(number, body):
+        # What it arms gets through from the moment in which it is fenced.
+        if body["operation"] == "arm" and not fenced:
+            return defer.succeed(0)
+        return ranks.order(number, body)
+
+    lead.states, lead.order = states, order
+    begin(ranks, group=lead)
+    ranks.advance(250 + offset_ms)
+    fenced.append(True)
+    deputy = ranks.group()
+    deputy.order = lambda number, body: later(
+        ranks, 20, lambda: ranks.order(number, body).result
+    )
+    ranks.advance(leads.PATIENCE_MS)
+    switch.resolve(deputy, ranks.states().result, EPOCH)
+    ranks.advance(3000)
+    assert not ranks.mixed
+
+
+def test_a_lead_that_froze_does_not_arm_by_what_it_saw_before():
+    # Symptom and cause as above. Sequence: the lead sees the hold, freezes for a
+    # second, and wakes with its orders to arm next.
+    ranks = started()
+    lead = ranks.group()
+    now = []
+    lead.now = lambda: now[-1]
+    now.append(1000)
+    lead.see()
+    now.append(1000 + switch.SEEN_MS + 1)
+    ended = []
+    switch.arm(lead, lead.others, 7, 40, EPOCH).addBoth(ended.append)
+    assert ended[0].check(switch.SwitchError)
+    assert not any(kind == "arm" for _, kind in ranks.orders)
