Time counts while a machine is suspended

Found by reading what a lead's last sight of the hold is measured by. Cause: the monotonic clock stands still while a machine is suspended, so leases look fresh on waking: a key taken away meanwhile would work, and a lead would arm by what it saw before. The boot-time clock counts it. Ruled out: the time of day (it steps).

--- a/dunlinpoint/clock.py
+++ b/dunlinpoint/clock.py
@@ -12,15 +12,23 @@
 MS_PER_SECOND = 1000
 
 
+def since_boot():
+    """Seconds since the machine started, suspended ones counted (``float``)."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def steady(reactor):
     """Have *reactor* count time by the steady clock.
 
     By default it counts by the time of day. When an operator or a time
     service sets that back by some minutes, every timer waits for so much
     longer: heartbeats and polls stop, and requests pass their deadlines
-    unanswered; set forward, every lease ends at once.
+    unanswered; set forward, every lease ends at once. The monotonic clock stands
+    still while a machine is suspended: an entry that slept through the removal
+    of a key woke with a lease that had hardly aged, and a lead with a view of its
+    ranks that looked fresh. The boot-time clock counts both.
     """
-    reactor.seconds = time.monotonic
+    reactor.seconds = since_boot
 
 
 @attrs.define
--- a/dunlinpoint/tests/test_clock.py
+++ b/dunlinpoint/tests/test_clock.py
@@ -21,3 +21,21 @@
     assert before <= clock.Clock(reactor).now() < before + 1000
     assert abs(fired.getTime() - time.monotonic() - 1) < 1
     fired.cancel()
+
+
+def test_a_suspended_machine_wakes_with_its_leases_aged(monkeypatch):
+    # Symptom: a key that was taken away works for a moment. Sequence: an entry's
+    # machine is suspended for ten seconds, the key is taken away meanwhile, and
+    # requests that waited in its sockets are served on waking. Cause: the
+    # monotonic clock stood still, and the document looked vouched for.
+    monkeypatch.setattr(reactor, "seconds", reactor.seconds)
+    clock.steady(reactor)
+    before = clock.Clock(reactor).now()
+    slept_s, true_time = 10, time.clock_gettime
+
+    def since_wake(which):
+        slept = slept_s if which == time.CLOCK_BOOTTIME else 0
+        return true_time(which) + slept
+
+    monkeypatch.setattr(time, "clock_gettime", since_wake)
+    assert clock.Clock(reactor).now() >= before + slept_s * clock.MS_PER_SECOND
