--- a/dunlinpoint/experts/tests/test_switch.py
+++ b/dunlinpoint/experts/tests/test_switch.py
@@ -314,3 +314,26 @@
     switch.arm(lead, lead.others, 7, 40, EPOCH).addBoth(ended.append)
     assert ended[0].check(switch.SwitchError)
     assert not any(kind == "arm" for _, kind in ranks.orders)
+
+
+def test_one_order_that_is_not_answered_holds_nobody_up():
+    # Symptom: on a quiet day every stream in flight has one long pause. Sequence:
+    # one of a dozen orders to arm is not answered in time (150 ms) and given again;
+    # the group has come to the step meanwhile. Cause: the switch was set only two
+    # passes ahead.
+    ranks = started()
+    group = ranks.group()
+    lost = []
+
+    def order(number, body):
+        if body["operation"] == "arm" and not lost:
+            lost.append(number)
+            return later(ranks, 150, lambda: 0)
+        return ranks.order(number, body)
+
+    group.order = order
+    before = ranks.step
+    begin(ranks, group=group)
+    ranks.advance(1500)
+    assert lost and {rank.map_version for rank in ranks.by_rank} == {7}
+    assert 1500 // PASS_MS - (ranks.step - before) <= 1
