An endpoint may start again under its id; heartbeats of other writers name nothing

Views merged what controls say by counts alone. A number for a zone, or a name that no encoder takes, passed the adapter and spoilt every list with it in.

Change: the start (born) travels through heartbeat, membership and views; one order of all that is said (membership.age), one name of a life (pick.life) for records, idle connections and endpoints tried; counts of another epoch are no demand. A leave that names no start ends those up to now. The decoder is total: a sound heartbeat or one typed error, a counter and a bounded line. A heartbeat under a live id with another address or service is refused.

--- a/dunlinpoint/clock.py
+++ b/dunlinpoint/clock.py
@@ -49,3 +49,8 @@
 def seconds(ms):
     """Milliseconds as float seconds, for the few library calls that want them."""
     return ms / MS_PER_SECOND
+
+
+def unix_ms():
+    """The time of day (``int``, Unix ms), which may jump: orders, never times."""
+    return int(time.time() * MS_PER_SECOND)
--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -5,8 +5,13 @@
 every change that routing must hear of at once (joined, moved, draining,
 left, lease ran out), so a follower that holds a revision need not be sent
 the list again; a renewal or a new load figure does not change it.
+
+An endpoint may start again under the id that it had. Its *incarnation* (Unix ms
+of its start, 0 where it tells none) says which start something is about; what
+an earlier start said late is older than anything of a later one (:func:`age`).
 """
 
+import copy
 import random
 
 import attrs
@@ -37,12 +42,34 @@
 def routed(beat):
     """What of a heartbeat routing depends on."""
     place = beat.host, beat.port, beat.slots, beat.service_name
-    return *place, beat.draining, beat.gone, beat.epoch, beat.broken
+    standing = beat.draining, beat.gone, beat.epoch, beat.broken
+    return *place, *standing, beat.incarnation or 0
+
+
+def is_foreign(beat, known):
+    """Whether *beat* cannot be of the endpoint that sent *known*.
+
+    One start of an endpoint of a service keeps its service and its address. A
+    heartbeat with the id of a live endpoint and another body would send that one's
+    requests elsewhere.
+    """
+    if known.gone or not known.service_name or beat.incarnation != known.incarnation:
+        return False
+    return place(beat) != place(known)
+
 
+def place(beat):
+    """Where an endpoint is, and what it serves."""
+    return beat.kind, beat.service_name, beat.zone, beat.host, beat.port
 
-def age(beat):
-    """What orders the heartbeats of one endpoint; a left one is the newest."""
-    return beat.incarnation, bool(beat.gone), beat.sequence or 0
+
+def age(said):
+    """What orders all that is said of one endpoint, in a heartbeat or a member list.
+
+    A later start comes first, whatever its counts are; of one start, that it left
+    is the newest there is.
+    """
+    return said.incarnation or 0, bool(said.gone), said.sequence or 0
 
 
 @attrs.define
@@ -62,7 +89,7 @@
         """
         lease = self.by_id.get(beat.endpoint_id)
         if lease is not None:
-            if age(beat) < age(lease.beat):
+            if age(beat) < age(lease.beat) or is_foreign(beat, lease.beat):
                 return False
         keep_ms = LEFT_MEMORY_MS if beat.gone else self.lease_ms
         self.by_id[beat.endpoint_id] = Lease(beat, now + keep_ms)
@@ -70,13 +97,24 @@
         self.revision += changed
         return changed
 
-    def leave(self, endpoint_id, now):
-        """The endpoint says it has left; ``True`` when that is news."""
+    def leave(self, endpoint_id, now, incarnation=None, wall_ms=0):
+        """The endpoint says it has left; ``True`` when that is news.
+
+        Without the *incarnation* that leaves, it is the one that is known here. A
+        control that knows none takes every start up to *wall_ms* (Unix ms): the
+        other controls may know one, and must not be the newer for it.
+        """
         lease = self.by_id.get(endpoint_id)
-        if lease is None:
-            beat = ttypes.Heartbeat(endpoint_id=endpoint_id, incarnation=0)
+        if lease is not None:
+            beat = copy.copy(lease.beat)
+            if incarnation is not None and incarnation != beat.incarnation:
+                if incarnation < (beat.incarnation or 0):
+                    return False
+                beat.incarnation = incarnation
+                beat.gone = False
         else:
-            beat = lease.beat
+            ended = wall_ms if incarnation is None else incarnation
+            beat = ttypes.Heartbeat(endpoint_id=endpoint_id, incarnation=ended)
         if beat.gone:
             return False
         beat.gone = True
@@ -113,6 +151,7 @@
                 engine=b.engine,
                 epoch=b.epoch,
                 broken=b.broken,
+                incarnation=b.incarnation,
             )
             for lease in self.by_id.values()
             if lease.expires_ms > now
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -128,13 +128,15 @@
                 zone=beat.zone,
                 draining=bool(beat.draining),
                 sequence=beat.sequence,
+                incarnation=beat.incarnation,
             )
             self.changed()
 
-    def leave(self, endpoint_id):
-        """An endpoint says it has left for good."""
-        if self.membership.leave(endpoint_id, self.clock.now()):
-            log.info("left", endpoint_id=endpoint_id)
+    def leave(self, endpoint_id, incarnation=None):
+        """An endpoint says that it, or the start *incarnation* of it, has left."""
+        now, wall_ms = self.clock.now(), clock.unix_ms()
+        if self.membership.leave(endpoint_id, now, incarnation, wall_ms):
+            log.info("left", endpoint_id=endpoint_id, incarnation=incarnation)
             self.changed()
 
     def wake(self, waiter):
--- a/dunlinpoint/control/tests/test_membership.py
+++ b/dunlinpoint/control/tests/test_membership.py
@@ -62,3 +62,50 @@
     assert members.revision == before
     members.renew(beat(3, draining=True), 20)
     assert members.revision > before
+
+
+def test_an_endpoint_that_starts_again_is_a_member_at_once():
+    # Symptom: a restarted endpoint gets no work until its earlier life's lease has
+    # run out. Sequence: heartbeats 1 to 40 of one start, a crash, heartbeat 1 of the
+    # next. Cause: heartbeats ordered by their counts alone, which start anew.
+    members = membership.Membership()
+    members.renew(beat(40, incarnation=1000), 0)
+    assert members.renew(beat(1, incarnation=2000, port=2), 10)
+    assert only(members).port == 2
+
+
+def test_an_endpoint_that_left_and_starts_again_is_a_member():
+    # Symptom: a replaced endpoint gets no work for two minutes. Sequence: it leaves,
+    # which is remembered against late heartbeats, and starts again under its id.
+    # Cause: whatever bore the id was taken for a late heartbeat.
+    members = membership.Membership()
+    members.renew(beat(40, incarnation=1000), 0)
+    members.leave("e1", 10, 1000)
+    assert members.renew(beat(1, incarnation=2000), 20)
+    assert not only(members, 20).gone
+
+
+def test_what_an_earlier_life_said_late_does_not_touch_the_new_one():
+    # Symptom: a sound endpoint is drained, moved or gone for good. Sequence: it
+    # starts again; then what its earlier life said arrives, held up by a cut:
+    # a heartbeat, "draining", and that it leaves. Cause: as above.
+    members = membership.Membership()
+    members.renew(beat(1, incarnation=2000), 0)
+    assert not members.renew(beat(41, incarnation=1000, port=9), 10)
+    assert not members.renew(beat(42, incarnation=1000, draining=True), 10)
+    assert not members.leave("e1", 10, 1000)
+    member = only(members, 10)
+    assert (member.port, bool(member.draining), bool(member.gone)) == (1, False, False)
+
+
+def test_a_leave_that_names_no_life_ends_those_there_were():
+    # Symptom: requests go to an endpoint that has left. Sequence: it announces itself
+    # at one control and leaves at another, naming no life; a late heartbeat of it
+    # follows. Cause: the leave was recorded for no life, which every life is newer
+    # than. One that starts after it is not meant.
+    members = membership.Membership()
+    assert members.leave("e1", 0, wall_ms=1500)
+    assert not members.renew(beat(6, incarnation=1000), 20)
+    assert only(members, 20).gone
+    assert members.renew(beat(1, incarnation=2000), 30)
+    assert not only(members, 30).gone
--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -102,7 +102,7 @@
         member = entry.picker.pick(members, entry.clock.now(), tried)
         if member is None:
             break
-        tried.add(member.endpoint_id)
+        tried.add(pick.life(member))
         for _ in range(2):
             try:
                 yield entry.link(member).call("start", order)
@@ -112,7 +112,7 @@
                 break
             except errors.NotSent:
                 entry.counters.retried("agent_unreachable")
-                entry.picker.failed(member.endpoint_id, entry.clock.now())
+                entry.picker.failed(pick.life(member), entry.clock.now())
                 break
             except errors.Lost:
                 entry.counters.retried("start_lost")
@@ -153,7 +153,7 @@
                 entry.counters.refused("no_engine")
                 answer = {"request_id": request_id, "outcome": "not_run"}
                 return final(request, 503, answer, RETRY_AFTER_S)
-            entry.picker.began(member.endpoint_id)
+            entry.picker.began(pick.life(member))
             request.setHeader("content-type", "application/x-ndjson")
             request.setHeader("x-request-id", request_id)
             last = yield relay(entry, request, member, request_id)
@@ -171,7 +171,7 @@
             entry.in_flight -= 1
             entry.work.leave(order.workspace)
             if member is not None:
-                entry.picker.ended(member.endpoint_id)
+                entry.picker.ended(pick.life(member))
 
     @web.route("/v1/call/<operation>", methods=["POST"])
     @defer.inlineCallbacks
--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -144,7 +144,7 @@
             found = yield self.engine.state(experts)
             if counts:
                 chosen = yield self.engine.counts()
-                found.counts = window.pack(self.counter.grown(chosen))
+                found.counts = window.pack(self.counter.grown(chosen, found.epoch))
         except RankError as exc:
             raise ttypes.Refused(str(exc), 0) from exc
         return found
--- a/dunlinpoint/experts/tests/test_placement.py
+++ b/dunlinpoint/experts/tests/test_placement.py
@@ -77,3 +77,13 @@
     found = window.unpack(window.pack(counts))
     within = max(counts) / 128
     assert all(c - within <= f <= c for c, f in zip(counts, found, strict=True))
+
+
+def test_a_restart_that_has_grown_past_its_old_counts_is_no_demand():
+    # Symptom: a map is planned for demand that never was. Sequence: a rank restarts
+    # and chooses more often than ever before until it is asked again. Cause: only a
+    # fall of the counts was taken for a restart.
+    counter = window.Counter()
+    counter.grown([100, 0], epoch=1)
+    assert counter.grown([900, 700], epoch=2) == [0, 0]
+    assert counter.grown([910, 705], epoch=2) == [10, 5]
--- a/dunlinpoint/experts/window.py
+++ b/dunlinpoint/experts/window.py
@@ -38,14 +38,19 @@
     """What one rank's counters, which only grow, have grown by."""
 
     last: list | None = None
+    epoch: int | None = None
 
-    def grown(self, counts):
+    def grown(self, counts, epoch=None):
         """The growth since the last call; none at first and after a restart.
 
-        A restarted rank counts from 0: its growth would be taken for demand.
+        A restarted rank counts from 0: its growth would be taken for demand. Where
+        nobody asked for so long that its new counts are past the old ones, only the
+        group's *epoch* tells, which is another whenever a rank was lost.
         """
         last, self.last = self.last, counts
-        if last is None or len(last) != len(counts):
+        same = epoch == self.epoch
+        self.epoch = epoch
+        if last is None or not same or len(last) != len(counts):
             return [0] * len(counts)
         grown = [after - before for after, before in zip(counts, last, strict=True)]
         return [0] * len(counts) if min(grown, default=0) < 0 else grown
--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -147,3 +147,25 @@
     assert by_name["a"].revision == view.NO_REVISION
     found.merge(by_name["a"], listed, 5_060)
     assert [m.endpoint_id for m in found.live("service")] == ["e"]
+
+
+def test_controls_that_know_different_lives_of_an_endpoint():
+    # Symptom: an entry sends nothing to a restarted endpoint, or goes on sending to
+    # the address of its earlier life. Sequence: one control has heard the new start,
+    # the other only the earlier one (draining, or gone), whichever is merged first.
+    # Cause: what controls show was ordered by counts that start anew.
+    def listed(name, **fields):
+        base = {"endpoint_id": "e", "host": "h", "port": 1, "kind": "service"}
+        answer = shown(name)
+        answer.members = [ttypes.Member(lease_left_ms=900, **(base | fields))]
+        return answer
+
+    restarted = {"incarnation": 2000, "sequence": 1, "port": 2}
+    for earlier in ({"gone": True}, {"draining": True}, {}):
+        earlier = {"incarnation": 1000, "sequence": 40} | earlier
+        for first, second in ((earlier, restarted), (restarted, earlier)):
+            _, found, by_name = follower()
+            found.merge(by_name["a"], listed("a", **first), 10)
+            found.merge(by_name["b"], listed("b", **second), 20)
+            (member,) = found.live("service")
+            assert member.port == 2
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -55,14 +55,6 @@
     expires_ms: int
 
 
-def newer(member, known):
-    """Whether *member* is not an older state of the endpoint than *known*."""
-    return (bool(member.gone), member.sequence or 0) >= (
-        bool(known.gone),
-        known.sequence or 0,
-    )
-
-
 def shape(member):
     """What of a member a choice among members depends on."""
     return *membership.routed(member), member.load, member.group, member.engine
@@ -161,7 +153,7 @@
         if seen is None:
             self.by_id[member.endpoint_id] = Seen(member, expires_ms)
             self._changed()
-        elif newer(member, seen.member):
+        elif membership.age(member) >= membership.age(seen.member):
             if shape(member) != shape(seen.member):
                 self._changed()
             seen.member = member
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -21,6 +21,7 @@
 from dunlinpoint import logs
 from dunlinpoint.forward import answers, pool, routes
 from dunlinpoint.forward import guard as guards
+from dunlinpoint.routing import pick
 
 log = logs.logger("entry")
 
@@ -49,7 +50,7 @@
 def one_try(forward, call, member):
     """Send the request to *member*, and log how it ended: the try's state."""
     began_ms = forward.clock.now()
-    call.at_endpoint = forward.picker.record(member.endpoint_id).in_flight
+    call.at_endpoint = forward.picker.record(pick.life(member)).in_flight
     events_before = call.events.count
     state = yield send_to(forward, call, member)
     took_ms = forward.clock.now() - began_ms
@@ -72,8 +73,8 @@
 @defer.inlineCallbacks
 def send_to(forward, call, member):
     """Send the request to *member*: the state of the try."""
-    endpoint_id = member.endpoint_id
-    forward.picker.began(endpoint_id)
+    name = pick.life(member)
+    forward.picker.began(name)
     guard = None
     try:
         connection = yield forward.pool.connect(
@@ -90,20 +91,20 @@
         state = yield exchange(forward, call, member, connection)
     except pool.NotSent:
         forward.counters.retried("endpoint_unreachable")
-        forward.picker.failed(endpoint_id, forward.clock.now())
+        forward.picker.failed(name, forward.clock.now())
         return NOT_RUN
     except pool.Broken:
         call.may_have_run = True
         if not call.over:
-            forward.picker.failed(endpoint_id, forward.clock.now())
+            forward.picker.failed(name, forward.clock.now())
         return BROKEN
     finally:
         call.connection = None
-        forward.picker.ended(endpoint_id)
+        forward.picker.ended(name)
         if guard is not None:
             guard.stop()
     if state == DONE:
-        forward.picker.succeeded(endpoint_id)
+        forward.picker.succeeded(name)
         forward.outages.heard(member)
         note_done(forward, call, member)
     elif state == FAILED:
@@ -211,7 +212,7 @@
     if head.code == 503 and elsewhere and forward.outages.suspect(member, now):
         forward.counters.incr("endpoint.group_stands")
     else:
-        forward.picker.failed(member.endpoint_id, now)
+        forward.picker.failed(pick.life(member), now)
 
 
 def closing(connection, why):
@@ -240,7 +241,7 @@
     def on_data(data):
         nonlocal last_ms
         now = forward.clock.now()
-        forward.picker.heard(member.endpoint_id, now)
+        forward.picker.heard(pick.life(member), now)
         forward.outages.heard(member)
         out = call.events.feed(data)
         if not out or call.over:
--- a/dunlinpoint/forward/guard.py
+++ b/dunlinpoint/forward/guard.py
@@ -36,7 +36,7 @@
         """Look further if only this endpoint is silent."""
         members = self.forward.members(self.call.service)
         now = self.forward.clock.now()
-        if not self.forward.picker.is_gone(self.member.endpoint_id, members, now):
+        if not self.forward.picker.is_gone(pick.life(self.member), members, now):
             self.check_again(GUARD_MS)
         elif self.connection.used_before:
             self.give_up("silent_connection")
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -24,6 +24,7 @@
 from zope.interface import implementer
 
 from dunlinpoint import clock
+from dunlinpoint.routing import pick
 
 CONNECT_TIMEOUT_MS = 400
 IDLE_MS = 2000
@@ -140,11 +141,15 @@
 
 @attrs.define
 class Pool:
-    """Idle connections by endpoint id, and how many were opened."""
+    """Idle connections by an endpoint's life, and how many were opened.
+
+    One to an earlier start of an endpoint leads nowhere, and what is sent on it may
+    have run or not.
+    """
 
     reactor: object
     clock: clock.Clock
-    idle_by_id: dict = attrs.field(factory=dict)
+    idle_by_life: dict = attrs.field(factory=dict)
     opened: int = 0
 
     @classmethod
@@ -152,8 +157,8 @@
         """An empty pool on *reactor*."""
         return cls(reactor, clock.Clock(reactor))
 
-    def _idle(self, endpoint_id, limit_ms):
-        idle = self.idle_by_id.get(endpoint_id, [])
+    def _idle(self, name, limit_ms):
+        idle = self.idle_by_life.get(name, [])
         now = self.clock.now()
         while idle:
             connection = idle.pop()
@@ -166,7 +171,7 @@
     def connect(self, member, repeatable):
         """A connection to *member*, idle or new; raises ``NotSent``."""
         limit_ms = IDLE_MS * 4 if repeatable else FRESH_MS
-        connection = self._idle(member.endpoint_id, limit_ms)
+        connection = self._idle(pick.life(member), limit_ms)
         if connection is not None:
             connection.used_before = True
             return connection
@@ -179,7 +184,7 @@
             connection = yield self._open(member)
         except NotSent:
             return False
-        self._keep(member.endpoint_id, connection)
+        self._keep(pick.life(member), connection)
         return True
 
     @defer.inlineCallbacks
@@ -193,7 +198,7 @@
         self.opened += 1
 
         def quiescent(connection):
-            self._keep(member.endpoint_id, connection)
+            self._keep(pick.life(member), connection)
 
         try:
             connection = yield endpoints.connectProtocol(
@@ -204,17 +209,17 @@
         connection.transport.setTcpNoDelay(True)
         return connection
 
-    def _keep(self, endpoint_id, connection):
+    def _keep(self, name, connection):
         connection.idle_since_ms = self.clock.now()
-        idle = self.idle_by_id.setdefault(endpoint_id, [])
+        idle = self.idle_by_life.setdefault(name, [])
         idle.append(connection)
         if len(idle) > MAX_IDLE:
             idle.pop(0).close()
 
-    def forget(self, live_ids):
-        """Close the idle connections of endpoints that are gone."""
-        for endpoint_id in [i for i in self.idle_by_id if i not in live_ids]:
-            for connection in self.idle_by_id.pop(endpoint_id):
+    def forget(self, live):
+        """Close the idle connections of lives that are not among *live*."""
+        for name in [n for n in self.idle_by_life if n not in live]:
+            for connection in self.idle_by_life.pop(name):
                 connection.close()
 
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -122,9 +122,9 @@
         }
         # Without this the records and idle connections of every endpoint
         # that there ever was stay in memory until a restart.
-        live_ids = {m.endpoint_id for m in live}
-        self.picker.forget(live_ids)
-        self.pool.forget(live_ids)
+        lives = {pick.life(m) for m in live}
+        self.picker.forget(lives)
+        self.pool.forget(lives)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(rank.KIND)
         for group in self.outages.learn(ranks, addresses, self.clock.now()):
@@ -132,7 +132,7 @@
             for member in live:
                 address = outage.address_of(member)
                 if self.outages.group_by_address.get(address) == group:
-                    self.picker.succeeded(member.endpoint_id)
+                    self.picker.succeeded(pick.life(member))
         self._arrange_groups()
 
     def _arrange_groups(self):
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -4,7 +4,7 @@
 
 from dunlinpoint import logs
 from dunlinpoint.forward import answers, exchange, routes
-from dunlinpoint.routing import outage, pace
+from dunlinpoint.routing import outage, pace, pick
 
 log = logs.logger("entry")
 
@@ -45,7 +45,7 @@
             give_up(forward, call, "no_endpoint" if member is None else "too_late")
             return
         forward.outages.probe(member, now)
-        call.tried.add(member.endpoint_id)
+        call.tried.add(pick.life(member))
         state = yield exchange.one_try(forward, call, member)
         if state == exchange.DONE or call.left:
             return
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -67,6 +67,7 @@
     "kind": "kind of member",
     "draining": "whether it takes no new work",
     "sequence": "number of the heartbeat that said so",
+    "incarnation": "which start of an endpoint, Unix ms; 0 where it tells none",
     "epoch": "epoch of a group",
     "open": "whether a group serves",
     "step": "step of a group",
--- a/dunlinpoint/platform/admin.py
+++ b/dunlinpoint/platform/admin.py
@@ -8,7 +8,7 @@
 from dunlinpoint import logs
 from dunlinpoint.config import document as config
 from dunlinpoint.control import agreement, operators
-from dunlinpoint.platform import dialect, documents
+from dunlinpoint.platform import dialect, documents, fields
 
 log = logs.logger("control")
 
@@ -27,18 +27,32 @@
     web = Klein()
     numbers = operators.Numbers()
 
+    def refuse(request, endpoint_id, error):
+        """Answer a call of an endpoint that no sound writer sends."""
+        state.counters.refused("foreign_heartbeat")
+        log.warning(
+            "foreign_heartbeat",
+            endpoint_id=endpoint_id[: fields.LONGEST_NAME],
+            reason=str(error),
+        )
+        return reply(request, 400, {"error": str(error)})
+
     @web.route(dialect.HEARTBEAT, methods=["POST"])
     def heartbeat(request, endpoint_id):
         try:
             beat = documents.to_heartbeat(endpoint_id, request.content.read())
-        except ValueError as exc:
-            return reply(request, 400, {"error": str(exc)})
+        except fields.FieldError as exc:
+            return refuse(request, endpoint_id, exc)
         state.renew(beat)
         return reply(request, 200, {})
 
     @web.route(dialect.DEREGISTER, methods=["POST"])
     def deregister(request, endpoint_id):
-        state.leave(endpoint_id)
+        try:
+            incarnation = documents.to_incarnation(request.content.read())
+            state.leave(fields.name(endpoint_id, "endpoint_id"), incarnation)
+        except fields.FieldError as exc:
+            return refuse(request, endpoint_id, exc)
         return reply(request, 200, {})
 
     @web.route(dialect.REPLACE, methods=["POST"])
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -10,9 +10,12 @@
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.experts import rank
+from dunlinpoint.platform import fields
 from dunlinpoint.wire.gen.dunlin import ttypes
 
+READY = "ready"
 DRAINING = "draining"
+NO_INCARNATION = 0
 OPEN = "open"
 BITS_PER_BYTE = 8
 
@@ -126,25 +129,41 @@
 
 
 def to_heartbeat(endpoint_id, body):
-    """A server's heartbeat body as ours; raises ``ValueError`` if it is not one."""
-    try:
-        raw = json.loads(body)
-        host, _, port = raw["address"].rpartition(":")
-        return ttypes.Heartbeat(
-            endpoint_id=endpoint_id,
-            zone=raw["zone"],
-            host=host,
-            port=int(port),
-            kind="service",
-            load=0,
-            draining=raw.get("state") == DRAINING,
-            config_version=0,
-            incarnation=0,
-            group="",
-            service_name=raw["service"],
-            slots=int(raw.get("slots", 0)),
-            sequence=int(raw.get("seqNo", 0)),
-            gone=False,
-        )
-    except (KeyError, TypeError, AttributeError) as exc:
-        raise ValueError(f"not a heartbeat: {exc!r}") from exc
+    """A server's heartbeat body as ours; raises ``fields.FieldError`` if it is none.
+
+    A service that no document names is taken in: the document that names it may
+    come later, and until then no route leads there.
+    """
+    raw = fields.table(body)
+    state = raw.get("state")
+    if state not in (READY, DRAINING):
+        raise fields.FieldError("state")
+    host, port = fields.address(raw.get("address"), "address")
+    return ttypes.Heartbeat(
+        endpoint_id=fields.name(endpoint_id, "endpoint_id"),
+        zone=fields.name(raw.get("zone"), "zone"),
+        host=host,
+        port=port,
+        kind="service",
+        load=0,
+        draining=state == DRAINING,
+        config_version=0,
+        incarnation=_incarnation(raw) or NO_INCARNATION,
+        group="",
+        service_name=fields.name(raw.get("service"), "service"),
+        slots=fields.whole(raw.get("slots"), "slots", 1, fields.LARGEST_I32),
+        sequence=fields.whole(raw.get("seqNo"), "seqNo"),
+        gone=False,
+    )
+
+
+def _incarnation(raw):
+    """When the start that a body is about was (Unix ms), or ``None`` if untold."""
+    if "born" not in raw:
+        return None
+    return fields.whole(raw["born"], "born", 1)
+
+
+def to_incarnation(body):
+    """Which start of a server leaves, by its call's *body*, or ``None`` if untold."""
+    return _incarnation(fields.table(body)) if body.strip() else None
--- /dev/null
+++ b/dunlinpoint/platform/tests/test_foreign.py
@@ -0,0 +1,129 @@
+"""Heartbeats that no endpoint sent: they name nothing to use, and the others hold.
+
+Symptom: entries refuse everyone ("no_endpoint"), at every control at once. Sequence:
+something that is no endpoint announces itself with a number for its zone, or with a
+name that cannot be written as UTF-8. Cause: it became a member, and every list of
+members with it in failed where it was written.
+"""
+
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+
+from dunlinpoint.control import membership
+from dunlinpoint.platform import documents, fields
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+SOUND = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "accra-a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "seqNo": 4,
+}
+FOREIGN = {
+    "service": [None, 7, "", ["a"], "\ud800", "x" * 1000],
+    "address": [None, 7, "", "10.0.0.1", "host:80", "10.0.0.1:0", "10.0.0.1:65536"],
+    "zone": [None, 7, "", {}, ["accra-a"]],
+    "slots": [None, "6", 0, -1, 2**31, True, 6.0],
+    "state": [None, "", "Ready", "leaving", 1, ["ready"], {}],
+    "seqNo": [None, "4", -1, 2**63, True, 4.5],
+    "born": [None, "7", -1, 0, 1.5, True, 2**63],
+}
+SCALARS = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text()
+)
+JSON = (
+    SCALARS
+    | strategies.lists(SCALARS, max_size=2)
+    | strategies.dictionaries(strategies.text(max_size=3), SCALARS, max_size=2)
+)
+
+
+def heartbeat(**changed):
+    return documents.to_heartbeat("i-1", json.dumps(SOUND | changed).encode())
+
+
+def written(members):
+    """*members* written and read as a control's answer is."""
+    transport = TTransport.TMemoryBuffer()
+    ttypes.View(members=members).write(TBinaryProtocol.TBinaryProtocol(transport))
+    read = ttypes.View()
+    buffered = TTransport.TMemoryBuffer(transport.getvalue())
+    read.read(TBinaryProtocol.TBinaryProtocol(buffered))
+    return read.members
+
+
+def test_a_sound_heartbeat_is_taken():
+    beat = heartbeat()
+    assert (beat.host, beat.port, beat.slots) == ("10.128.0.9", 8080, 6)
+    assert not beat.draining and beat.incarnation == 0
+    assert heartbeat(state="draining").draining
+    assert heartbeat(born=1789070167009).incarnation == 1789070167009
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [(f, v) for f, values in FOREIGN.items() for v in values]
+)
+def test_a_field_of_another_writer_is_refused(field, value):
+    with pytest.raises(fields.FieldError):
+        heartbeat(**{field: value})
+
+
+@pytest.mark.parametrize("field", sorted(set(FOREIGN) - {"born"}))
+def test_a_missing_field_is_refused(field):
+    raw = {name: value for name, value in SOUND.items() if name != field}
+    with pytest.raises(fields.FieldError):
+        documents.to_heartbeat("i-1", json.dumps(raw).encode())
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"null", b"[]", b'"x"', b"\xff\xfe", b"[" * 50_000, b" " * 2**20]
+)
+def test_bytes_that_cannot_be_read_are_refused(body):
+    with pytest.raises(fields.FieldError):
+        documents.to_heartbeat("i-1", body)
+
+
+@hypothesis.settings(deadline=None)
+@hypothesis.given(strategies.sampled_from(sorted(SOUND)), JSON)
+def test_whatever_is_taken_can_be_listed(field, value):
+    try:
+        beat = heartbeat(**{field: value})
+    except fields.FieldError:
+        return
+    members = membership.Membership()
+    members.renew(beat, 0)
+    (member,) = written(members.members(0))
+    assert member.endpoint_id == "i-1"
+
+
+def test_a_foreign_heartbeat_does_not_move_a_live_endpoint():
+    # Symptom: requests of one service reach a server of another. Sequence: a
+    # heartbeat bears the id of a live endpoint, a higher count and another address
+    # or service. Cause: the last heartbeat of an id said where it is.
+    members = membership.Membership()
+    members.renew(heartbeat(), 0)
+    for changed in ({"address": "10.9.9.9:80"}, {"service": "other"}, {"zone": "z"}):
+        assert not members.renew(heartbeat(seqNo=9, **changed), 10)
+    (member,) = members.members(10)
+    assert (member.host, member.service_name) == ("10.128.0.9", "huvo11a")
+
+
+def test_a_leave_says_which_start_it_ends():
+    assert documents.to_incarnation(b"") is None
+    assert documents.to_incarnation(b'{"born": 12}') == 12
+    for body in (b"[]", b'{"born": "12"}', b"\xff"):
+        with pytest.raises(fields.FieldError):
+            documents.to_incarnation(body)
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -9,6 +9,9 @@
 An endpoint that failed a request is avoided for a while, doubling with each
 failure in a row: health reports lag and some endpoints fail while they
 report health, so what counts is what requests met.
+
+All that is known of an endpoint is kept by its *life* (:func:`life`): one that
+has started again is as idle and as sound as any new one.
 """
 
 import attrs
@@ -28,9 +31,21 @@
 OTHERS_MS = 200
 
 
+def life(member):
+    """What names one start of an endpoint, which may start again under its id.
+
+    Kept by the id alone, requests in flight at the earlier start and its failures
+    would count against the new one, and a stream that was cut off could not go on
+    there.
+    """
+    if not member.incarnation:
+        return member.endpoint_id
+    return f"{member.endpoint_id}@{member.incarnation}"
+
+
 @attrs.define
 class Record:
-    """What this entry knows of one endpoint from its own requests."""
+    """What this entry knows of one life of an endpoint from its own requests."""
 
     in_flight: int = 0
     failures: int = 0
@@ -40,39 +55,40 @@
 
 @attrs.define
 class Picker:
-    """Records by endpoint id."""
+    """Records by an endpoint's life."""
 
     zone: str
-    record_by_id: dict = attrs.field(factory=dict)
+    record_by_life: dict = attrs.field(factory=dict)
 
-    def record(self, endpoint_id):
-        """The record of *endpoint_id*, new if there is none."""
-        record = self.record_by_id.get(endpoint_id)
+    def record(self, name):
+        """The record of the life *name*, new if there is none."""
+        record = self.record_by_life.get(name)
         if record is None:
-            record = self.record_by_id[endpoint_id] = Record()
+            record = self.record_by_life[name] = Record()
         return record
 
-    def forget(self, live_ids):
-        """Drop records of endpoints that are gone and idle."""
-        for endpoint_id, record in list(self.record_by_id.items()):
-            if endpoint_id not in live_ids and not record.in_flight:
-                del self.record_by_id[endpoint_id]
+    def forget(self, live):
+        """Drop records of lives that are not among *live*, and idle."""
+        for name, record in list(self.record_by_life.items()):
+            if name not in live and not record.in_flight:
+                del self.record_by_life[name]
 
     def pick(self, members, now, exclude=(), near=True):
         """The endpoint of *members* (in the entry's order) to try, or ``None``.
 
         With *near*, those of the entry's own zone are preferred.
 
-        Endpoints in *exclude* were tried already. Avoided ones are taken
-        only when there is no other: an endpoint that failed lately may
-        serve, and no endpoint at all serves nothing.
+        Endpoints whose lives are in *exclude* were tried already. Avoided ones
+        are taken only when there is no other: an endpoint that failed lately
+        may serve, and no endpoint at all serves nothing.
         """
         best, least = None, None
         spared, soonest = None, None
         for place, member in enumerate(members):
-            if member.endpoint_id in exclude:
+            name = life(member)
+            if name in exclude:
                 continue
-            record = self.record(member.endpoint_id)
+            record = self.record(name)
             if record.avoid_until_ms > now:
                 if spared is None or record.avoid_until_ms < soonest:
                     spared, soonest = member, record.avoid_until_ms
@@ -88,19 +104,19 @@
             requests += AWAY_REQUESTS
         return (requests + ORDER_REQUESTS * order) / (member.slots or DEFAULT_SLOTS)
 
-    def began(self, endpoint_id):
+    def began(self, name):
         """A request was sent to the endpoint."""
-        self.record(endpoint_id).in_flight += 1
+        self.record(name).in_flight += 1
 
-    def ended(self, endpoint_id):
+    def ended(self, name):
         """A request at the endpoint is over."""
-        self.record(endpoint_id).in_flight -= 1
+        self.record(name).in_flight -= 1
 
-    def heard(self, endpoint_id, now):
+    def heard(self, name, now):
         """Some bytes of an answer came from the endpoint."""
-        self.record(endpoint_id).heard_ms = now
+        self.record(name).heard_ms = now
 
-    def is_gone(self, endpoint_id, members, now):
+    def is_gone(self, name, members, now):
         """Whether the endpoint is silent while others of its kind are not.
 
         A frozen or unreachable machine closes no connection; its requests
@@ -108,20 +124,20 @@
         that is silent among others that are not is no busy one; where all
         are silent, the group stands and another try would stand as well.
         """
-        if now - self.record(endpoint_id).heard_ms < SILENCE_MS:
+        if now - self.record(name).heard_ms < SILENCE_MS:
             return False
-        others = (m.endpoint_id for m in members if m.endpoint_id != endpoint_id)
-        return any(now - self.record(i).heard_ms < OTHERS_MS for i in others)
+        others = (other for other in map(life, members) if other != name)
+        return any(now - self.record(o).heard_ms < OTHERS_MS for o in others)
 
-    def succeeded(self, endpoint_id):
+    def succeeded(self, name):
         """The endpoint answered as it should."""
-        record = self.record(endpoint_id)
+        record = self.record(name)
         record.failures = 0
         record.avoid_until_ms = 0
 
-    def failed(self, endpoint_id, now):
+    def failed(self, name, now):
         """The endpoint failed a request: avoid it for a while."""
-        record = self.record(endpoint_id)
+        record = self.record(name)
         record.failures += 1
         pause = min(AVOID_MS * 2 ** (record.failures - 1), AVOID_MAX_MS)
         record.avoid_until_ms = now + pause
--- a/dunlinpoint/routing/tests/test_pick.py
+++ b/dunlinpoint/routing/tests/test_pick.py
@@ -64,7 +64,7 @@
         picker.began(name)
         picker.ended(name)
         picker.forget({name})
-    assert len(picker.record_by_id) == 1
+    assert len(picker.record_by_life) == 1
 
 
 def test_each_entry_begins_elsewhere():
@@ -148,3 +148,20 @@
     assert spread.lies_evenly(group, "b")
     order = spread.arranged_in_group(group, "b", 0, 2)
     assert [m.zone for m in order[:4]] == ["b"] * 4
+
+
+def test_an_endpoint_that_started_again_is_as_good_as_new():
+    # Symptom: a restarted endpoint gets no work, or a cut-off stream does not go on
+    # there. Sequence: an endpoint fails with requests at it, which end only later,
+    # and starts again under its id. Cause: what was kept of its earlier start.
+    picker = pick.Picker("z0")
+    earlier, again = member("a"), member("a")
+    earlier.incarnation, again.incarnation = 1000, 2000
+    for _ in range(3):
+        picker.began(pick.life(earlier))
+        picker.failed(pick.life(earlier), 0)
+    other = member("b")
+    tried = {pick.life(earlier)}
+    assert chosen(picker, [again, other], exclude=tried) == "a"
+    picker.ended(pick.life(earlier))
+    assert picker.record(pick.life(again)).in_flight == 0
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -149,6 +149,8 @@
   15: string engine,
   16: i64 epoch,
   17: bool broken,
+  // Which start of the endpoint this is about; a later one is larger.
+  18: i64 incarnation,
 }
 
 // A control instance that may vote. node_id is drawn anew with an empty disk,
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -1073,11 +1073,12 @@
      - engine
      - epoch
      - broken
+     - incarnation
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, epoch=None, broken=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, epoch=None, broken=None, incarnation=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -1095,6 +1096,7 @@
         self.engine = engine
         self.epoch = epoch
         self.broken = broken
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1190,6 +1192,11 @@
                     self.broken = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1268,6 +1275,10 @@
             oprot.writeFieldBegin('broken', TType.BOOL, 17)
             oprot.writeBool(self.broken)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 18)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2041,6 +2052,7 @@
     (15, TType.STRING, 'engine', 'UTF8', None, ),  # 15
     (16, TType.I64, 'epoch', None, None, ),  # 16
     (17, TType.BOOL, 'broken', None, None, ),  # 17
+    (18, TType.I64, 'incarnation', None, None, ),  # 18
 )
 all_structs.append(Voter)
 Voter.thrift_spec = (
