A hurried change of map is set no farther ahead than a careful one

The lead's machine freezes at 11.4 s for 4 s; the arming under way then took 4 s, and the next changes were set 8 s ahead. Red first: the test of a lead that froze.

--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -98,10 +98,15 @@
         del self.took_ms[:-ARMINGS]
 
     def hurry_ms(self):
-        """How far ahead a change in a hurry is set, or ``None`` if nothing tells."""
+        """How far ahead a change in a hurry is set, or ``None`` if nothing tells.
+
+        Never farther than a careful one: a lead that froze while it armed ranks took
+        seconds for it, and set its next changes of map as many seconds ahead.
+        """
         if len(self.took_ms) < ARMINGS:
             return None
-        return max(HURRY_LEAST_MS, HURRY_TIMES * max(self.took_ms))
+        wanted_ms = max(HURRY_LEAST_MS, HURRY_TIMES * max(self.took_ms))
+        return min(AHEAD_MS, wanted_ms)
 
 
 @attrs.define
--- a/dunlinpoint/experts/tests/test_switch.py
+++ b/dunlinpoint/experts/tests/test_switch.py
@@ -373,5 +373,15 @@
         return ranks.order(number, body)
 
     hurried(ranks, 20, arming, lose)
-    assert arming.hurry_ms() >= 300
+    assert arming.hurry_ms() == switch.AHEAD_MS
     assert not ranks.mixed
+
+
+def test_a_lead_that_froze_sets_its_next_changes_no_farther_ahead():
+    # Symptom: one map in seconds for half a minute, skew twice what it was. Sequence:
+    # the lead's machine freezes for 4 s while ranks are armed; on waking, the arming
+    # has taken 4 s. Cause: changes in a hurry were set twice that ahead.
+    arming = switch.Arming([40] * switch.ARMINGS)
+    assert arming.hurry_ms() < switch.AHEAD_MS
+    arming.took(4000)
+    assert arming.hurry_ms() == switch.AHEAD_MS
--- a/dunlinpoint/routing/tests/overload.py
+++ b/dunlinpoint/routing/tests/overload.py
@@ -89,6 +89,7 @@
     returned: bool = False
     is_late: bool = False
     last_ms: float | None = None
+    until: float = 0.0
 
 
 def pass_ms(writing, read_tokens, skew, slow, ranks):
