--- a/bench/placement.py
+++ b/bench/placement.py
@@ -27,7 +27,7 @@
 import attrs
 
 from dunlinpoint.config import document as config
-from dunlinpoint.experts import lead, placement
+from dunlinpoint.experts import placement, worth
 
 BOUNDS = os.path.join(os.path.dirname(__file__), "bounds.json")
 PASS_MS = 60.0
@@ -105,10 +105,10 @@
     proposed = improve(size, mapping, counts)
     before = placement.step_load(mapping, counts)
     after = placement.step_load(proposed, counts)
-    saved_ms = lead.saved_ms(PASS_MS, before, after)
+    saved_ms = worth.saved_ms(PASS_MS, before, after)
     moved = placement.moved(mapping, proposed)
-    worth = saved_ms >= lead.least_saved_ms(shape, moved, size.ranks)
-    return proposed if worth else mapping
+    pays = saved_ms >= worth.least_saved_ms(shape, moved, size.ranks)
+    return proposed if pays else mapping
 
 
 def run(size, policy, turns):
--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -20,7 +20,7 @@
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
-from dunlinpoint.experts import placement, rank, switch, window
+from dunlinpoint.experts import placement, rank, switch, window, worth
 from dunlinpoint.follow import view
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Rank, ttypes
@@ -54,25 +54,10 @@
 # take the hold with it, out of the deputy's reach.
 DIRECT = {"retention", "go", "arm", "disarm"}
 FOLLOW_WAIT_MS = 3000
-# What a new map must save of a pass, in ms: a little in any case, and so much
-# for each expert that a rank must copy of a set on average, for a group that
-# weighs only the cost of moving. Counted over the whole group instead, one of
-# 24 ranks and 16 sets never changed its map: its first one moves hundreds of
-# experts, though they are no larger part of the weights.
-LEAST_SAVED_MS = 6.0
-SAVED_PER_MOVE_MS = 21.0
-# The part of a pass that experts take.
-EXPERT_SHARE = 0.85
 # A pass is taken to last no longer than this: an idle group makes none.
 PASS_LIMIT_MS = 200
 # Passes are counted over so long at least: a turn sees one or two.
 PACE_MS = 400
-# How long ranks may copy for one map. Demand moves on to other experts every few
-# seconds and at once; a map that takes as long to copy is made for demand that
-# is gone. On counts read from a group of 12 ranks, the load of the most loaded
-# rank came to 1.77 times the mean with 150 ms, 1.86 with 300, 1.96 with 600 and
-# 2.06 with 900.
-COPY_MS = 150
 # Orders that went unanswered are a sign for so long that others will: whatever
 # loses them lasts some seconds, and a group that is switched every second finds
 # out again and again by standing at a hold until each rank has answered.
@@ -82,12 +67,6 @@
 # and a map came 3 s late; with three copies it is two or three rounds. Copies that
 # are carried out late are refused like any order given again.
 COPIES = 3
-# A change of map is in a hurry while passes last longer than this part of the shortest
-# pause that callers are promised: one pass above the promise makes a stream late, and
-# one pass in two is a third longer than the mean.
-HURRY_SHARE = 0.6
-# How much the newest skew counts in what is usual.
-SKEW_NEWEST = 0.2
 # Fewer choices of a set than this are too few to plan by.
 LEAST_COUNT = 2000
 # Versions are drawn with gaps, so that an order of an earlier lead that is
@@ -95,36 +74,6 @@
 VERSION_GAP = 1000
 
 
-def least_saved_ms(shape, moved, ranks):
-    """What a map that moves so many experts must save of a pass, in ms."""
-    cost_weight = 1 - shape.skew_weight
-    share = moved / (ranks * shape.sets)
-    return LEAST_SAVED_MS + SAVED_PER_MOVE_MS * cost_weight * share
-
-
-def saved_ms(pass_ms, before, after):
-    """What a pass is shorter with load *after* instead of *before*, in ms."""
-    return pass_ms * EXPERT_SHARE * (1 - after / before)
-
-
-def shortest_pause_ms(doc, service):
-    """The shortest pause between events that a route to *service* allows, or 0."""
-    pauses = [
-        route.pause_ms
-        for route in doc.routes
-        if route.pause_ms and any(part.service == service for part in route.split)
-    ]
-    return min(pauses, default=0)
-
-
-def room_of(shape):
-    """The ``Room`` of each rank for one change of map of *shape*."""
-    new = shape.spare * shape.sets
-    if shape.copy_ms > 0:
-        new = min(new, max(1, int(COPY_MS / shape.copy_ms)))
-    return placement.Room(shape.places, shape.spare, new)
-
-
 @attrs.define
 class Lead:
     """What the agent of rank 0 keeps between turns."""
@@ -137,10 +86,9 @@
     handler: rank.Handler
     links: rpc.Links
     shape: config.Experts | None = None
-    allowed_ms: int = 0
+    urgency: worth.Urgency = attrs.field(factory=worth.Urgency)
     window: window.Window = attrs.field(factory=window.Window)
     arming: switch.Arming = attrs.field(factory=switch.Arming)
-    usual_skew: float | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     epoch: int | None = None
     mapping: list | None = None
@@ -168,7 +116,7 @@
         doc = config.parse(packed.unpack(document.body))
         found = [s.experts for s in doc.services if s.name == self.service]
         self.shape = found[0] if found else None
-        self.allowed_ms = shortest_pause_ms(doc, self.service)
+        self.urgency.allowed_ms = worth.shortest_pause_ms(doc, self.service)
 
     @property
     def pass_ms(self):
@@ -177,17 +125,6 @@
             return PASS_LIMIT_MS
         return min(PASS_LIMIT_MS, clock.MS_PER_SECOND / self.passes_per_s)
 
-    def is_in_hurry(self, skew):
-        """Whether passes are long with *skew* (highest load of a rank over the mean).
-
-        Passes are counted over some of them; those since demand has jumped are only
-        expected, by how much more *skew* is than it was of late.
-        """
-        usual = self.usual_skew or skew
-        self.usual_skew = usual + SKEW_NEWEST * (skew - usual)
-        longer = 1 - EXPERT_SHARE + EXPERT_SHARE * max(1.0, skew / usual)
-        return self.pass_ms * longer > HURRY_SHARE * self.allowed_ms > 0
-
     def forget(self):
         """The group broke, or this is not its lead any more."""
         self.epoch = self.mapping = self.map_version = self.last_step = None
@@ -406,12 +343,12 @@
         return
     even = placement.even_load(counts, group.size)
     before = placement.step_load(lead.mapping, counts)
-    hurry = lead.is_in_hurry(before / even)
-    proposed = placement.improve(lead.mapping, counts, room_of(shape))
+    hurry = lead.urgency.is_due(lead.pass_ms, before / even)
+    proposed = placement.improve(lead.mapping, counts, worth.room_of(shape))
     after = placement.step_load(proposed, counts)
     moved = placement.moved(lead.mapping, proposed)
-    least = least_saved_ms(shape, moved, group.size)
-    if saved_ms(lead.pass_ms, before, after) < least:
+    least = worth.least_saved_ms(shape, moved, group.size)
+    if worth.saved_ms(lead.pass_ms, before, after) < least:
         return
     highest = max(max(s.map_version, s.prepared, s.armed) for s in states.values())
     version = max(highest, lead.last_version) + lead.rng.randint(1, VERSION_GAP)
--- a/dunlinpoint/experts/tests/demand.py
+++ b/dunlinpoint/experts/tests/demand.py
@@ -15,7 +15,7 @@
 import attrs
 
 from dunlinpoint.config import document as config
-from dunlinpoint.experts import lead, placement, window
+from dunlinpoint.experts import placement, window, worth
 
 READING_MS = 100
 # Preparing, holding and arming without the copies: 0.2 to 0.3 s.
@@ -104,7 +104,7 @@
             by_set = chosen.by_set(shape.sets)
             even = placement.even_load(by_set, self.ranks)
             load = placement.step_load(mapping, by_set) / even
-            cost = 1 - lead.EXPERT_SHARE + lead.EXPERT_SHARE * load
+            cost = 1 - worth.EXPERT_SHARE + worth.EXPERT_SHARE * load
             costs.append(cost * (COPYING if now < copied_ms else 1))
             seen.add(now, {0: counts}, shape.sets)
             if coming is None:
@@ -125,6 +125,6 @@
         proposed = placement.improve(mapping, counts, self.room)
         after = placement.step_load(proposed, counts)
         moved = placement.moved(mapping, proposed)
-        least = lead.least_saved_ms(self.shape, moved, self.ranks)
-        saved = lead.saved_ms(pass_ms, before, after)
+        least = worth.least_saved_ms(self.shape, moved, self.ranks)
+        saved = worth.saved_ms(pass_ms, before, after)
         return proposed if saved >= least else None
--- a/dunlinpoint/experts/tests/test_demand.py
+++ b/dunlinpoint/experts/tests/test_demand.py
@@ -3,7 +3,7 @@
 import pytest
 
 from dunlinpoint.config import document as config
-from dunlinpoint.experts import lead, placement, window
+from dunlinpoint.experts import placement, window, worth
 from dunlinpoint.experts.tests import demand
 
 # Few ranks with large experts, and many with small ones.
@@ -28,7 +28,7 @@
     # Cause: ranks copied for up to 1.7 s, for demand of seconds ago. Grounds of
     # the bounds: 0.81 (few ranks) and 0.82 (many) of the cost on these seeds.
     counts = list(demand.readings(shape, SECONDS, 3000, seed=5))
-    room = lead.room_of(shape)
+    room = worth.room_of(shape)
     found = demand.Follower(shape, ranks, room).follow(counts)
     before = demand.Follower(shape, ranks, room_for_all(shape), ALL_AT_ONCE_MS)
     before.follow(counts)
@@ -42,7 +42,7 @@
     # prompt, most passes longer for copies. Grounds of the bounds: maps that
     # are never changed after the first five seconds.
     counts = list(demand.readings(FEW, SECONDS, None, seed=5))
-    room = lead.room_of(FEW)
+    room = worth.room_of(FEW)
     found = demand.Follower(FEW, 12, room).follow(counts)
     first = placement.in_turn(FEW.sets, FEW.experts, 12)
     never = sum(
@@ -68,7 +68,7 @@
     # faded by half each 300 ms, and were in what each map was planned by. Grounds of
     # the bounds: 0.96, 0.94 and 0.94 of the cost on these seeds.
     counts = list(demand.readings(shape, SECONDS, 3000, seed=5))
-    room = lead.room_of(shape)
+    room = worth.room_of(shape)
     found = demand.Follower(shape, ranks, room).follow(counts)
     fading = demand.Follower(shape, ranks, room, forgetful=False).follow(counts)
     assert found.cost < bound * fading.cost, (found, fading)
