Streams are let in by the length of the passes just seen

Hypothesis: limits of streams in flight that shrink and grow with the pauses are worth less than to let in everyone: they shrink too late (streams stay for seconds) and grow too soon.

Change: the longer the last passes, the smaller the part of requests let in (all up to 0.7 of the allowed pause, none from 0.9); a request waits up to half of its aim for room before it is sent away.

--- a/dunlinpoint/callers.py
+++ b/dunlinpoint/callers.py
@@ -1,10 +1,8 @@
 """The HTTP server that callers connect to, which knows its open connections."""
 
-from twisted.internet import defer, task
+from twisted.internet import defer
 from twisted.web import server
 
-from dunlinpoint import clock
-
 STEP_MS = 20
 
 
@@ -47,4 +45,4 @@
         for channel in list(self.channels):
             channel.loseConnection()
         while self.channels and ticks.now() < ends_ms:
-            yield task.deferLater(ticks.reactor, clock.seconds(STEP_MS), lambda: None)
+            yield ticks.pause(STEP_MS)
--- a/dunlinpoint/clock.py
+++ b/dunlinpoint/clock.py
@@ -8,6 +8,7 @@
 import time
 
 import attrs
+from twisted.internet import task
 
 MS_PER_SECOND = 1000
 
@@ -45,6 +46,10 @@
         """Call *func* after *delay_ms* milliseconds; returns the delayed call."""
         return self.reactor.callLater(delay_ms / MS_PER_SECOND, func, *args)
 
+    def pause(self, ms):
+        """A Deferred that fires after *ms* milliseconds."""
+        return task.deferLater(self.reactor, seconds(ms), lambda: None)
+
 
 def seconds(ms):
     """Milliseconds as float seconds, for the few library calls that want them."""
--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -15,7 +15,7 @@
 import random
 
 import attrs
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.config import document as config
@@ -188,9 +188,6 @@
                 self.unanswered_ms = self.clock.now()
             return switch.best(statuses)
 
-        def pause(ms):
-            return task.deferLater(self.clock.reactor, clock.seconds(ms), lambda: None)
-
         def states():
             return self.read(name, leading=leading)
 
@@ -198,7 +195,7 @@
             size,
             states,
             order,
-            pause,
+            self.clock.pause,
             self.orders_get_lost,
             self.clock.now,
             arming=self.arming,
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -13,6 +13,13 @@
 # When a caller should come back whom the pace leaves no room: streams last a
 # second or two, and as many end in that time as would have to.
 ROOM_MS = (500, 1500)
+# How long a request waits for room before that, as a part of the time in which its
+# first event is due: reading its prompt takes most of the rest. On the model of a
+# group near its limit, half of it is worth 0.02 of a caller's worth over none.
+ROOM_WAIT_SHARE = 0.5
+ROOM_WAIT_MS = 300
+# How often it looks: a few times a pass.
+ROOM_LOOK_MS = 25
 
 
 @defer.inlineCallbacks
@@ -38,6 +45,9 @@
             give_up(forward, call, "group_stands", outage_ms(forward, call, members))
             return
         if not find_group(forward, call, by_group, now):
+            if now < wait_for_room_until(call):
+                yield forward.clock.pause(ROOM_LOOK_MS)
+                continue
             refuse_for_room(forward, call)
             return
         member = next_member(forward, call, by_group, now)
@@ -67,6 +77,16 @@
     call.group = group
 
 
+def wait_for_room_until(call):
+    """Until when (ms) *call* waits for room: after that it could not be in time.
+
+    A wait of a few passes bridges what a jump of demand takes; sent away, a caller is
+    late when it comes back.
+    """
+    wait_ms = min(ROOM_WAIT_SHARE * call.route.aim_ms, ROOM_WAIT_MS)
+    return min(call.arrived_ms + wait_ms, call.deadline_ms)
+
+
 def find_group(forward, call, by_group, now):
     """Have *call* join a group of *by_group*; ``False`` if none has room.
 
@@ -78,7 +98,7 @@
         return True
     left_ms = call.deadline_ms - now
     returned = pace.has_returned(left_ms, call.route.timeout_ms)
-    group = groups.choose(by_group, returned, forward.rng)
+    group = groups.choose(by_group, now, returned, forward.rng)
     if group is None and call.group is not None:
         group = next(iter(by_group), None)
     if group is None:
@@ -97,7 +117,6 @@
         "no_room",
         forward.rng.uniform(*ROOM_MS),
         service=call.service,
-        limit=[groups.pace(group).limit for group in groups.share_by_group],
         pause_ms=[groups.pace(group).pause_ms for group in groups.share_by_group],
     )
 
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -51,7 +51,6 @@
     "at_endpoint": "this entry's requests at the endpoint when it was chosen",
     "generation": "version of the list of members",
     "in_flight": "requests in flight here",
-    "limit": "how many streams the pace leaves room for",
     "pause_ms": "median pause between events",
     "round": "round of agreement",
     "version": "version of a document or a map",
--- a/dunlinpoint/routing/groups.py
+++ b/dunlinpoint/routing/groups.py
@@ -87,9 +87,9 @@
                 del by_group[group]
         self._normalise()
 
-    def choose(self, usable, returned, rng):
+    def choose(self, usable, now, returned, rng):
         """A group of *usable* that has room, drawn by share, or ``None``."""
-        open_to = [g for g in usable if self.pace(g).has_room(returned)]
+        open_to = [g for g in usable if self.pace(g).has_room(now, rng, returned)]
         if len(open_to) < 2:
             return open_to[0] if open_to else None
         weights = [self.share_by_group.get(g, LEAST_SHARE) for g in open_to]
