--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -34,7 +34,7 @@
 @defer.inlineCallbacks
 def run_tries(forward, call):
     """The tries of *call*, which is at a group of ranks meanwhile."""
-    while True:
+    while not call.left:
         now = forward.clock.now()
         members = forward.members(call.service)
         by_group = forward.open_groups(call.service, now)
@@ -109,7 +109,8 @@
 
 def refuse_for_room(forward, call):
     """Refuse *call*: every group has as many streams as its pace allows."""
-    groups = forward.groups(call)
+    groups, now = forward.groups(call), forward.clock.now()
+    paces = [groups.pace(group) for group in groups.share_by_group]
     answers.answer(
         forward,
         call.request,
@@ -117,7 +118,8 @@
         "no_room",
         forward.rng.uniform(*ROOM_MS),
         service=call.service,
-        pause_ms=[groups.pace(group).pause_ms for group in groups.share_by_group],
+        pause_ms=[found.pause_ms for found in paces],
+        let_in=[round(found.share_let_in(now), 2) for found in paces],
     )
 
 
