--- a/dunlinpoint/experts/tests/test_switch.py
+++ b/dunlinpoint/experts/tests/test_switch.py
@@ -44,6 +44,8 @@
     unreachable: set = attrs.field(factory=set)
     orders: list = attrs.field(factory=list)
     by_rank: list = attrs.field(factory=lambda: [Standing() for _ in range(SIZE)])
+    epoch: int = EPOCH
+    open: bool = True
 
     def advance(self, ms):
         for _ in range(ms // 10):
@@ -54,7 +56,20 @@
         loop.clock = self.clock
         loop.start(PASS_MS / 1000)
 
+    def lose_a_rank(self):
+        """A rank starts again: the group stands, and opens with nothing of before."""
+        self.open = False
+        self.by_rank = [Standing() for _ in range(SIZE)]
+        self.clock.callLater(0.6, self.form)
+
+    def form(self):
+        """The group opens in a new epoch."""
+        self.epoch += 1
+        self.open = True
+
     def one_pass(self):
+        if not self.open:
+            return
         following = self.step + 1
         if any(rank.held == following for rank in self.by_rank):
             return
@@ -69,6 +84,8 @@
     def carry_out(self, number, order):
         rank, kind = self.by_rank[number], order["operation"]
         self.orders.append((number, kind))
+        if order["epoch"] != self.epoch or not self.open:
+            return 409
         if kind == "prepare":
             if order["version"] <= max(rank.prepared, rank.map_version) or rank.armed:
                 return 409
@@ -105,10 +122,10 @@
                 continue
             states[number] = ttypes.RankState(
                 group="g",
-                epoch=EPOCH,
+                epoch=self.epoch,
                 rank=number,
                 size=SIZE,
-                open=True,
+                open=self.open,
                 step=self.step,
                 map_version=rank.map_version,
                 prepared=rank.prepared,
@@ -211,6 +228,36 @@
     assert not any(rank.held for rank in ranks.by_rank)
 
 
+@pytest.mark.parametrize("restarts_after", range(1, 2 * SIZE + 2))
+def test_a_rank_that_starts_again_takes_the_switch_with_it(restarts_after):
+    # Symptom feared: the group held for good, or a step with two maps. Sequence: a rank
+    # starts again, under its id, after the n-th order of a switch: with the group held,
+    # some ranks armed, all prepared. Nothing of that is there in the new epoch, and
+    # the orders that are still on their way name the old one.
+    ranks = started()
+    lead = ranks.group()
+
+    def order(number, body):
+        if len(ranks.orders) == restarts_after and ranks.epoch == EPOCH and ranks.open:
+            ranks.lose_a_rank()
+            ranks.clock.callLater(1.0, ranks.carry_out, number, body)
+            return defer.succeed(0)
+        return ranks.order(number, body)
+
+    lead.order = order
+    ended = begin(ranks, group=lead)
+    ranks.advance(2500)
+    assert ended[0].check(switch.SwitchError)
+    assert not any(rank.held or rank.armed for rank in ranks.by_rank)
+    again = []
+    plan = switch.Plan(9, [[[0]] * SIZE], ranks.epoch)
+    switch.run(ranks.group(), plan, 1000 / PASS_MS).addBoth(again.append)
+    ranks.advance(2000)
+    assert again == [None]
+    assert {rank.map_version for rank in ranks.by_rank} == {9}
+    assert not ranks.mixed
+
+
 def test_lost_orders_hold_the_group_once():
     # Symptom: a pause of most of a second in every stream, at each change of
     # map, for as long as something loses half of the orders. Sequence: the map
