Both models of passes draw arrivals by the same function

Cause: the overload model wrote the draw of arrivals again, line for line as the model of passes beside it has it. Ruled out: one model for both (one has callers that come back, slots and reading, the other three groups over zones). The 43 tests of routing pass as before, assertions untouched.

--- a/dunlinpoint/routing/tests/overload.py
+++ b/dunlinpoint/routing/tests/overload.py
@@ -15,6 +15,7 @@
 
 from dunlinpoint.forward import tries
 from dunlinpoint.routing import pace
+from dunlinpoint.routing.tests import passes
 
 # Engine: ms of a step, steps of a pass, ms a writing stream, tokens read a ms.
 STEP_MS = 4.55
@@ -112,7 +113,7 @@
         read = sum(s.prompt for s in began)
         skew, slow = load.skew(now), load.slow(now)
         took = pass_ms(len(running), read, skew, slow, load.ranks)
-        for _ in range(arrived(rng, load.per_s(now) * took / 1000)):
+        for _ in range(passes.arrivals(rng, load.per_s(now) * took / 1000)):
             caller = fresh(rng, load, weights, now + rng.random() * took)
             heapq.heappush(coming, (caller.asked_ms, rng.random(), caller))
         now += took
@@ -171,12 +172,3 @@
     prompt = int(rng.expovariate(1 / PROMPT))
     entry = rng.choices(range(load.entries), weights)[0]
     return Stream(entry, at, events, prompt)
-
-
-def arrived(rng, mean):
-    """How many of *mean* expected arrivals come."""
-    count, total = 0, rng.expovariate(1)
-    while total < mean:
-        count += 1
-        total += rng.expovariate(1)
-    return count
