--- /dev/null
+++ b/dunlinpoint/experts/engine.py
@@ -0,0 +1,108 @@
+"""One rank's engine, as its agent or a lead calls it.
+
+The agent stands beside its rank's engine, whose report is fresh there and
+costs the group nothing; read from another machine, a reading of the counts
+stops the whole group for a moment.
+"""
+
+from __future__ import annotations
+
+import attrs
+import treq
+from twisted.internet import defer
+from twisted.web import client
+
+from dunlinpoint import clock
+
+TIMEOUT_MS = 700
+# An order's answer comes at once or not at all; it is given again sooner.
+ORDER_TIMEOUT_MS = 150
+
+
+class RankError(Exception):
+    """The rank's engine did not answer, or not as a rank of a group."""
+
+
+@attrs.frozen
+class Calls:
+    """Paths of an engine's own interface."""
+
+    report: str = "/api/report"
+    counts: str = "/api/picked"
+    experts: str = "/api/picked?lists=1"
+    order: str = "/api/order"
+
+
+@attrs.frozen
+class Engine:
+    """The engine of one rank at *url*."""
+
+    address: str
+    calls: Calls
+    read_state: object
+    http: treq.client.HTTPClient
+
+    @classmethod
+    def from_config(cls, reactor, address, calls, read_state):
+        """The engine at *address*; *read_state* turns its bodies into ours."""
+        pool = client.HTTPConnectionPool(reactor, persistent=True)
+        pool.retryAutomatically = False
+        agent = client.Agent(reactor, pool=pool)
+        http = treq.client.HTTPClient(agent)
+        return cls(address, calls, read_state, http)
+
+    @property
+    def url(self):
+        return f"http://{self.address}"
+
+    def at(self, address):
+        """The engine of another rank, at *address*."""
+        return attrs.evolve(self, address=address)
+
+    @defer.inlineCallbacks
+    def _get(self, path):
+        try:
+            response = yield self.http.get(
+                self.url + path, timeout=clock.seconds(TIMEOUT_MS)
+            )
+            body = yield response.json()
+        except Exception as exc:
+            raise RankError(repr(exc)) from exc
+        return body
+
+    @defer.inlineCallbacks
+    def state(self, experts=False):
+        """The rank's ``RankState``, with its *experts* if asked for.
+
+        Raises ``RankError``, like :meth:`counts`.
+        """
+        report = yield self._get(self.calls.report)
+        lists = (yield self._get(self.calls.experts)) if experts else None
+        try:
+            return self.read_state(report, lists)
+        except (KeyError, TypeError) as exc:
+            raise RankError(f"not a rank's report: {exc!r}") from exc
+
+    @defer.inlineCallbacks
+    def counts(self):
+        """How often each expert of each set was chosen since the rank's start."""
+        picked = yield self._get(self.calls.counts)
+        try:
+            return picked["counts"]
+        except (KeyError, TypeError) as exc:
+            raise RankError(f"not a rank's counts: {exc!r}") from exc
+
+    @defer.inlineCallbacks
+    def order(self, body_json, timeout_ms=ORDER_TIMEOUT_MS):
+        """Give the engine an order; its status, or 0 for no answer."""
+        try:
+            response = yield self.http.post(
+                self.url + self.calls.order,
+                data=body_json.encode(),
+                headers={"Content-Type": "application/json"},
+                timeout=clock.seconds(timeout_ms),
+            )
+            yield response.content()
+        except Exception:
+            return 0
+        return response.code
--- /dev/null
+++ b/dunlinpoint/experts/giver.py
@@ -0,0 +1,93 @@
+"""Orders on the last step of their way: from a rank's agent to its engine.
+
+An engine may leave an order unanswered, and carry it out late or never. Its own agent
+finds that out soonest and gives the order again at once. Left to the lead, each
+round of such orders took a message to every rank and a timeout made for the longest
+way.
+"""
+
+import attrs
+from twisted.internet import defer
+
+from dunlinpoint import clock
+from dunlinpoint.experts import orders
+
+OK = (200, 202)
+REFUSED = 409
+# How long an engine beside its agent takes to answer (ms): some ms, and ten times that
+# on a machine that is busy.
+TRY_MS = 50
+# How often an order is given, and how many copies at once after the first went
+# unanswered: with half of them lost, 3 in 100 are left for the lead to give again.
+TRIES = 2
+COPIES = 3
+# Orders that went unanswered are a sign for so long that others will: whatever loses
+# them lasts some seconds.
+UNANSWERED_MS = 5000
+
+
+def best(statuses):
+    """What the *statuses* of one order given several times come to.
+
+    One copy that was taken makes others be refused: that is no refusal.
+    """
+    taken = [status for status in statuses if status in OK]
+    return taken[0] if taken else max(statuses)
+
+
+@attrs.define
+class Giver:
+    """Gives orders to the engine that is beside this agent, one after the other.
+
+    ``prepared`` is the newest order to prepare a map that it was given.
+    """
+
+    engine: object
+    clock: clock.Clock
+    prepared: orders.Order | None = None
+    last: orders.Order | None = None
+    last_status: int = 0
+    unanswered_ms: int | None = None
+    lock: defer.DeferredLock = attrs.field(factory=defer.DeferredLock)
+
+    def give(self, order):
+        """Give *order*; a Deferred of its status, or 0 if nothing tells."""
+        return self.lock.run(self._give, order)
+
+    @defer.inlineCallbacks
+    def _give(self, order):
+        taken = order == self.last and self.last_status in OK
+        if taken and order.operation != orders.DISARM:
+            # A rank can be armed once more by an order that its engine carries out
+            # late, so one to disarm is never done with.
+            return self.last_status
+        if order.operation == orders.PREPARE:
+            self.prepared = order
+        status = yield self._try(order)
+        self.last, self.last_status = order, status
+        return status
+
+    @defer.inlineCallbacks
+    def _try(self, order):
+        unsure = order == self.last and not self.last_status
+        for _ in range(TRIES):
+            copies = COPIES if self.orders_get_lost() else 1
+            statuses = yield defer.gatherResults(
+                [self.engine.order(order.text, TRY_MS) for _ in range(copies)]
+            )
+            status = best(statuses)
+            if 0 in statuses:
+                self.unanswered_ms = self.clock.now()
+            if status == REFUSED and unsure and order.operation == orders.PREPARE:
+                # The one before may have been carried out, and this refused for it.
+                return 0
+            if status:
+                return status
+            unsure = True
+        return 0
+
+    def orders_get_lost(self):
+        """Whether the engine left an order unanswered lately."""
+        if self.unanswered_ms is None:
+            return False
+        return self.clock.now() - self.unanswered_ms < UNANSWERED_MS
--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -21,17 +21,15 @@
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.experts import (
-    messages,
-    orders,
+    engine,
+    gather,
     placement,
-    rank,
+    reach,
     switch,
     window,
     worth,
 )
 from dunlinpoint.follow import view
-from dunlinpoint.wire import errors, rpc
-from dunlinpoint.wire.gen.dunlin import Rank, ttypes
 
 log = logs.logger("experts")
 
@@ -47,34 +45,16 @@
 # every 2 s, a group that had opened went on with its first map for up to that
 # long, with most streams late.
 BROKEN_TURN_MS = 150
-LINK_TIMEOUT_MS = 900
-# How long ranks are waited for while a map is switched, by the lead and by the
-# deputy: one that is out of reach must not keep the others waiting.
-STATE_TIMEOUT_MS = 250
-# The rank whose agent watches the lead, and how long the lead may be silent. A
-# lead reads every 100 ms, and every 400 ms or sooner while it switches and orders
-# get lost. With 350 ms a lead that was merely slow was taken for dead, and armed
-# ranks beside its deputy.
-DEPUTY = 1
+# How long the lead may be silent before its deputy takes it for dead. A lead reads
+# every 100 ms, and every 400 ms or sooner while it switches and orders get lost. With
+# 350 ms a lead that was merely slow was taken for dead, and armed ranks beside its
+# deputy.
 PATIENCE_MS = 600
-# Orders that the lead gives to the engines itself, not through their agents:
-# a machine that froze while it passed on the order to hold the group would
-# take the hold with it, out of the deputy's reach.
-DIRECT = {"retention", "go", "arm", "disarm"}
 FOLLOW_WAIT_MS = 3000
 # A pass is taken to last no longer than this: an idle group makes none.
 PASS_LIMIT_MS = 200
 # Passes are counted over so long at least: a turn sees one or two.
 PACE_MS = 400
-# Orders that went unanswered are a sign for so long that others will: whatever
-# loses them lasts some seconds, and a group that is switched every second finds
-# out again and again by standing at a hold until each rank has answered.
-UNANSWERED_MS = 5000
-# How many times an order is given at once while orders get lost. With half of
-# them lost, 24 ranks took six rounds of 150 ms for each of three kinds of order,
-# and a map came 3 s late; with three copies it is two or three rounds. Copies that
-# are carried out late are refused like any order given again.
-COPIES = 3
 # Fewer choices of a set than this are too few to plan by.
 LEAST_COUNT = 2000
 # Versions are drawn with gaps, so that an order of an earlier lead that is
@@ -86,18 +66,14 @@
 class Lead:
     """What the agent of rank 0 keeps between turns."""
 
-    engine: rank.Engine
+    reach: reach.Reach
     view: view.View
     clock: clock.Clock
     counters: metrics.Counters
     service: str
-    handler: rank.Handler
-    links: rpc.Links
     shape: config.Experts | None = None
     urgency: worth.Urgency = attrs.field(factory=worth.Urgency)
     window: window.Window = attrs.field(factory=window.Window)
-    arming: switch.Arming = attrs.field(factory=switch.Arming)
-    sender: orders.Sender = attrs.field(factory=orders.Sender)
     rng: random.Random = attrs.field(factory=random.Random)
     epoch: int | None = None
     mapping: list | None = None
@@ -105,18 +81,17 @@
     last_version: int = 0
     last_step: tuple | None = None
     passes_per_s: float = 0.0
-    unanswered_ms: int | None = None
     following: bool = False
     standing: tuple | None = None
     on_standing: list = attrs.field(factory=list)
-    member_by_rank: dict = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, reactor, handler, lead_view, counters, service):
         """A lead for the group of *handler*'s engine, one of *service*."""
         ticks = clock.Clock(reactor)
-        links = rpc.Links(reactor, Rank.Client, LINK_TIMEOUT_MS)
-        lead = cls(handler.engine, lead_view, ticks, counters, service, handler, links)
+        ranks = reach.Reach(handler, lead_view, ticks, counters)
+        lead = cls(ranks, lead_view, ticks, counters, service)
+        ranks.on_counts = lead.take_counts
         lead_view.on_document.append(lead.take)
         return lead
 
@@ -127,6 +102,10 @@
         self.shape = found[0] if found else None
         self.urgency.allowed_ms = worth.shortest_pause_ms(doc, self.service)
 
+    def take_counts(self, now, counts):
+        """Take in one reading of how often experts were chosen."""
+        self.window.add(now, counts, self.shape.sets if self.shape is not None else 1)
+
     @property
     def pass_ms(self):
         """How long a pass takes now, in ms."""
@@ -139,93 +118,6 @@
         self.epoch = self.mapping = self.map_version = self.last_step = None
         self.passes_per_s = 0.0
 
-    def link(self, member):
-        """The thrift link to a rank's agent."""
-        return self.links.to(member.host, member.port)
-
-    def agents(self, group):
-        """Agents of *group*'s ranks."""
-        return [m for m in self.view.live(messages.KIND) if m.group == group]
-
-    @defer.inlineCallbacks
-    def read(self, group, counts=False, experts=False, leading=True):
-        """``RankState`` by rank of those that answer."""
-        members = self.agents(group)
-        timeout_ms = LINK_TIMEOUT_MS if counts or experts else STATE_TIMEOUT_MS
-        calls = [
-            self.link(m).call("state", counts, experts, leading, timeout_ms=timeout_ms)
-            for m in members
-        ]
-        results = yield defer.DeferredList(calls, consumeErrors=True)
-        states = {}
-        for member, (ok, state) in zip(members, results, strict=True):
-            if ok and state.group == group:
-                states[state.rank] = state
-                self.member_by_rank[state.rank] = member
-            elif not ok and not state.check(errors.WireError, ttypes.Refused):
-                log.error("state_failed", error=state.getErrorMessage())
-        return states
-
-    @defer.inlineCallbacks
-    def give(self, number, own_rank, text, direct):
-        """Give one rank's engine an order; its status, or 0 for no answer."""
-        if number == own_rank:
-            return (yield self.engine.order(text))
-        member = self.member_by_rank[number]
-        try:
-            if direct:
-                return (yield self.engine.at(member.engine).order(text))
-            return (yield self.give_by_agent(number, member, text))
-        except errors.WireError:
-            return 0
-
-    @defer.inlineCallbacks
-    def give_by_agent(self, number, member, text):
-        """Give an order through the rank's agent; its status, or 0 for no answer."""
-        for _ in range(2):
-            base, packed = self.sender.pack(number, text)
-            status = yield self.link(member).call("order", packed, base)
-            self.sender.answered(number, text, status)
-            if status != orders.NEEDS_WHOLE:
-                return status
-        return 0
-
-    def group(self, name, size, own_rank):
-        """The ranks as :mod:`switch` wants them."""
-        leading = own_rank == switch.LEAD
-
-        @defer.inlineCallbacks
-        def order(number, body):
-            self.counters.incr(f"order.{body['operation']}")
-            copies = COPIES if self.orders_get_lost() else 1
-            text = rank.order_text(body)
-            direct = body["operation"] in DIRECT
-            statuses = yield defer.gatherResults(
-                [self.give(number, own_rank, text, direct) for _ in range(copies)]
-            )
-            if 0 in statuses:
-                self.unanswered_ms = self.clock.now()
-            return switch.best(statuses)
-
-        def states():
-            return self.read(name, leading=leading)
-
-        return switch.Group(
-            size,
-            states,
-            order,
-            self.clock.pause,
-            self.orders_get_lost,
-            self.clock.now,
-            arming=self.arming,
-        )
-
-    def orders_get_lost(self):
-        """Whether an order went unanswered lately."""
-        if self.unanswered_ms is None:
-            return False
-        return self.clock.now() - self.unanswered_ms < UNANSWERED_MS
-
     def measure_pace(self, step):
         """Passes a second, from this turn's step and an earlier one."""
         now = self.clock.now()
@@ -241,9 +133,9 @@
 @defer.inlineCallbacks
 def turn(lead):
     """One reading, and a switch if it is worth it; the pause that follows."""
-    own = yield lead.engine.state()
+    own = yield lead.reach.handler.engine.state()
     tell_standing(lead, own)
-    if own.rank > DEPUTY:
+    if own.rank > switch.DEPUTY:
         lead.forget()
         return OTHER_TURN_MS
     if not own.open:
@@ -252,7 +144,7 @@
     if not lead.following:
         lead.following = True
         lead.view.follow(lead.clock.reactor)
-    if own.rank != 0:
+    if own.rank != switch.LEAD:
         yield deputise(lead, own)
         return DEPUTY_TURN_MS
     yield lead_turn(lead, own)
@@ -274,21 +166,21 @@
     """The lead's own turn; *own* is its rank's state."""
     if own.epoch != lead.epoch:
         lead.forget()
+        lead.reach.forget()
         lead.epoch = own.epoch
         lead.window.resume(lead.clock.now())
     lead.measure_pace(own.step)
-    states = yield lead.read(own.group, counts=True, experts=lead.mapping is None)
+    asked = gather.Question(counts=True, experts=lead.mapping is None, leading=True)
+    answers = yield lead.reach.read(own.group, own.rank, asked)
+    states = {number: answer.state for number, answer in answers.items()}
     if len(states) < own.size or any(s.epoch != own.epoch for s in states.values()):
         lead.counters.incr("turn.incomplete")
         return
-    group = lead.group(own.group, own.size, own.rank)
+    group = lead.reach.group(own.size, own.rank)
     if states[group.holder].held:
         yield switch.resolve(group, states, own.epoch)
         lead.mapping = None
         return
-    now = lead.clock.now()
-    counts = {r: window.unpack(s.counts) for r, s in states.items()}
-    lead.window.add(now, counts, lead.shape.sets if lead.shape is not None else 1)
     if not learn_mapping(lead, states):
         return
     yield consider(lead, group, states)
@@ -301,26 +193,30 @@
     Without this the group stands until the lead's machine is back. The lead
     reads every rank several times a second, also while it switches.
     """
+    looks = gather.Question()
     if own.epoch != lead.epoch:
         # The ranks' agents are learned while the lead is there to be found.
         lead.forget()
         lead.epoch = own.epoch
-        lead.member_by_rank = {}
-    if len(lead.member_by_rank) < own.size:
-        yield lead.read(own.group, leading=False)
+        lead.reach.forget()
+    if len(lead.reach.member_by_rank) < own.size:
+        yield lead.reach.read(own.group, own.rank, looks)
         return
-    read_ms = lead.handler.read_ms
-    silent_ms = lead.clock.now() - read_ms if read_ms is not None else 0
+    handler = lead.reach.handler
+    silent_ms = 0
+    if handler.read_ms is not None:
+        silent_ms = lead.clock.now() - handler.read_ms
     if silent_ms < PATIENCE_MS or not own.held:
         return
     lead.counters.incr("deputised")
-    lead.handler.fenced = True
+    handler.fenced = True
     try:
-        states = yield lead.read(own.group, leading=False)
-        group = lead.group(own.group, own.size, own.rank)
+        answers = yield lead.reach.read(own.group, own.rank, looks)
+        states = {number: answer.state for number, answer in answers.items()}
+        group = lead.reach.group(own.size, own.rank)
         yield switch.resolve(group, states, own.epoch)
     finally:
-        lead.handler.fenced = False
+        handler.fenced = False
 
 
 def learn_mapping(lead, states):
@@ -403,7 +299,7 @@
 
     def failed(failure):
         lead.counters.retried("turn_failed")
-        if not failure.check(rank.RankError, switch.SwitchError):
+        if not failure.check(engine.RankError, switch.SwitchError):
             log.error("turn_failed", error=failure.getTraceback())
         return IDLE_TURN_MS
 
--- a/dunlinpoint/experts/orders.py
+++ b/dunlinpoint/experts/orders.py
@@ -11,16 +11,41 @@
 checks that it is the same to the letter.
 """
 
+import json
 import zlib
 
 import attrs
 
+# Operations of the change of map.
+PREPARE = "prepare"
+ARM = "arm"
+DISARM = "disarm"
+HOLD = "retention"
+GO = "go"
+
 # The base of a message that needs none.
 NO_BASE = 0
-# What a receiver answers that lacks the base, in the place of a status.
-NEEDS_WHOLE = -1
 # A receiver that missed a map or two still has one that the sender has.
 KEPT = 3
+# Shorter texts (bytes) are no base: orders to arm come between two maps, and a map
+# has nothing in common with them.
+LEAST_BASE = 400
+
+
+@attrs.frozen
+class Order:
+    """One order, and its *text* as an engine takes it."""
+
+    operation: str
+    version: int
+    epoch: int
+    text: str
+
+    @classmethod
+    def from_body(cls, body):
+        """The order that *body* (a dict of the engine's words) is."""
+        text = json.dumps(body, separators=(",", ":"))
+        return cls(body["operation"], body.get("version", 0), body["epoch"], text)
 
 
 def checksum(text):
@@ -51,7 +76,9 @@
     text_by_checksum: dict = attrs.field(factory=dict)
 
     def keep(self, text):
-        """*text* is known from now on; its checksum."""
+        """*text* is known from now on; its checksum, or ``NO_BASE`` if it is short."""
+        if len(text) < LEAST_BASE:
+            return NO_BASE
         found = checksum(text)
         self.text_by_checksum.pop(found, None)
         self.text_by_checksum[found] = text
@@ -66,18 +93,18 @@
 
 @attrs.define
 class Sender:
-    """What the lead knows of the texts that ranks' agents have."""
+    """What is known of the texts that other ranks' agents have."""
 
     texts: Texts = attrs.field(factory=Texts)
-    base_by_rank: dict = attrs.field(factory=dict)
+    base_by_peer: dict = attrs.field(factory=dict)
     packed_by_base: dict = attrs.field(factory=dict)
     text: str = ""
 
-    def pack(self, rank, text):
-        """The base and the bytes of *text* for the agent of *rank*."""
+    def pack(self, peer, text):
+        """The base and the bytes of *text* for the agent at *peer*."""
         if text != self.text:
             self.text, self.packed_by_base = text, {}
-        base = self.base_by_rank.get(rank, NO_BASE)
+        base = self.base_by_peer.get(peer, NO_BASE)
         known = self.texts.get(base)
         if known is None:
             base, known = NO_BASE, ""
@@ -85,9 +112,12 @@
             self.packed_by_base[base] = pack(text, known)
         return base, self.packed_by_base[base]
 
-    def answered(self, rank, text, status):
-        """The agent of *rank* answered *text* with *status* (0 for not at all)."""
-        if status == NEEDS_WHOLE:
-            self.base_by_rank.pop(rank, None)
-        elif status:
-            self.base_by_rank[rank] = self.texts.keep(text)
+    def taken(self, peer, text):
+        """The agent at *peer* has *text* now."""
+        kept = self.texts.keep(text)
+        if kept != NO_BASE:
+            self.base_by_peer[peer] = kept
+
+    def forget(self, peer):
+        """The agent at *peer* lacks the base that it was thought to have."""
+        self.base_by_peer.pop(peer, None)
--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -1,170 +1,123 @@
-"""One rank's engine, and what its agent answers the other ranks' agents.
-
-The agent stands beside its rank's engine, whose report is fresh there and
-costs the group nothing; read from another machine, a reading of the counts
-stops the whole group for a moment.
-"""
+"""What a rank's agent answers the other ranks' agents, and announces of its rank."""
 
 from __future__ import annotations
 
-import json
 import zlib
 
 import attrs
-import treq
 from twisted.internet import defer, task
-from twisted.web import client
 from zope.interface import implementer
 
 from dunlinpoint import clock, logs
-from dunlinpoint.experts import messages, orders, window
+from dunlinpoint.experts import engine as engines
+from dunlinpoint.experts import gather, giver, messages, orders, window
 from dunlinpoint.wire import rpc
 from dunlinpoint.wire.gen.dunlin import Rank, ttypes
 
 log = logs.logger("experts")
 
-TIMEOUT_MS = 700
-# An order's answer comes at once or not at all; it is given again sooner.
-ORDER_TIMEOUT_MS = 150
+# How old the engine's word on its load may be (ms) that entries are told: several
+# entries ask at once when demand jumps, and a report costs 2 ms of a core.
+LOAD_AGE_MS = 10
 # A rank's agent takes the document from its view, if it leads.
 NO_DOCUMENT_WANTED = 1 << 62
 
 
-class RankError(Exception):
-    """The rank's engine did not answer, or not as a rank of a group."""
-
-
-@attrs.frozen
-class Calls:
-    """Paths of an engine's own interface."""
-
-    report: str = "/api/report"
-    counts: str = "/api/picked"
-    experts: str = "/api/picked?lists=1"
-    order: str = "/api/order"
-
-
-@attrs.frozen
-class Engine:
-    """The engine of one rank at *url*."""
-
-    address: str
-    calls: Calls
-    read_state: object
-    http: treq.client.HTTPClient
-
-    @classmethod
-    def from_config(cls, reactor, address, calls, read_state):
-        """The engine at *address*; *read_state* turns its bodies into ours."""
-        pool = client.HTTPConnectionPool(reactor, persistent=True)
-        pool.retryAutomatically = False
-        agent = client.Agent(reactor, pool=pool)
-        http = treq.client.HTTPClient(agent)
-        return cls(address, calls, read_state, http)
-
-    @property
-    def url(self):
-        return f"http://{self.address}"
-
-    def at(self, address):
-        """The engine of another rank, at *address*."""
-        return attrs.evolve(self, address=address)
-
-    @defer.inlineCallbacks
-    def _get(self, path):
-        try:
-            response = yield self.http.get(
-                self.url + path, timeout=clock.seconds(TIMEOUT_MS)
-            )
-            body = yield response.json()
-        except Exception as exc:
-            raise RankError(repr(exc)) from exc
-        return body
-
-    @defer.inlineCallbacks
-    def state(self, experts=False):
-        """The rank's ``RankState``, with its *experts* if asked for.
-
-        Raises ``RankError``, like :meth:`counts`.
-        """
-        report = yield self._get(self.calls.report)
-        lists = (yield self._get(self.calls.experts)) if experts else None
-        try:
-            return self.read_state(report, lists)
-        except (KeyError, TypeError) as exc:
-            raise RankError(f"not a rank's report: {exc!r}") from exc
-
-    @defer.inlineCallbacks
-    def counts(self):
-        """How often each expert of each set was chosen since the rank's start."""
-        picked = yield self._get(self.calls.counts)
-        try:
-            return picked["counts"]
-        except (KeyError, TypeError) as exc:
-            raise RankError(f"not a rank's counts: {exc!r}") from exc
-
-    @defer.inlineCallbacks
-    def order(self, body_json):
-        """Give the engine an order; its status, or 0 for no answer."""
-        try:
-            response = yield self.http.post(
-                self.url + self.calls.order,
-                data=body_json.encode(),
-                headers={"Content-Type": "application/json"},
-                timeout=clock.seconds(ORDER_TIMEOUT_MS),
-            )
-            yield response.content()
-        except Exception:
-            return 0
-        return response.code
-
-
 @implementer(Rank.Iface)
 @attrs.define
 class Handler:
     """Thrift methods of the ``Rank`` service.
 
-    While *fenced*, the lead is refused: its deputy finishes for it.
+    ``read_ms`` is when a lead last asked. While *fenced*, leads are refused: the
+    deputy finishes for them.
     """
 
-    engine: Engine
+    engine: engines.Engine
     clock: clock.Clock
+    asker: gather.Asker
+    giver: giver.Giver
     read_ms: int | None = None
     fenced: bool = False
+    load_seen: ttypes.RankLoad | None = None
+    load_ms: int = 0
     counter: window.Counter = attrs.field(factory=window.Counter)
     texts: orders.Texts = attrs.field(factory=orders.Texts)
 
+    @classmethod
+    def from_config(cls, reactor, engine):
+        """The handler of the agent beside *engine*."""
+        ticks = clock.Clock(reactor)
+        asker = gather.Asker.from_config(reactor)
+        return cls(engine, ticks, asker, giver.Giver(engine, ticks))
+
     @defer.inlineCallbacks
-    def state(self, counts, experts, leading):
-        if leading and self.fenced:
+    def ask(self, question):
+        if question.leading and self.fenced:
             raise ttypes.Refused("fenced", 0)
-        if leading:
+        if question.leading:
             self.read_ms = self.clock.now()
+        order = None
+        if question.order:
+            order = self.receive(question)
+            if order is None:
+                return ttypes.Gathered(answers=[], needs_whole=True)
+        asked = gather.Question(
+            question.counts, question.experts, question.leading, order
+        )
+        behind = [gather.Peer(peer.host, peer.port) for peer in question.behind]
+        own = self.own(asked)
+        rest = self.asker.ask_each(behind, asked, question.behind_ms)
+        found, failure = (yield rest), None
         try:
-            found = yield self.engine.state(experts)
-            if counts:
-                chosen = yield self.engine.counts()
-                found.counts = window.pack(self.counter.grown(chosen, found.epoch))
-        except RankError as exc:
-            raise ttypes.Refused(str(exc), 0) from exc
-        return found
-
-    def order(self, packed, base):
-        known = self.texts.get(base)
+            found.add((yield own))
+        except engines.RankError as exc:
+            failure = exc
+        if failure is not None and not found.answers:
+            raise ttypes.Refused(str(failure), 0) from failure
+        return ttypes.Gathered(answers=found.answers, counts=found.packed_counts())
+
+    @defer.inlineCallbacks
+    def load(self):
+        now = self.clock.now()
+        if self.load_seen is None or now - self.load_ms > LOAD_AGE_MS:
+            try:
+                state = yield self.engine.state()
+            except engines.RankError as exc:
+                raise ttypes.Refused(str(exc), 0) from exc
+            self.load_seen = ttypes.RankLoad(state.requests, state.pace)
+            self.load_ms = now
+        return self.load_seen
+
+    def receive(self, question):
+        """The order of *question*, or ``None`` if its base is not known."""
+        known = self.texts.get(question.base)
         if known is None:
-            return orders.NEEDS_WHOLE
+            return None
         try:
-            text = orders.unpack(packed, known)
+            text = orders.unpack(question.order, known)
         except zlib.error as exc:
             log.error("order_unreadable", error=str(exc))
-            return orders.NEEDS_WHOLE
+            return None
         self.texts.keep(text)
-        return self.engine.order(text)
+        return orders.Order(question.operation, question.version, question.epoch, text)
 
+    @defer.inlineCallbacks
+    def own(self, asked):
+        """This rank's part of what is *asked*, as ``Gathered``; raises ``RankError``.
 
-def order_text(order):
-    """An order (dict) as the body an engine takes."""
-    return json.dumps(order, separators=(",", ":"))
+        How the rank stands is read after the order was given.
+        """
+        status = 0
+        if asked.order is not None:
+            status = yield self.giver.give(asked.order)
+        state = yield self.engine.state(asked.experts)
+        counts = None
+        if asked.counts:
+            chosen = yield self.engine.counts()
+            counts = window.pack(self.counter.grown(chosen, state.epoch))
+        return ttypes.Gathered(
+            answers=[ttypes.RankAnswer(state, status)], counts=counts
+        )
 
 
 @attrs.frozen
@@ -178,7 +131,7 @@
 
 def serve(reactor, engine, address):
     """Answer the other ranks' agents; the ``Handler`` that does."""
-    handler = Handler(engine, clock.Clock(reactor))
+    handler = Handler.from_config(reactor, engine)
     rpc.serve(reactor, Rank.Processor(handler), address.port, address.host)
     return handler
 
@@ -188,7 +141,7 @@
     """Tell control which group the rank belongs to, while it belongs to one."""
     try:
         state = yield engine.state()
-    except RankError:
+    except engines.RankError:
         announcer.counters.retried("report_failed")
         return
     yield announce_state(engine, announcer, address, state)
--- /dev/null
+++ b/dunlinpoint/experts/reach.py
@@ -0,0 +1,224 @@
+"""The ranks of a group as its lead and its deputy reach them."""
+
+import json
+
+import attrs
+from twisted.internet import defer
+
+from dunlinpoint import clock, logs, metrics
+from dunlinpoint.experts import (
+    engine,
+    gather,
+    giver,
+    messages,
+    orders,
+    rank,
+    switch,
+    window,
+)
+from dunlinpoint.follow import view
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+log = logs.logger("experts")
+
+# How long ranks are waited for: where counts or experts are read, and while a map is
+# switched, by the lead and by the deputy: one that is out of reach must not keep the
+# others waiting.
+READ_TIMEOUT_MS = 500
+SWITCH_TIMEOUT_MS = 250
+# An agent that did not answer is passed by for so long, and its rank's engine called
+# directly: it answers as well, with a report some hundred ms old. Asked each time, an
+# agent that is frozen costs each round its timeout.
+SILENT_MS = 1000
+# Readings of counts closer to each other than this are taken as one: a pass takes as
+# long, and a reading without one tells nothing of what is chosen.
+READING_MS = 80
+
+
+@attrs.define
+class Reach:
+    """Ranks by number, once they have answered, and what was heard of them.
+
+    ``on_counts(now, counts)`` takes each reading of the counts, summed over the ranks.
+    """
+
+    handler: rank.Handler
+    view: view.View
+    clock: clock.Clock
+    counters: metrics.Counters
+    on_counts: object = lambda now, counts: None
+    arming: switch.Arming = attrs.field(factory=switch.Arming)
+    member_by_rank: dict = attrs.field(factory=dict)
+    unanswered_ms: int | None = None
+    silent_ms_by_rank: dict = attrs.field(factory=dict)
+    counts: list = attrs.field(factory=list)
+    counted_ms: int = 0
+
+    def forget(self):
+        """Another epoch began: ranks may be others."""
+        self.member_by_rank = {}
+        self.silent_ms_by_rank = {}
+
+    def agents(self, group):
+        """Agents of *group*'s ranks."""
+        return [m for m in self.view.live(messages.KIND) if m.group == group]
+
+    @defer.inlineCallbacks
+    def read(self, group, own_rank, question):
+        """``RankAnswer`` by rank of those of *group* that answer *question*."""
+        members = self.agents(group)
+        known = {peer_of(m): n for n, m in self.member_by_rank.items()}
+        strangers = [p for p in map(peer_of, members) if p not in known]
+        numbers = sorted(known.values())
+        asking = [self.ask(numbers, own_rank, question, READ_TIMEOUT_MS)]
+        if strangers:
+            # One whose rank is not known may be the holder, and gathers for nobody.
+            asking.append(self._ask_strangers(strangers, question))
+        answers = {}
+        for found in (yield defer.gatherResults(asking)):
+            answers.update(found)
+        return {n: a for n, a in answers.items() if a.state.group == group}
+
+    @defer.inlineCallbacks
+    def _ask_strangers(self, peers, question):
+        found = yield self.handler.asker.ask_each(peers, question, READ_TIMEOUT_MS)
+        self._count(found.counts)
+        self._learn(found.rank_by_peer)
+        return {answer.state.rank: answer for answer in found.answers}
+
+    @defer.inlineCallbacks
+    def ask(self, numbers, own_rank, question, timeout_ms):
+        """``RankAnswer`` by rank of those of *numbers* that answer."""
+        now = self.clock.now()
+        agents = [n for n in numbers if self.silent_ms_by_rank.get(n, 0) <= now]
+        peers = {peer_of(self.member_by_rank[n]): n for n in agents if n != own_rank}
+        apart = [peer for peer, number in peers.items() if number == switch.DEPUTY]
+        asking = [
+            self.handler.asker.ask_all(list(peers), question, timeout_ms, apart),
+            self._ask_own(question if own_rank in agents else None),
+        ]
+        founds = yield defer.gatherResults(asking)
+        self._count([counts for found in founds for counts in found.counts])
+        answers = {a.state.rank: a for found in founds for a in found.answers}
+        missing = [n for n in numbers if n not in answers and n != switch.DEPUTY]
+        for number in set(missing).intersection(agents):
+            self.silent_ms_by_rank[number] = self.clock.now() + SILENT_MS
+        direct = [self._ask_engine(number, question) for number in missing]
+        for answer in (yield defer.gatherResults(direct)):
+            if answer is not None:
+                answers[answer.state.rank] = answer
+        return answers
+
+    @defer.inlineCallbacks
+    def _ask_engine(self, number, question):
+        """The ``RankAnswer`` of a rank's engine, past its agent, or ``None``.
+
+        The holder's is never asked for this way: its agent's silence has a meaning.
+        """
+        called = self.handler.engine.at(self.member_by_rank[number].engine)
+        self.counters.incr("ask.past_agent")
+        status = 0
+        if question.order is not None:
+            status = yield called.order(question.order.text)
+        try:
+            state = yield called.state(question.experts)
+        except engine.RankError as exc:
+            log.warning("rank_silent", host=called.address, error=str(exc))
+            return None
+        return ttypes.RankAnswer(state, status)
+
+    @defer.inlineCallbacks
+    def _ask_own(self, question):
+        found = gather.Found()
+        if question is None:
+            return found
+        try:
+            found.add((yield self.handler.own(question)))
+        except engine.RankError as exc:
+            log.warning("own_rank_silent", error=str(exc))
+        return found
+
+    def _learn(self, rank_by_peer):
+        for member in self.view.live(messages.KIND):
+            number = rank_by_peer.get(peer_of(member))
+            if number is not None:
+                self.member_by_rank[number] = member
+
+    def _count(self, parts):
+        if not parts:
+            return
+        now = self.clock.now()
+        self.counts.extend(parts)
+        if now - self.counted_ms >= READING_MS:
+            self.on_counts(now, window.total(self.counts))
+            self.counts, self.counted_ms = [], now
+
+    @defer.inlineCallbacks
+    def give_direct(self, number, own_rank, body):
+        """Give an order to a rank's engine past its agent; a status, or 0.
+
+        A machine that froze while it passed on the order to hold the group would
+        take the hold with it, out of the deputy's reach.
+        """
+        self.counters.incr(f"order.{body['operation']}")
+        called = self.handler.engine
+        if number != own_rank:
+            called = called.at(self.member_by_rank[number].engine)
+        text = orders.Order.from_body(body).text
+        copies = giver.COPIES if self.orders_get_lost() else 1
+        statuses = yield defer.gatherResults(
+            [called.order(text) for _ in range(copies)]
+        )
+        if 0 in statuses:
+            self.unanswered_ms = self.clock.now()
+        return giver.best(statuses)
+
+    def group(self, size, own_rank):
+        """The ranks as :mod:`switch` wants them, for the agent of *own_rank*."""
+        leading = own_rank == switch.LEAD
+
+        @defer.inlineCallbacks
+        def ask(ranks, body=None):
+            order = orders.Order.from_body(body) if body is not None else None
+            if order is not None:
+                self.counters.incr(f"order.{order.operation}", len(ranks))
+            whole = leading and len(ranks) == size
+            question = gather.Question(counts=whole, leading=leading, order=order)
+            answers = yield self.ask(ranks, own_rank, question, SWITCH_TIMEOUT_MS)
+            if order is not None and any(
+                number not in answers or not answers[number].status for number in ranks
+            ):
+                self.unanswered_ms = self.clock.now()
+            return answers
+
+        def order(number, body):
+            return self.give_direct(number, own_rank, body)
+
+        return switch.Group(
+            size,
+            ask,
+            order,
+            self.clock.pause,
+            self.orders_get_lost,
+            self.clock.now,
+            self.mapping_of,
+            arming=self.arming,
+        )
+
+    def mapping_of(self, version):
+        """The map *version* as this agent was given it, or ``None``."""
+        order = self.handler.giver.prepared
+        if order is None or order.version != version:
+            return None
+        return json.loads(order.text)["mapping"]
+
+    def orders_get_lost(self):
+        """Whether an order went unanswered lately."""
+        if self.unanswered_ms is None:
+            return False
+        return self.clock.now() - self.unanswered_ms < giver.UNANSWERED_MS
+
+
+def peer_of(member):
+    """Where *member*'s agent answers."""
+    return gather.Peer(member.host, member.port, member.zone)
--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -13,9 +13,10 @@
    report shows it; then the lead's own.
 4. *Go*, which lets the step begin with all ranks armed.
 
-Where a rank refuses to be armed, all are disarmed. The hold is lifted only
-once the group has come to a stop at it and no rank is armed: an arm order
-still on its way then meets a step that has begun, and is refused.
+Where a rank refuses to be armed, all are disarmed, and hold another map in place of
+the one that was to come (:func:`withdraw`). An order to arm that is still on its way,
+for seconds even, then names a map that is not prepared, and is refused. Only then is
+the hold lifted.
 
 A lead can freeze or die anywhere in between, and its rank's report may be
 out of reach with it. That is why the hold stands at another rank, whose
@@ -24,16 +25,21 @@
 stops answering the lead, which then cannot see all armed any more, and only
 then looks (:func:`resolve`). Only where all others are armed, a matter of
 milliseconds, must it wait for the lead's rank to be in reach.
+
+Orders to prepare, arm and disarm may travel by way of other ranks' agents, which can
+freeze with them and pass them on seconds later (:mod:`gather`); for the reason just
+given that is harmless. The holder alone is asked by nobody else, as its silence tells
+the lead to stop, and the hold is put and lifted at its engine.
 """
 
 import attrs
 from twisted.internet import defer
 
 from dunlinpoint import clock, logs
+from dunlinpoint.experts import giver, orders
 
 log = logs.logger("experts")
 
-OK = (200, 202)
 # How far ahead of the group's step the switch is set, in ms of passes: while
 # ranks answer, and while orders go unanswered. A step reached before every
 # rank is armed stands still, and with it every answer of the group; a step far
@@ -61,6 +67,7 @@
 # order on its way.
 SEEN_MS = 400
 LEAD = 0
+DEPUTY = 1
 
 
 class SwitchError(Exception):
@@ -113,26 +120,34 @@
 class Group:
     """The ranks as the lead reaches them.
 
-    ``states()`` gives a Deferred of ``RankState`` by rank, ``None`` where a
-    rank did not answer; ``order(rank, dict)`` one of an HTTP status or 0;
-    ``pause(ms)`` one that fires later. ``orders_get_lost()`` tells whether orders
-    went unanswered lately, ``now()`` the time in ms, and ``seen_ms`` is when the
-    holder was last asked and answered.
+    ``ask(ranks, dict)`` has the agents of *ranks* give an order, or none, to their
+    engines and gives a Deferred of ``RankAnswer`` by rank of those that answered, as
+    they stood after it; ``order(rank, dict)`` gives one to an engine directly, a
+    Deferred of its status or 0; ``pause(ms)`` gives one that fires later.
+    ``mapping_of(version)`` is the map that was to come, ``None`` if it is not known;
+    ``orders_get_lost()`` tells whether orders went unanswered lately, ``now()`` the
+    time in ms, and ``seen_ms`` is when the holder was last asked and answered.
     """
 
     size: int
-    states: object
+    ask: object
     order: object
     pause: object
     orders_get_lost: object = lambda: False
     now: object = lambda: 0
+    mapping_of: object = lambda version: None
     seen_ms: int | None = None
     arming: Arming = attrs.field(factory=Arming)
 
     @property
     def holder(self):
         """The rank at which the group is held: the deputy's."""
-        return min(1, self.size - 1)
+        return min(DEPUTY, self.size - 1)
+
+    @property
+    def ranks(self):
+        """All ranks."""
+        return list(range(self.size))
 
     @property
     def others(self):
@@ -140,13 +155,17 @@
         return [rank for rank in range(self.size) if rank != LEAD]
 
     @defer.inlineCallbacks
-    def see(self):
-        """The ranks' states; notes when the holder was asked, if it answered."""
+    def see(self, ranks=(), order=None):
+        """Answers of *ranks*, given *order*, and of the holder in any case.
+
+        Notes when the holder was asked, if it answered.
+        """
         asked_ms = self.now()
-        states = yield self.states()
-        if states.get(self.holder) is not None:
+        asked = sorted({*ranks, self.holder})
+        answers = yield self.ask(asked, order)
+        if self.holder in answers:
             self.seen_ms = asked_ms
-        return states
+        return answers
 
     def check_seen(self):
         """Raise ``SwitchError`` unless the holder answered a moment ago.
@@ -159,75 +178,58 @@
         if self.seen_ms is None or self.now() - self.seen_ms > SEEN_MS:
             raise SwitchError("the holder was not seen lately")
 
-    @defer.inlineCallbacks
-    def order_all(self, order, ranks=None):
-        """Statuses by rank of *order* at every one of *ranks*."""
-        ranks = list(range(self.size) if ranks is None else ranks)
-        statuses = yield defer.gatherResults([self.order(r, order) for r in ranks])
-        return dict(zip(ranks, statuses, strict=True))
-
-
-def best(statuses):
-    """What the *statuses* of one order given several times come to.
-
-    One copy that was taken makes others be refused: that is no refusal.
-    """
-    taken = [status for status in statuses if status in OK]
-    return taken[0] if taken else max(statuses)
-
 
-def live(states, epoch):
-    """The states of *epoch*; raises ``EpochEnded`` when one is past it."""
-    known = {rank: state for rank, state in states.items() if state is not None}
-    if any(s.epoch != epoch or not s.open for s in known.values()):
+def states_of(answers, epoch):
+    """States by rank of *answers*; raises ``EpochEnded`` when one is past *epoch*."""
+    states = {rank: answer.state for rank, answer in answers.items()}
+    if any(s.epoch != epoch or not s.open for s in states.values()):
         raise EpochEnded("the group broke")
-    return known
+    return states
 
 
 @defer.inlineCallbacks
 def prepare(group, plan):
-    """Have every rank hold the new map; raises ``SwitchError``."""
+    """Have every rank hold the new map; raises ``SwitchError``.
+
+    An order left unanswered may be carried out late or never. Given again, it is
+    refused if it was carried out in the meantime, which harms nothing.
+    """
     order = {
-        "operation": "prepare",
+        "operation": orders.PREPARE,
         "version": plan.version,
         "epoch": plan.epoch,
         "mapping": plan.mapping,
     }
-    statuses = yield group.order_all(order)
-    refused = [r for r, status in statuses.items() if status and status not in OK]
-    if refused:
-        raise SwitchError(f"prepare refused at ranks {refused}")
-    # An order left unanswered may be carried out late or never. Given again,
-    # it is refused if it was carried out in the meantime, which harms nothing.
-    again = [rank for rank, status in statuses.items() if not status]
-    yield group.pause(plan.copy_ms)
-    waited = 0
+    began_ms, waited, pause_ms = group.now(), 0, plan.copy_ms
     while True:
-        if again:
-            statuses = yield group.order_all(order, again)
-            again = [rank for rank, status in statuses.items() if not status]
-        states = live((yield group.states()), plan.epoch)
+        answers = yield group.ask(group.ranks, order)
+        states = states_of(answers, plan.epoch)
         late = [
             r
-            for r in range(group.size)
+            for r in group.ranks
             if r not in states or states[r].prepared != plan.version
         ]
         if not late:
             return states
-        if waited >= COPY_TIMEOUT_MS:
+        statuses = {r: answers[r].status for r in late if r in answers}
+        refused = [r for r, s in statuses.items() if s and s not in giver.OK]
+        if refused:
+            raise SwitchError(f"prepare refused at ranks {refused}")
+        if max(waited, group.now() - began_ms) >= COPY_TIMEOUT_MS:
             raise SwitchError(f"ranks {late} did not hold the map in time")
-        yield group.pause(POLL_MS)
-        waited += POLL_MS
+        yield group.pause(pause_ms)
+        waited += pause_ms
+        pause_ms = POLL_MS
 
 
 @defer.inlineCallbacks
 def hold(group, plan, step):
     """Hold the group before *step*; raises ``SwitchError``."""
     holder = group.holder
-    order = {"operation": "retention", "step": step, "epoch": plan.epoch}
+    order = {"operation": orders.HOLD, "step": step, "epoch": plan.epoch}
     for _ in range(HOLD_TRIES):
         yield group.order(holder, order)
-        states = live((yield group.see()), plan.epoch)
+        states = states_of((yield group.see()), plan.epoch)
         if holder in states and states[holder].held == step:
             return
         if holder in states and states[holder].step >= step:
@@ -240,12 +242,12 @@
 @defer.inlineCallbacks
 def arm(group, ranks, version, step, epoch):
     """Arm *ranks* for *step*; ``True`` once all are, ``False`` if one won't."""
-    order = {"operation": "arm", "version": version, "step": step, "epoch": epoch}
+    order = {"operation": orders.ARM, "version": version, "step": step, "epoch": epoch}
     pending = set(ranks)
     while pending:
         group.check_seen()
-        by_rank = yield group.order_all(order, sorted(pending))
-        states = live((yield group.see()), epoch)
+        answers = yield group.see(pending, order)
+        states = states_of(answers, epoch)
         if group.holder not in states:
             # The deputy may lift the hold at any moment. Whatever is armed is
             # its to disarm, or the lead's next turn's once it sees it again.
@@ -254,7 +256,7 @@
             # A deputy took the lead for dead and lifted the hold.
             raise SwitchError("the hold was lifted")
         pending = {r for r in pending if r not in states or states[r].armed != version}
-        if any(by_rank.get(r) == 409 for r in pending if r in states):
+        if any(answers[r].status == giver.REFUSED for r in pending if r in states):
             return False
         if pending:
             yield group.pause(POLL_MS)
@@ -262,18 +264,36 @@
 
 
 @defer.inlineCallbacks
-def back_out(group, ranks, versions, step, epoch):
-    """Disarm *ranks*, and lift the hold once the group stands at it."""
+def withdraw(group, ranks, states, step, epoch):
+    """Disarm *ranks* for good, and lift the hold once the group stands at it.
+
+    A rank that was disarmed is armed again by an order that is carried out late. Seen
+    unarmed, it could still change its map alone while the order to go on is given and
+    given again. So each rank is to hold a newer map as well, with which it refuses
+    to be armed for the one before; the same experts, so that it has nothing to copy.
+    """
+    versions = versions_of(states)
+    newest = versions[-1] if versions else 0
+    mapping = group.mapping_of(newest) if newest else None
+    instead = {
+        "operation": orders.PREPARE,
+        "version": newest + 1,
+        "epoch": epoch,
+        "mapping": mapping,
+    }
     while True:
         for version in versions:
-            order = {"operation": "disarm", "version": version, "epoch": epoch}
-            yield group.order_all(order, ranks)
-        states = live((yield group.states()), epoch)
+            order = {"operation": orders.DISARM, "version": version, "epoch": epoch}
+            answers = yield group.see(ranks, order)
+        answers = yield group.see(ranks, instead if mapping is not None else None)
+        states = states_of(answers, epoch)
         holder = states.get(group.holder)
         if holder is not None and holder.held != step:
             return
-        armed = [r for r in ranks if r not in states or states[r].armed]
-        if holder is not None and holder.step >= step - 1 and not armed:
+        late = [r for r in ranks if r not in states or states[r].armed]
+        if mapping is not None:
+            late += [r for r in ranks if r in states and states[r].prepared <= newest]
+        if holder is not None and holder.step >= step - 1 and not late:
             break
         yield group.pause(POLL_MS)
     yield go(group, step, epoch)
@@ -282,10 +302,10 @@
 @defer.inlineCallbacks
 def go(group, step, epoch):
     """Lift the hold before *step*, and see that it is gone."""
-    order = {"operation": "go", "step": step, "epoch": epoch}
+    order = {"operation": orders.GO, "step": step, "epoch": epoch}
     while True:
         yield group.order(group.holder, order)
-        states = live((yield group.states()), epoch)
+        states = states_of((yield group.see()), epoch)
         holder = states.get(group.holder)
         if holder is not None and holder.held != step:
             return
@@ -323,7 +343,7 @@
     if armed:
         yield go(group, step, epoch)
         return
-    yield back_out(group, range(group.size), [version], step, epoch)
+    yield withdraw(group, group.ranks, states, step, epoch)
     raise SwitchError("a rank would not be armed")
 
 
@@ -344,6 +364,14 @@
         return False
     if missing and missing != [LEAD]:
         return False
-    versions = {states[rank].armed for rank in armed}
-    yield back_out(group, sorted(states), versions, step, epoch)
+    yield withdraw(group, sorted(states), states, step, epoch)
     return True
+
+
+def versions_of(states):
+    """The maps that ranks of *states* may be armed for, now or by an order on its way.
+
+    A map can be armed wherever it is prepared and not in force yet.
+    """
+    wanted = {v for s in states.values() for v in (s.armed, s.prepared) if v}
+    return sorted(wanted - {s.map_version for s in states.values()})
--- /dev/null
+++ b/dunlinpoint/experts/tests/agents.py
@@ -0,0 +1,179 @@
+"""Ranks' agents on a simulated network, beside stand-ins for engines.
+
+Messages take time, an agent freezes with those that reach it and takes them in some
+order when it wakes, and one that dies is another when it is back.
+"""
+
+import json
+import random
+
+import attrs
+from twisted.internet import defer
+
+from dunlinpoint import clock as clocks
+from dunlinpoint import metrics
+from dunlinpoint.experts import gather, giver, rank, reach
+from dunlinpoint.experts.tests import ranks as standins
+from dunlinpoint.wire import errors
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+ZONES = ("a", "b")
+WAY_MS = 2
+
+
+@attrs.define
+class Engine:
+    """One rank's engine, as its agent calls it."""
+
+    ranks: standins.Ranks
+    number: int
+
+    def order(self, text, timeout_ms=150):
+        answer = self.ranks.order(self.number, json.loads(text))
+        if answer.result:
+            return answer
+        return later(self.ranks.clock, timeout_ms, lambda: 0)
+
+    def state(self, experts=False):
+        return defer.succeed(self.ranks.state(self.number))
+
+    def counts(self):
+        return defer.succeed([self.ranks.step * 10, self.ranks.step])
+
+    def at(self, address):
+        return Engine(self.ranks, int(address.rpartition(":")[2]))
+
+
+def later(reactor, ms, action):
+    """A Deferred of what *action* returns *ms* from now."""
+    fired = defer.Deferred()
+    reactor.callLater(ms / 1000, lambda: fired.callback(action()))
+    return fired
+
+
+@attrs.define(eq=False)
+class Network:
+    """Agents of all ranks of one group, by their port, which is their rank."""
+
+    ranks: standins.Ranks
+    rng: random.Random
+    handler_by_port: dict = attrs.field(factory=dict)
+    inbox_by_frozen: dict = attrs.field(factory=dict)
+    dead: set = attrs.field(factory=set)
+    slow_ms_by_port: dict = attrs.field(factory=dict)
+    messages_by_port: dict = attrs.field(factory=dict)
+    on_message: object = lambda port, question: None
+
+    def __attrs_post_init__(self):
+        for number in range(self.ranks.size):
+            self.start(number)
+
+    def start(self, number):
+        """An agent starts (again), knowing nothing."""
+        self.dead.discard(number)
+        reactor, engine = self.ranks.clock, Engine(self.ranks, number)
+        asker = gather.Asker(clocks.Clock(reactor), self)
+        self.handler_by_port[number] = rank.Handler(
+            engine,
+            clocks.Clock(reactor),
+            asker,
+            giver.Giver(engine, clocks.Clock(reactor)),
+        )
+
+    def freeze(self, number, for_ms):
+        """The agent's machine is suspended, and takes all in when it wakes."""
+        if number in self.inbox_by_frozen:
+            return
+        inbox = self.inbox_by_frozen[number] = []
+
+        def wake():
+            del self.inbox_by_frozen[number]
+            self.rng.shuffle(inbox)
+            for deliver in inbox:
+                deliver()
+
+        self.ranks.clock.callLater(for_ms / 1000, wake)
+
+    def kill(self, number, back_ms):
+        """The agent's process dies, and is back later."""
+        self.dead.add(number)
+        self.ranks.clock.callLater(back_ms / 1000, self.start, number)
+
+    def to(self, host, port):
+        """The link to the agent at *port*."""
+        return Link(self, port)
+
+    def members(self):
+        """Members as the agents announce themselves."""
+        return [
+            ttypes.Member(
+                endpoint_id=f"rank-{n}",
+                zone=ZONES[n % len(ZONES)],
+                host="h",
+                port=n,
+                kind="rank",
+                group="g",
+                engine=f"e:{n}",
+            )
+            for n in range(self.ranks.size)
+        ]
+
+    def live(self, kind):
+        """As a ``View`` tells them."""
+        return self.members()
+
+    def reach(self, number):
+        """How the agent of rank *number* reaches the group as its lead or deputy."""
+        ticks = clocks.Clock(self.ranks.clock)
+        found = reach.Reach(
+            self.handler_by_port[number], self, ticks, metrics.Counters(None)
+        )
+        found.member_by_rank = dict(enumerate(self.members()))
+        return found
+
+
+@attrs.define
+class Link:
+    """A connection to the agent at *port*."""
+
+    network: Network
+    port: int
+
+    def call(self, method, question, timeout_ms):
+        assert method == "ask"
+        net, reactor = self.network, self.network.ranks.clock
+        outer = defer.Deferred()
+        timer = reactor.callLater(
+            timeout_ms / 1000, lambda: outer.errback(errors.Lost(f"{self.port}"))
+        )
+
+        def done(result):
+            if not timer.active():
+                return
+            timer.cancel()
+            outer.callback(result)
+
+        def failed(failure):
+            if timer.active():
+                timer.cancel()
+                outer.errback(failure)
+
+        def deliver():
+            if self.port in net.inbox_by_frozen:
+                net.inbox_by_frozen[self.port].append(deliver)
+                return
+            if self.port in net.dead:
+                if timer.active():
+                    timer.cancel()
+                    outer.errback(errors.Lost(f"{self.port}: reset"))
+                return
+            net.messages_by_port[self.port] = net.messages_by_port.get(self.port, 0) + 1
+            net.on_message(self.port, question)
+            handler = net.handler_by_port[self.port]
+            back_ms = WAY_MS + net.slow_ms_by_port.get(self.port, 0)
+            answer = defer.maybeDeferred(handler.ask, question)
+            answer.addCallback(lambda r: later(reactor, back_ms, lambda: r))
+            answer.addCallbacks(done, failed)
+
+        reactor.callLater(WAY_MS / 1000, deliver)
+        return outer
--- a/dunlinpoint/experts/window.py
+++ b/dunlinpoint/experts/window.py
@@ -50,6 +50,11 @@
     return [byte << shift for byte in zlib.decompress(data[1:])]
 
 
+def total(parts):
+    """The sum by expert of *parts* (lists of counts)."""
+    return [sum(chosen) for chosen in zip(*parts, strict=True)]
+
+
 @attrs.define
 class Counter:
     """What one rank's counters, which only grow, have grown by."""
@@ -90,6 +95,8 @@
 
     def has_jumped(self, before, after):
         """Whether the reading *after* is of other demand than the mean *before*."""
+        if not any(after):
+            return False
         found = difference(before, after)
         least = LEAST_JUMP
         if len(self.differences) >= LEAST_READINGS:
@@ -109,9 +116,8 @@
     jumps_by_set: dict = attrs.field(factory=dict)
     jumped: int = 0
 
-    def add(self, now, grown_by_rank, sets=1):
-        """Take in one reading of every rank at *now*, of *sets* sets in a row."""
-        fresh = [sum(parts) for parts in zip(*grown_by_rank.values(), strict=True)]
+    def add(self, now, fresh, sets=1):
+        """Take in one reading at *now* of all ranks' sums, of *sets* sets in a row."""
         if self.at_ms is None or len(self.faded) != len(fresh):
             self.faded = fresh
         else:
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -64,6 +64,7 @@
     "node_id": "a control instance's id",
     "control_id": "a control instance's name",
     "control": "address of a control instance",
+    "host": "a machine's address",
     "kind": "kind of member",
     "draining": "whether it takes no new work",
     "sequence": "number of the heartbeat that said so",
--- a/dunlinpoint/platform/agent.py
+++ b/dunlinpoint/platform/agent.py
@@ -5,6 +5,7 @@
 from dunlinpoint import logs
 from dunlinpoint.agent import announce
 from dunlinpoint.cli import checks, flags
+from dunlinpoint.experts import engine as engines
 from dunlinpoint.experts import lead, rank
 from dunlinpoint.follow import view
 from dunlinpoint.platform import addresses, commands, documents, settings
@@ -18,8 +19,8 @@
     controls = addresses.inner(checks.addresses(command.seeds, "seeds"), port)
     logs.setup()
     counters = flags.counters(reactor, command.metrics)
-    engine = rank.Engine.from_config(
-        reactor, f"{host}:{app_port}", rank.Calls(), documents.to_rank_state
+    engine = engines.Engine.from_config(
+        reactor, f"{host}:{app_port}", engines.Calls(), documents.to_rank_state
     )
     address = rank.Address(zone, command.ip, port)
     leading = lead.Lead.from_config(
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -74,9 +74,8 @@
 
 // -- agent -> agent, among the ranks of one group ---------------------------
 
-// How one rank of a group stands. Versions and steps are 0 for none; counts
-// (when asked for) holds, packed, how often each expert of each set was chosen
-// since it was last asked for, and experts what the rank holds by set.
+// How one rank of a group stands. Versions and steps are 0 for none; experts
+// (when asked for) is what the rank holds by set.
 struct RankState {
   1: string group,
   2: i64 epoch,
@@ -88,17 +87,65 @@
   8: i64 prepared,
   9: i64 armed,
   10: i64 held,
-  11: binary counts,
-  12: list<list<i32>> experts,
+  11: list<list<i32>> experts,
+  // Requests at its engine, running or waiting, and how many times as long as usual
+  // its own part of a pass takes.
+  12: i32 requests,
+  13: double pace,
+}
+
+// What an entry chooses a rank by: as in RankState.
+struct RankLoad {
+  1: i32 requests,
+  2: double pace,
+}
+
+// Where a rank's agent answers the others.
+struct Peer {
+  1: string host,
+  2: i32 port,
+}
+
+// What a rank's agent is asked: to give its engine an order, if there is one, and
+// to say how the rank stands after it.
+struct Question {
+  // Which reports are wanted, and whether the group's lead asks, not a deputy that
+  // looks.
+  1: bool counts,
+  2: bool experts,
+  3: bool leading,
+  // The order, compressed against the earlier one that base names (0 for none),
+  // and what it is about; empty for none.
+  4: binary order,
+  5: i64 base,
+  6: string operation,
+  7: i64 version,
+  8: i64 epoch,
+  // The ranks that are asked the same by this one, and for how long.
+  9: list<Peer> behind,
+  10: i32 behind_ms,
+}
+
+// One rank's part: how it stands, and its engine's status for the order (0 for no
+// answer, or no order).
+struct RankAnswer {
+  1: RankState state,
+  2: i32 status,
+}
+
+// The answers of those asked that gave one. counts holds, packed, how often each
+// expert of each set was chosen at them since they were last asked. With
+// needs_whole nobody was asked: the order's base is not known.
+struct Gathered {
+  1: list<RankAnswer> answers,
+  2: binary counts,
+  3: bool needs_whole,
 }
 
 service Rank {
-  // leading: the reader leads the group, and is not a deputy that looks.
-  RankState state(1: bool counts, 2: bool experts, 3: bool leading) throws (1: Refused refused),
-  // Passes an order, compressed against the earlier one that base names (0 for
-  // none), to the rank's engine; its status, 0 for no answer, or -1 where the
-  // earlier one is not known.
-  i32 order(1: binary packed, 2: i64 base),
+  Gathered ask(1: Question question) throws (1: Refused refused),
+  // For entries: how loaded the rank's engine is now.
+  RankLoad load() throws (1: Refused refused),
 }
 
 // -- agent, entry, operator tool -> control ---------------------------------
--- a/dunlinpoint/wire/gen/dunlin/Rank.py
+++ b/dunlinpoint/wire/gen/dunlin/Rank.py
@@ -22,23 +22,15 @@
 
 
 class Iface(Interface):
-    def state(counts, experts, leading):
+    def ask(question):
         """
         Parameters:
-         - counts
-         - experts
-         - leading
+         - question
 
         """
         pass
 
-    def order(packed, base):
-        """
-        Parameters:
-         - packed
-         - base
-
-        """
+    def load():
         pass
 
 
@@ -51,109 +43,99 @@
         self._seqid = 0
         self._reqs = {}
 
-    def state(self, counts, experts, leading):
+    def ask(self, question):
         """
         Parameters:
-         - counts
-         - experts
-         - leading
+         - question
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_state, counts, experts, leading)
+        d = defer.maybeDeferred(self.send_ask, question)
         d.addCallbacks(
-            callback=self.cb_send_state,
+            callback=self.cb_send_ask,
             callbackArgs=(seqid,),
-            errback=self.eb_send_state,
+            errback=self.eb_send_ask,
             errbackArgs=(seqid,))
         return d
 
-    def cb_send_state(self, _, seqid):
+    def cb_send_ask(self, _, seqid):
         return self._reqs[seqid]
 
-    def eb_send_state(self, f, seqid):
+    def eb_send_ask(self, f, seqid):
         d = self._reqs.pop(seqid)
         d.errback(f)
         return d
 
-    def send_state(self, counts, experts, leading):
+    def send_ask(self, question):
         oprot = self._oprot_factory.getProtocol(self._transport)
-        oprot.writeMessageBegin('state', TMessageType.CALL, self._seqid)
-        args = state_args()
-        args.counts = counts
-        args.experts = experts
-        args.leading = leading
+        oprot.writeMessageBegin('ask', TMessageType.CALL, self._seqid)
+        args = ask_args()
+        args.question = question
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def recv_state(self, iprot, mtype, rseqid):
+    def recv_ask(self, iprot, mtype, rseqid):
         d = self._reqs.pop(rseqid)
         if mtype == TMessageType.EXCEPTION:
             x = TApplicationException()
             x.read(iprot)
             iprot.readMessageEnd()
             return d.errback(x)
-        result = state_result()
+        result = ask_result()
         result.read(iprot)
         iprot.readMessageEnd()
         if result.success is not None:
             return d.callback(result.success)
         if result.refused is not None:
             return d.errback(result.refused)
-        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "state failed: unknown result"))
-
-    def order(self, packed, base):
-        """
-        Parameters:
-         - packed
-         - base
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "ask failed: unknown result"))
 
-        """
+    def load(self):
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_order, packed, base)
+        d = defer.maybeDeferred(self.send_load)
         d.addCallbacks(
-            callback=self.cb_send_order,
+            callback=self.cb_send_load,
             callbackArgs=(seqid,),
-            errback=self.eb_send_order,
+            errback=self.eb_send_load,
             errbackArgs=(seqid,))
         return d
 
-    def cb_send_order(self, _, seqid):
+    def cb_send_load(self, _, seqid):
         return self._reqs[seqid]
 
-    def eb_send_order(self, f, seqid):
+    def eb_send_load(self, f, seqid):
         d = self._reqs.pop(seqid)
         d.errback(f)
         return d
 
-    def send_order(self, packed, base):
+    def send_load(self):
         oprot = self._oprot_factory.getProtocol(self._transport)
-        oprot.writeMessageBegin('order', TMessageType.CALL, self._seqid)
-        args = order_args()
-        args.packed = packed
-        args.base = base
+        oprot.writeMessageBegin('load', TMessageType.CALL, self._seqid)
+        args = load_args()
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def recv_order(self, iprot, mtype, rseqid):
+    def recv_load(self, iprot, mtype, rseqid):
         d = self._reqs.pop(rseqid)
         if mtype == TMessageType.EXCEPTION:
             x = TApplicationException()
             x.read(iprot)
             iprot.readMessageEnd()
             return d.errback(x)
-        result = order_result()
+        result = load_result()
         result.read(iprot)
         iprot.readMessageEnd()
         if result.success is not None:
             return d.callback(result.success)
-        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "order failed: unknown result"))
+        if result.refused is not None:
+            return d.errback(result.refused)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "load failed: unknown result"))
 
 
 @implementer(Iface)
@@ -161,8 +143,8 @@
     def __init__(self, handler):
         self._handler = Iface(handler)
         self._processMap = {}
-        self._processMap["state"] = Processor.process_state
-        self._processMap["order"] = Processor.process_order
+        self._processMap["ask"] = Processor.process_ask
+        self._processMap["load"] = Processor.process_load
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -184,24 +166,24 @@
         else:
             return self._processMap[name](self, seqid, iprot, oprot)
 
-    def process_state(self, seqid, iprot, oprot):
-        args = state_args()
+    def process_ask(self, seqid, iprot, oprot):
+        args = ask_args()
         args.read(iprot)
         iprot.readMessageEnd()
-        result = state_result()
-        d = defer.maybeDeferred(self._handler.state, args.counts, args.experts, args.leading)
-        d.addCallback(self.write_results_success_state, result, seqid, oprot)
-        d.addErrback(self.write_results_exception_state, result, seqid, oprot)
+        result = ask_result()
+        d = defer.maybeDeferred(self._handler.ask, args.question)
+        d.addCallback(self.write_results_success_ask, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_ask, result, seqid, oprot)
         return d
 
-    def write_results_success_state(self, success, result, seqid, oprot):
+    def write_results_success_ask(self, success, result, seqid, oprot):
         result.success = success
-        oprot.writeMessageBegin("state", TMessageType.REPLY, seqid)
+        oprot.writeMessageBegin("ask", TMessageType.REPLY, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def write_results_exception_state(self, error, result, seqid, oprot):
+    def write_results_exception_ask(self, error, result, seqid, oprot):
         msg_type = TMessageType.REPLY
         try:
             error.raiseException()
@@ -217,32 +199,34 @@
             logging.exception('Unexpected exception in handler')
             msg_type = TMessageType.EXCEPTION
             result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("state", msg_type, seqid)
+        oprot.writeMessageBegin("ask", msg_type, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_order(self, seqid, iprot, oprot):
-        args = order_args()
+    def process_load(self, seqid, iprot, oprot):
+        args = load_args()
         args.read(iprot)
         iprot.readMessageEnd()
-        result = order_result()
-        d = defer.maybeDeferred(self._handler.order, args.packed, args.base)
-        d.addCallback(self.write_results_success_order, result, seqid, oprot)
-        d.addErrback(self.write_results_exception_order, result, seqid, oprot)
+        result = load_result()
+        d = defer.maybeDeferred(self._handler.load, )
+        d.addCallback(self.write_results_success_load, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_load, result, seqid, oprot)
         return d
 
-    def write_results_success_order(self, success, result, seqid, oprot):
+    def write_results_success_load(self, success, result, seqid, oprot):
         result.success = success
-        oprot.writeMessageBegin("order", TMessageType.REPLY, seqid)
+        oprot.writeMessageBegin("load", TMessageType.REPLY, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def write_results_exception_order(self, error, result, seqid, oprot):
+    def write_results_exception_load(self, error, result, seqid, oprot):
         msg_type = TMessageType.REPLY
         try:
             error.raiseException()
+        except Refused as refused:
+            result.refused = refused
         except TTransport.TTransportException:
             raise
         except TApplicationException as ex:
@@ -253,7 +237,7 @@
             logging.exception('Unexpected exception in handler')
             msg_type = TMessageType.EXCEPTION
             result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("order", msg_type, seqid)
+        oprot.writeMessageBegin("load", msg_type, seqid)
         result.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -261,20 +245,16 @@
 # HELPER FUNCTIONS AND STRUCTURES
 
 
-class state_args(object):
+class ask_args(object):
     """
     Attributes:
-     - counts
-     - experts
-     - leading
+     - question
 
     """
 
 
-    def __init__(self, counts=None, experts=None, leading=None,):
-        self.counts = counts
-        self.experts = experts
-        self.leading = leading
+    def __init__(self, question=None,):
+        self.question = question
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -286,18 +266,9 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.counts = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.BOOL:
-                    self.experts = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.leading = iprot.readBool()
+                if ftype == TType.STRUCT:
+                    self.question = Question()
+                    self.question.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -309,18 +280,10 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('state_args')
-        if self.counts is not None:
-            oprot.writeFieldBegin('counts', TType.BOOL, 1)
-            oprot.writeBool(self.counts)
-            oprot.writeFieldEnd()
-        if self.experts is not None:
-            oprot.writeFieldBegin('experts', TType.BOOL, 2)
-            oprot.writeBool(self.experts)
-            oprot.writeFieldEnd()
-        if self.leading is not None:
-            oprot.writeFieldBegin('leading', TType.BOOL, 3)
-            oprot.writeBool(self.leading)
+        oprot.writeStructBegin('ask_args')
+        if self.question is not None:
+            oprot.writeFieldBegin('question', TType.STRUCT, 1)
+            self.question.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -338,16 +301,14 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(state_args)
-state_args.thrift_spec = (
+all_structs.append(ask_args)
+ask_args.thrift_spec = (
     None,  # 0
-    (1, TType.BOOL, 'counts', None, None, ),  # 1
-    (2, TType.BOOL, 'experts', None, None, ),  # 2
-    (3, TType.BOOL, 'leading', None, None, ),  # 3
+    (1, TType.STRUCT, 'question', [Question, None], None, ),  # 1
 )
 
 
-class state_result(object):
+class ask_result(object):
     """
     Attributes:
      - success
@@ -371,7 +332,7 @@
                 break
             if fid == 0:
                 if ftype == TType.STRUCT:
-                    self.success = RankState()
+                    self.success = Gathered()
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
@@ -389,7 +350,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('state_result')
+        oprot.writeStructBegin('ask_result')
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
@@ -414,25 +375,15 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(state_result)
-state_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [RankState, None], None, ),  # 0
+all_structs.append(ask_result)
+ask_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [Gathered, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
 )
 
 
-class order_args(object):
-    """
-    Attributes:
-     - packed
-     - base
-
-    """
-
+class load_args(object):
 
-    def __init__(self, packed=None, base=None,):
-        self.packed = packed
-        self.base = base
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -443,16 +394,6 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.packed = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.base = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -462,15 +403,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('order_args')
-        if self.packed is not None:
-            oprot.writeFieldBegin('packed', TType.STRING, 1)
-            oprot.writeBinary(self.packed)
-            oprot.writeFieldEnd()
-        if self.base is not None:
-            oprot.writeFieldBegin('base', TType.I64, 2)
-            oprot.writeI64(self.base)
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('load_args')
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -487,24 +420,23 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(order_args)
-order_args.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'packed', 'BINARY', None, ),  # 1
-    (2, TType.I64, 'base', None, None, ),  # 2
+all_structs.append(load_args)
+load_args.thrift_spec = (
 )
 
 
-class order_result(object):
+class load_result(object):
     """
     Attributes:
      - success
+     - refused
 
     """
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, refused=None,):
         self.success = success
+        self.refused = refused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -516,8 +448,14 @@
             if ftype == TType.STOP:
                 break
             if fid == 0:
-                if ftype == TType.I32:
-                    self.success = iprot.readI32()
+                if ftype == TType.STRUCT:
+                    self.success = RankLoad()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -529,10 +467,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('order_result')
+        oprot.writeStructBegin('load_result')
         if self.success is not None:
-            oprot.writeFieldBegin('success', TType.I32, 0)
-            oprot.writeI32(self.success)
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -550,9 +492,10 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(order_result)
-order_result.thrift_spec = (
-    (0, TType.I32, 'success', None, None, ),  # 0
+all_structs.append(load_result)
+load_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [RankLoad, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
 )
 fix_spec(all_structs)
 del all_structs
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -617,13 +617,14 @@
      - prepared
      - armed
      - held
-     - counts
      - experts
+     - requests
+     - pace
 
     """
 
 
-    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, counts=None, experts=None,):
+    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None, requests=None, pace=None,):
         self.group = group
         self.epoch = epoch
         self.rank = rank
@@ -634,8 +635,9 @@
         self.prepared = prepared
         self.armed = armed
         self.held = held
-        self.counts = counts
         self.experts = experts
+        self.requests = requests
+        self.pace = pace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -697,11 +699,6 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
-                if ftype == TType.STRING:
-                    self.counts = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 12:
                 if ftype == TType.LIST:
                     self.experts = []
                     (_etype10, _size7) = iprot.readListBegin()
@@ -716,6 +713,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.pace = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -766,12 +773,8 @@
             oprot.writeFieldBegin('held', TType.I64, 10)
             oprot.writeI64(self.held)
             oprot.writeFieldEnd()
-        if self.counts is not None:
-            oprot.writeFieldBegin('counts', TType.STRING, 11)
-            oprot.writeBinary(self.counts)
-            oprot.writeFieldEnd()
         if self.experts is not None:
-            oprot.writeFieldBegin('experts', TType.LIST, 12)
+            oprot.writeFieldBegin('experts', TType.LIST, 11)
             oprot.writeListBegin(TType.LIST, len(self.experts))
             for iter19 in self.experts:
                 oprot.writeListBegin(TType.I32, len(iter19))
@@ -780,6 +783,472 @@
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 12)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.DOUBLE, 13)
+            oprot.writeDouble(self.pace)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankLoad(object):
+    """
+    Attributes:
+     - requests
+     - pace
+
+    """
+
+
+    def __init__(self, requests=None, pace=None,):
+        self.requests = requests
+        self.pace = pace
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.requests = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.pace = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankLoad')
+        if self.requests is not None:
+            oprot.writeFieldBegin('requests', TType.I32, 1)
+            oprot.writeI32(self.requests)
+            oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.DOUBLE, 2)
+            oprot.writeDouble(self.pace)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Peer(object):
+    """
+    Attributes:
+     - host
+     - port
+
+    """
+
+
+    def __init__(self, host=None, port=None,):
+        self.host = host
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Peer')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 2)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Question(object):
+    """
+    Attributes:
+     - counts
+     - experts
+     - leading
+     - order
+     - base
+     - operation
+     - version
+     - epoch
+     - behind
+     - behind_ms
+
+    """
+
+
+    def __init__(self, counts=None, experts=None, leading=None, order=None, base=None, operation=None, version=None, epoch=None, behind=None, behind_ms=None,):
+        self.counts = counts
+        self.experts = experts
+        self.leading = leading
+        self.order = order
+        self.base = base
+        self.operation = operation
+        self.version = version
+        self.epoch = epoch
+        self.behind = behind
+        self.behind_ms = behind_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.counts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.experts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leading = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.order = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.operation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.behind = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Peer()
+                        _elem26.read(iprot)
+                        self.behind.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.behind_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Question')
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.BOOL, 1)
+            oprot.writeBool(self.counts)
+            oprot.writeFieldEnd()
+        if self.experts is not None:
+            oprot.writeFieldBegin('experts', TType.BOOL, 2)
+            oprot.writeBool(self.experts)
+            oprot.writeFieldEnd()
+        if self.leading is not None:
+            oprot.writeFieldBegin('leading', TType.BOOL, 3)
+            oprot.writeBool(self.leading)
+            oprot.writeFieldEnd()
+        if self.order is not None:
+            oprot.writeFieldBegin('order', TType.STRING, 4)
+            oprot.writeBinary(self.order)
+            oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 5)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
+        if self.operation is not None:
+            oprot.writeFieldBegin('operation', TType.STRING, 6)
+            oprot.writeString(self.operation.encode('utf-8') if sys.version_info[0] == 2 else self.operation)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 7)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 8)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.behind is not None:
+            oprot.writeFieldBegin('behind', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.behind))
+            for iter27 in self.behind:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.behind_ms is not None:
+            oprot.writeFieldBegin('behind_ms', TType.I32, 10)
+            oprot.writeI32(self.behind_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RankAnswer(object):
+    """
+    Attributes:
+     - state
+     - status
+
+    """
+
+
+    def __init__(self, state=None, status=None,):
+        self.state = state
+        self.status = status
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.state = RankState()
+                    self.state.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankAnswer')
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRUCT, 1)
+            self.state.write(oprot)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 2)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Gathered(object):
+    """
+    Attributes:
+     - answers
+     - counts
+     - needs_whole
+
+    """
+
+
+    def __init__(self, answers=None, counts=None, needs_whole=None,):
+        self.answers = answers
+        self.counts = counts
+        self.needs_whole = needs_whole
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.answers = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = RankAnswer()
+                        _elem33.read(iprot)
+                        self.answers.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.counts = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.needs_whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Gathered')
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.answers))
+            for iter34 in self.answers:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.STRING, 2)
+            oprot.writeBinary(self.counts)
+            oprot.writeFieldEnd()
+        if self.needs_whole is not None:
+            oprot.writeFieldBegin('needs_whole', TType.BOOL, 3)
+            oprot.writeBool(self.needs_whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1438,11 +1907,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.voters = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Voter()
-                        _elem26.read(iprot)
-                        self.voters.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Voter()
+                        _elem40.read(iprot)
+                        self.voters.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1475,8 +1944,8 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.voters))
-            for iter27 in self.voters:
-                iter27.write(oprot)
+            for iter41 in self.voters:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1535,11 +2004,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Voter()
-                        _elem33.read(iprot)
-                        self.controls.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Voter()
+                        _elem47.read(iprot)
+                        self.controls.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1564,8 +2033,8 @@
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.controls))
-            for iter34 in self.controls:
-                iter34.write(oprot)
+            for iter48 in self.controls:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1629,11 +2098,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Member()
-                        _elem40.read(iprot)
-                        self.members.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Member()
+                        _elem54.read(iprot)
+                        self.members.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1701,8 +2170,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter41 in self.members:
-                iter41.write(oprot)
+            for iter55 in self.members:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -2006,8 +2475,48 @@
     (8, TType.I64, 'prepared', None, None, ),  # 8
     (9, TType.I64, 'armed', None, None, ),  # 9
     (10, TType.I64, 'held', None, None, ),  # 10
-    (11, TType.STRING, 'counts', 'BINARY', None, ),  # 11
-    (12, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 12
+    (11, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 11
+    (12, TType.I32, 'requests', None, None, ),  # 12
+    (13, TType.DOUBLE, 'pace', None, None, ),  # 13
+)
+all_structs.append(RankLoad)
+RankLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'requests', None, None, ),  # 1
+    (2, TType.DOUBLE, 'pace', None, None, ),  # 2
+)
+all_structs.append(Peer)
+Peer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'port', None, None, ),  # 2
+)
+all_structs.append(Question)
+Question.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'counts', None, None, ),  # 1
+    (2, TType.BOOL, 'experts', None, None, ),  # 2
+    (3, TType.BOOL, 'leading', None, None, ),  # 3
+    (4, TType.STRING, 'order', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'base', None, None, ),  # 5
+    (6, TType.STRING, 'operation', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'version', None, None, ),  # 7
+    (8, TType.I64, 'epoch', None, None, ),  # 8
+    (9, TType.LIST, 'behind', (TType.STRUCT, [Peer, None], False), None, ),  # 9
+    (10, TType.I32, 'behind_ms', None, None, ),  # 10
+)
+all_structs.append(RankAnswer)
+RankAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'state', [RankState, None], None, ),  # 1
+    (2, TType.I32, 'status', None, None, ),  # 2
+)
+all_structs.append(Gathered)
+Gathered.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'answers', (TType.STRUCT, [RankAnswer, None], False), None, ),  # 1
+    (2, TType.STRING, 'counts', 'BINARY', None, ),  # 2
+    (3, TType.BOOL, 'needs_whole', None, None, ),  # 3
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
