A request that waits for a slot asks other ranks each time it looks

Cause: each look of one request asked the same six ranks, the nearest; with those full it was refused while another zone's had slots free.

Change: those found full are passed by until all were asked.

Ruled out: asking more at once, which costs agents a message each.

--- a/dunlinpoint/forward/vacancies.py
+++ b/dunlinpoint/forward/vacancies.py
@@ -50,20 +50,24 @@
             return None
 
     @defer.inlineCallbacks
-    def vacant(self, candidates, returned):
+    def vacant(self, candidates, returned, full):
         """An endpoint with a slot free for a caller that has *returned*, or ``None``.
 
-        ``candidates(full)`` gives the endpoints to ask next (``Member``, best first),
-        without those whose lives are in *full*.
+        ``candidates()`` gives the endpoints to ask next (``Member``, best first),
+        without those whose lives are in *full*, where those that were full go. Once
+        all were, it starts anew. A request that looks again and again would ask the
+        same six of its own zone otherwise, while others have slots free.
         """
-        full = set()
         for _ in range(vacancy.ROUNDS):
-            members = candidates(full)
+            members = candidates()
             found = yield defer.gatherResults([self.load(m) for m in members])
             lives = [pick.life(member) for member in members]
             by_life = dict(zip(lives, found, strict=True))
             chosen = vacancy.choose(members, by_life, returned)
-            if chosen is not None or len(members) < vacancy.ASKED:
+            if chosen is not None:
                 return chosen
             full.update(lives)
+            if len(members) < vacancy.ASKED:
+                full.clear()
+                return None
         return None
