A deputy finishes for a lead of many ranks: a test for each message it may stop at

Cause: nothing tested a deputy that reaches ranks past a silent agent.

No step is mixed and no hold stays.

Conclusion: tests only; the code is as it was.

--- a/dunlinpoint/experts/tests/agents.py
+++ b/dunlinpoint/experts/tests/agents.py
@@ -177,3 +177,28 @@
 
         reactor.callLater(WAY_MS / 1000, deliver)
         return outer
+
+
+class Silent:
+    """A connection on which nothing is sent any more."""
+
+    def call(self, method, question, timeout_ms):
+        return defer.Deferred()
+
+
+@attrs.define
+class Held:
+    """A connection whose messages leave *ms* later, as a machine that froze wakes."""
+
+    link: Link
+    ms: int
+
+    def call(self, method, question, timeout_ms):
+        reactor, answer = self.link.network.ranks.clock, defer.Deferred()
+
+        def send():
+            sent = self.link.call(method, question, timeout_ms)
+            sent.addCallbacks(answer.callback, answer.errback)
+
+        reactor.callLater(self.ms / 1000, send)
+        return answer
--- a/dunlinpoint/experts/tests/test_gather.py
+++ b/dunlinpoint/experts/tests/test_gather.py
@@ -211,3 +211,53 @@
     assert given in ([200], [0])
     assert ranks.by_rank[2].prepared == 7
     assert beside.orders_get_lost()
+
+
+@pytest.mark.parametrize("fault", ["freezes", "dies"])
+@pytest.mark.parametrize("after", range(1, 44, 3))
+def test_a_deputy_finishes_for_a_lead_of_many_ranks(fault, after):
+    # Symptom feared: a step with two maps, or a group held for as long as its lead's
+    # machine is gone. Sequence: the lead freezes or dies after its n-th message of a
+    # change; the deputy, fenced, asks all ranks, the lead's engine past its agent, and
+    # finishes; the lead wakes with what it had still to send.
+    net = network(seed=after)
+    lead, deputy = net.reach(switch.LEAD), net.reach(switch.DEPUTY)
+    sent = []
+    asker = lead.handler.asker
+
+    class Links:
+        """The lead's links, which stand still from its n-th message on."""
+
+        def to(self, host, port):
+            link = net.to(host, port)
+            sent.append(port)
+            if len(sent) < after:
+                return link
+            if fault == "dies":
+                return agents.Silent()
+            return agents.Held(link, 3000)
+
+    asker.links = Links()
+    begin(net, 7, lead)
+    for _ in range(8):
+        net.ranks.advance(900)
+        if net.ranks.by_rank[switch.DEPUTY].held:
+            net.dead.add(switch.LEAD)
+            deputise(net, deputy)
+            net.dead.discard(switch.LEAD)
+            assert not net.ranks.by_rank[switch.DEPUTY].held
+    assert not net.ranks.mixed
+    assert net.ranks.step > 100
+
+
+def deputise(net, deputy):
+    """What the deputy's turn does for a lead that is silent."""
+    handler = net.handler_by_port[switch.DEPUTY]
+    handler.fenced = True
+    looked = []
+    deputy.read("g", switch.DEPUTY, gather.Question()).addCallback(looked.append)
+    net.ranks.advance(600)
+    states = {number: answer.state for number, answer in looked[0].items()}
+    switch.resolve(deputy.group(SIZE, switch.DEPUTY), states, EPOCH)
+    net.ranks.advance(2000)
+    handler.fenced = False
