--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -210,7 +210,6 @@
     events: events.Events
     streaming: bool
     tried: set = attrs.field(factory=set)
-    full: set = attrs.field(factory=set)
     tries: int = 0
     may_have_run: bool = False
     started: bool = False
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -149,11 +149,11 @@
         return next_member(forward, call, by_group, now)
     near = (call.service, call.group) not in forward.uneven_groups
 
-    def candidates():
-        exclude = call.tried | call.full
+    def candidates(full):
+        exclude = call.tried | full
         return forward.picker.best(members, now, exclude, near, vacancy.ASKED)
 
-    member = yield forward.vacancies.vacant(candidates, has_returned(call), call.full)
+    member = yield forward.vacancies.vacant(candidates, has_returned(call))
     if member is not None:
         return member
     if call.tries or call.started:
--- a/dunlinpoint/forward/vacancies.py
+++ b/dunlinpoint/forward/vacancies.py
@@ -50,24 +50,20 @@
             return None
 
     @defer.inlineCallbacks
-    def vacant(self, candidates, returned, full):
+    def vacant(self, candidates, returned):
         """An endpoint with a slot free for a caller that has *returned*, or ``None``.
 
-        ``candidates()`` gives the endpoints to ask next (``Member``, best first),
-        without those whose lives are in *full*, where those that were full go. Once
-        all were, it starts anew. A request that looks again and again would ask the
-        same six of its own zone otherwise, while others have slots free.
+        ``candidates(full)`` gives the endpoints to ask next (``Member``, best first),
+        without those whose lives are in *full*.
         """
+        full = set()
         for _ in range(vacancy.ROUNDS):
-            members = candidates()
+            members = candidates(full)
             found = yield defer.gatherResults([self.load(m) for m in members])
             lives = [pick.life(member) for member in members]
             by_life = dict(zip(lives, found, strict=True))
             chosen = vacancy.choose(members, by_life, returned)
-            if chosen is not None:
+            if chosen is not None or len(members) < vacancy.ASKED:
                 return chosen
             full.update(lives)
-            if len(members) < vacancy.ASKED:
-                full.clear()
-                return None
         return None
