--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -16,9 +16,6 @@
 
 log = logs.logger("experts")
 
-# How old the engine's word on its load may be (ms) that entries are told: several
-# entries ask at once when demand jumps, and a report costs 2 ms of a core.
-LOAD_AGE_MS = 10
 # A rank's agent takes the document from its view, if it leads.
 NO_DOCUMENT_WANTED = 1 << 62
 
@@ -38,8 +35,6 @@
     giver: giver.Giver
     read_ms: int | None = None
     fenced: bool = False
-    load_seen: ttypes.RankLoad | None = None
-    load_ms: int = 0
     counter: window.Counter = attrs.field(factory=window.Counter)
     texts: orders.Texts = attrs.field(factory=orders.Texts)
 
@@ -76,18 +71,6 @@
             raise ttypes.Refused(str(failure), 0) from failure
         return ttypes.Gathered(answers=found.answers, counts=found.packed_counts())
 
-    @defer.inlineCallbacks
-    def load(self):
-        now = self.clock.now()
-        if self.load_seen is None or now - self.load_ms > LOAD_AGE_MS:
-            try:
-                state = yield self.engine.state()
-            except engines.RankError as exc:
-                raise ttypes.Refused(str(exc), 0) from exc
-            self.load_seen = ttypes.RankLoad(state.requests, state.pace)
-            self.load_ms = now
-        return self.load_seen
-
     def receive(self, question):
         """The order of *question*, or ``None`` if its base is not known."""
         known = self.texts.get(question.base)
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -12,7 +12,7 @@
 from dunlinpoint.entry import limits as workspace_limits
 from dunlinpoint.experts import messages
 from dunlinpoint.follow import view
-from dunlinpoint.forward import events, names, pool, routes, vacancies, waiting
+from dunlinpoint.forward import events, names, pool, routes, waiting
 from dunlinpoint.routing import budget, groups, outage, pick, spread
 
 log = logs.logger("entry")
@@ -31,7 +31,6 @@
     counters: metrics.Counters
     pool: pool.Pool
     picker: pick.Picker
-    vacancies: vacancies.Vacancies
     waiting: waiting.Waiting
     names: names.Names = names.DEFAULT
     budget: budget.Budget = attrs.field(factory=budget.Budget)
@@ -66,7 +65,6 @@
             counters=counters,
             pool=pool.Pool.from_config(reactor),
             picker=pick.Picker(entry_view.zone),
-            vacancies=vacancies.Vacancies.from_config(reactor),
             names=dialect,
             key_lease_ms=key_lease_ms,
         )
@@ -129,7 +127,6 @@
         self.pool.forget(lives)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(messages.KIND)
-        self.vacancies.learn(ranks)
         for group in self.outages.learn(ranks, addresses, self.clock.now()):
             log.info("group_open", group=group)
             for member in live:
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -4,7 +4,7 @@
 
 from dunlinpoint import logs
 from dunlinpoint.forward import answers, exchange, routes
-from dunlinpoint.routing import outage, pace, pick, vacancy
+from dunlinpoint.routing import outage, pace, pick
 
 log = logs.logger("entry")
 
@@ -22,10 +22,6 @@
 ROOM_LOOK_MS = 25
 
 
-class NoRoom(Exception):
-    """Passes leave no room for one more stream (``no_room``), or no slot is free."""
-
-
 @defer.inlineCallbacks
 def run(forward, call):
     """Try endpoints until one answers or no other may be tried."""
@@ -48,17 +44,13 @@
                 continue
             give_up(forward, call, "group_stands", outage_ms(forward, call, members))
             return
-        try:
-            member = yield find_place(forward, call, by_group, now)
-        except NoRoom as exc:
+        if not find_group(forward, call, by_group, now):
             if now < wait_for_room_until(call):
                 yield forward.clock.pause(ROOM_LOOK_MS)
                 continue
-            refuse_for_room(forward, call, str(exc))
-            return
-        if call.left:
+            refuse_for_room(forward, call)
             return
-        now = forward.clock.now()
+        member = next_member(forward, call, by_group, now)
         if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
             give_up(forward, call, "no_endpoint" if member is None else "too_late")
             return
@@ -85,12 +77,6 @@
     call.group = group
 
 
-def has_returned(call):
-    """Whether the caller of *call* was refused before, as the time it left tells."""
-    left_ms = call.deadline_ms - call.arrived_ms
-    return pace.has_returned(left_ms, call.route.timeout_ms)
-
-
 def wait_for_room_until(call):
     """Until when (ms) *call* waits for room: after that it could not be in time.
 
@@ -110,7 +96,9 @@
     groups = forward.groups(call)
     if groups is None or call.group in by_group:
         return True
-    group = groups.choose(by_group, now, has_returned(call), forward.rng)
+    left_ms = call.deadline_ms - now
+    returned = pace.has_returned(left_ms, call.route.timeout_ms)
+    group = groups.choose(by_group, now, returned, forward.rng)
     if group is None and call.group is not None:
         group = next(iter(by_group), None)
     if group is None:
@@ -119,15 +107,15 @@
     return True
 
 
-def refuse_for_room(forward, call, reason):
-    """Refuse *call* for want of room."""
+def refuse_for_room(forward, call):
+    """Refuse *call*: every group has as many streams as its pace allows."""
     groups, now = forward.groups(call), forward.clock.now()
     paces = [groups.pace(group) for group in groups.share_by_group]
     answers.answer(
         forward,
         call.request,
         503,
-        reason,
+        "no_room",
         forward.rng.uniform(*ROOM_MS),
         service=call.service,
         pause_ms=[found.pause_ms for found in paces],
@@ -135,34 +123,6 @@
     )
 
 
-@defer.inlineCallbacks
-def find_place(forward, call, by_group, now):
-    """The endpoint for the next try of *call*, or ``None``; raises ``NoRoom``.
-
-    Only a request that was nowhere yet is kept from waiting at an endpoint: another
-    holds up its caller's stream, or has no time left to come back.
-    """
-    if not find_group(forward, call, by_group, now):
-        raise NoRoom("no_room")
-    members = by_group.get(call.group, [])
-    if not call.streaming or not forward.vacancies.knows(members):
-        return next_member(forward, call, by_group, now)
-    near = (call.service, call.group) not in forward.uneven_groups
-
-    def candidates(full):
-        exclude = call.tried | full
-        return forward.picker.best(members, now, exclude, near, vacancy.ASKED)
-
-    member = yield forward.vacancies.vacant(candidates, has_returned(call))
-    if member is not None:
-        return member
-    if call.tries or call.started:
-        return next_member(forward, call, by_group, now)
-    # Another group may have a slot when it looks again.
-    join(forward, call, None)
-    raise NoRoom("no_slot")
-
-
 def next_member(forward, call, by_group, now):
     """The endpoint to try next: of the call's group if one is left there."""
     own = [call.group] if call.group in by_group else []
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -123,8 +123,6 @@
             "prepared": report["preloaded"] or 0,
             "armed": (report["armed"] or {}).get("version", 0),
             "held": report["held"] or 0,
-            "requests": report["active"] + report["queued"],
-            "pace": report["pace"],
         },
         lists["mapping"]["experts"] if lists else None,
     )
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -14,8 +14,6 @@
 has started again is as idle and as sound as any new one.
 """
 
-import heapq
-
 import attrs
 
 # How many requests more an endpoint of the entry's own zone may have: the way
@@ -75,8 +73,8 @@
             if name not in live and not record.in_flight:
                 del self.record_by_life[name]
 
-    def best(self, members, now, exclude=(), near=True, count=1):
-        """The *count* endpoints of *members* (in the entry's order) to try first.
+    def pick(self, members, now, exclude=(), near=True):
+        """The endpoint of *members* (in the entry's order) to try, or ``None``.
 
         With *near*, those of the entry's own zone are preferred.
 
@@ -84,24 +82,21 @@
         are taken only when there is no other: an endpoint that failed lately
         may serve, and no endpoint at all serves nothing.
         """
-        weighed, spared = [], []
+        best, least = None, None
+        spared, soonest = None, None
         for place, member in enumerate(members):
             name = life(member)
             if name in exclude:
                 continue
             record = self.record(name)
             if record.avoid_until_ms > now:
-                spared.append((record.avoid_until_ms, place))
-            else:
-                order = place / len(members)
-                weighed.append((self._weight(member, record, order, near), place))
-        if not weighed:
-            return [members[place] for _, place in sorted(spared)[:1]]
-        return [members[place] for _, place in heapq.nsmallest(count, weighed)]
-
-    def pick(self, members, now, exclude=(), near=True):
-        """The first of :meth:`best`, or ``None``."""
-        return next(iter(self.best(members, now, exclude, near)), None)
+                if spared is None or record.avoid_until_ms < soonest:
+                    spared, soonest = member, record.avoid_until_ms
+                continue
+            weight = self._weight(member, record, place / len(members), near)
+            if best is None or weight < least:
+                best, least = member, weight
+        return spared if best is None else best
 
     def _weight(self, member, record, order, near):
         requests = max(record.in_flight, member.load or 0)
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -88,16 +88,6 @@
   9: i64 armed,
   10: i64 held,
   11: list<list<i32>> experts,
-  // Requests at its engine, running or waiting, and how many times as long as usual
-  // its own part of a pass takes.
-  12: i32 requests,
-  13: double pace,
-}
-
-// What an entry chooses a rank by: as in RankState.
-struct RankLoad {
-  1: i32 requests,
-  2: double pace,
 }
 
 // Where a rank's agent answers the others.
@@ -144,8 +134,6 @@
 
 service Rank {
   Gathered ask(1: Question question) throws (1: Refused refused),
-  // For entries: how loaded the rank's engine is now.
-  RankLoad load() throws (1: Refused refused),
 }
 
 // -- agent, entry, operator tool -> control ---------------------------------
--- a/dunlinpoint/wire/gen/dunlin/Rank.py
+++ b/dunlinpoint/wire/gen/dunlin/Rank.py
@@ -30,9 +30,6 @@
         """
         pass
 
-    def load():
-        pass
-
 
 @implementer(Iface)
 class Client(object):
@@ -93,50 +90,6 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "ask failed: unknown result"))
 
-    def load(self):
-        seqid = self._seqid = self._seqid + 1
-        self._reqs[seqid] = defer.Deferred()
-
-        d = defer.maybeDeferred(self.send_load)
-        d.addCallbacks(
-            callback=self.cb_send_load,
-            callbackArgs=(seqid,),
-            errback=self.eb_send_load,
-            errbackArgs=(seqid,))
-        return d
-
-    def cb_send_load(self, _, seqid):
-        return self._reqs[seqid]
-
-    def eb_send_load(self, f, seqid):
-        d = self._reqs.pop(seqid)
-        d.errback(f)
-        return d
-
-    def send_load(self):
-        oprot = self._oprot_factory.getProtocol(self._transport)
-        oprot.writeMessageBegin('load', TMessageType.CALL, self._seqid)
-        args = load_args()
-        args.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
-    def recv_load(self, iprot, mtype, rseqid):
-        d = self._reqs.pop(rseqid)
-        if mtype == TMessageType.EXCEPTION:
-            x = TApplicationException()
-            x.read(iprot)
-            iprot.readMessageEnd()
-            return d.errback(x)
-        result = load_result()
-        result.read(iprot)
-        iprot.readMessageEnd()
-        if result.success is not None:
-            return d.callback(result.success)
-        if result.refused is not None:
-            return d.errback(result.refused)
-        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "load failed: unknown result"))
-
 
 @implementer(Iface)
 class Processor(TProcessor):
@@ -144,7 +97,6 @@
         self._handler = Iface(handler)
         self._processMap = {}
         self._processMap["ask"] = Processor.process_ask
-        self._processMap["load"] = Processor.process_load
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -204,44 +156,6 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
-    def process_load(self, seqid, iprot, oprot):
-        args = load_args()
-        args.read(iprot)
-        iprot.readMessageEnd()
-        result = load_result()
-        d = defer.maybeDeferred(self._handler.load, )
-        d.addCallback(self.write_results_success_load, result, seqid, oprot)
-        d.addErrback(self.write_results_exception_load, result, seqid, oprot)
-        return d
-
-    def write_results_success_load(self, success, result, seqid, oprot):
-        result.success = success
-        oprot.writeMessageBegin("load", TMessageType.REPLY, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
-    def write_results_exception_load(self, error, result, seqid, oprot):
-        msg_type = TMessageType.REPLY
-        try:
-            error.raiseException()
-        except Refused as refused:
-            result.refused = refused
-        except TTransport.TTransportException:
-            raise
-        except TApplicationException as ex:
-            logging.exception('TApplication exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = ex
-        except Exception:
-            logging.exception('Unexpected exception in handler')
-            msg_type = TMessageType.EXCEPTION
-            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
-        oprot.writeMessageBegin("load", msg_type, seqid)
-        result.write(oprot)
-        oprot.writeMessageEnd()
-        oprot.trans.flush()
-
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -380,122 +294,5 @@
     (0, TType.STRUCT, 'success', [Gathered, None], None, ),  # 0
     (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
 )
-
-
-class load_args(object):
-
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('load_args')
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(load_args)
-load_args.thrift_spec = (
-)
-
-
-class load_result(object):
-    """
-    Attributes:
-     - success
-     - refused
-
-    """
-
-
-    def __init__(self, success=None, refused=None,):
-        self.success = success
-        self.refused = refused
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 0:
-                if ftype == TType.STRUCT:
-                    self.success = RankLoad()
-                    self.success.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 1:
-                if ftype == TType.STRUCT:
-                    self.refused = Refused.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('load_result')
-        if self.success is not None:
-            oprot.writeFieldBegin('success', TType.STRUCT, 0)
-            self.success.write(oprot)
-            oprot.writeFieldEnd()
-        if self.refused is not None:
-            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
-            self.refused.write(oprot)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-all_structs.append(load_result)
-load_result.thrift_spec = (
-    (0, TType.STRUCT, 'success', [RankLoad, None], None, ),  # 0
-    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
-)
 fix_spec(all_structs)
 del all_structs
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -618,13 +618,11 @@
      - armed
      - held
      - experts
-     - requests
-     - pace
 
     """
 
 
-    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None, requests=None, pace=None,):
+    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None,):
         self.group = group
         self.epoch = epoch
         self.rank = rank
@@ -636,8 +634,6 @@
         self.armed = armed
         self.held = held
         self.experts = experts
-        self.requests = requests
-        self.pace = pace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -713,16 +709,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
-                if ftype == TType.I32:
-                    self.requests = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 13:
-                if ftype == TType.DOUBLE:
-                    self.pace = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -783,82 +769,6 @@
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.requests is not None:
-            oprot.writeFieldBegin('requests', TType.I32, 12)
-            oprot.writeI32(self.requests)
-            oprot.writeFieldEnd()
-        if self.pace is not None:
-            oprot.writeFieldBegin('pace', TType.DOUBLE, 13)
-            oprot.writeDouble(self.pace)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class RankLoad(object):
-    """
-    Attributes:
-     - requests
-     - pace
-
-    """
-
-
-    def __init__(self, requests=None, pace=None,):
-        self.requests = requests
-        self.pace = pace
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I32:
-                    self.requests = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.pace = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('RankLoad')
-        if self.requests is not None:
-            oprot.writeFieldBegin('requests', TType.I32, 1)
-            oprot.writeI32(self.requests)
-            oprot.writeFieldEnd()
-        if self.pace is not None:
-            oprot.writeFieldBegin('pace', TType.DOUBLE, 2)
-            oprot.writeDouble(self.pace)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2476,14 +2386,6 @@
     (9, TType.I64, 'armed', None, None, ),  # 9
     (10, TType.I64, 'held', None, None, ),  # 10
     (11, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 11
-    (12, TType.I32, 'requests', None, None, ),  # 12
-    (13, TType.DOUBLE, 'pace', None, None, ),  # 13
-)
-all_structs.append(RankLoad)
-RankLoad.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'requests', None, None, ),  # 1
-    (2, TType.DOUBLE, 'pace', None, None, ),  # 2
 )
 all_structs.append(Peer)
 Peer.thrift_spec = (
