A map that is withdrawn holds the group for a second at most

Cause: seen on reading. A change of map that is given up waits until each rank holds another map in its place; an engine that takes no such order would have held the group for good.

Change: after a second the hold is lifted once all ranks are seen disarmed, as it was before maps were withdrawn.

--- a/dunlinpoint/experts/lead.py
+++ b/dunlinpoint/experts/lead.py
@@ -46,7 +46,7 @@
 # long, with most streams late.
 BROKEN_TURN_MS = 150
 # How long the lead may be silent before its deputy takes it for dead. A lead reads
-# every 100 ms, and every 400 ms or sooner while it switches and orders get lost. With
+# every 50 ms, and every 400 ms or sooner while it switches and orders get lost. With
 # 350 ms a lead that was merely slow was taken for dead, and armed ranks beside its
 # deputy.
 PATIENCE_MS = 600
--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -64,6 +64,10 @@
 POLL_MS = 30
 COPY_TIMEOUT_MS = 4000
 HOLD_TRIES = 3
+# How long ranks are waited for that are to hold another map in place of one that is
+# withdrawn. Copies take 0.2 s at most; an engine that takes no such order must not hold
+# the group for good.
+WITHDRAW_MS = 1000
 # How long ago the holder may have been seen when ranks are armed: well below the
 # time after which a deputy takes a silent lead for dead (600 ms), less that of an
 # order on its way.
@@ -287,6 +291,7 @@
         "epoch": epoch,
         "mapping": mapping,
     }
+    began_ms, waited = group.now(), 0
     while True:
         for version in versions:
             order = {"operation": orders.DISARM, "version": version, "epoch": epoch}
@@ -297,11 +302,13 @@
         if holder is not None and holder.held != step:
             return
         late = [r for r in ranks if r not in states or states[r].armed]
-        if mapping is not None:
+        waited = max(waited, group.now() - began_ms)
+        if mapping is not None and waited < WITHDRAW_MS:
             late += [r for r in ranks if r in states and states[r].prepared <= newest]
         if holder is not None and holder.step >= step - 1 and not late:
             break
         yield group.pause(POLL_MS)
+        waited += POLL_MS
     yield go(group, step, epoch)
 
 
--- a/dunlinpoint/experts/tests/test_switch.py
+++ b/dunlinpoint/experts/tests/test_switch.py
@@ -247,6 +247,25 @@
     assert not any(rank.held or rank.armed for rank in ranks.by_rank)
 
 
+def test_a_rank_that_takes_no_map_in_place_of_a_withdrawn_one_holds_nobody_for_good():
+    # Symptom feared: a group that stands until its lead starts again. Sequence: a rank
+    # refuses to be armed, the change is withdrawn, and an engine refuses the map that
+    # it is to hold in place of the one that was to come.
+    ranks = started()
+    group = ranks.group()
+
+    def order(number, body):
+        refused = body["operation"] == "arm" and number == 3
+        refused |= body["operation"] == "prepare" and body["version"] == 8
+        return defer.succeed(giver.REFUSED) if refused else ranks.order(number, body)
+
+    group.order = order
+    ended = begin(ranks, group=group)
+    ranks.advance(switch.WITHDRAW_MS + 1500)
+    assert ended[0].check(switch.SwitchError)
+    assert not any(rank.held or rank.armed for rank in ranks.by_rank)
+
+
 def test_a_lead_that_froze_does_not_arm_by_what_it_saw_before():
     # Symptom and cause as above. Sequence: the lead sees the hold, freezes for a
     # second, and wakes with its orders to arm next.
