--- a/dunlinpoint/experts/tests/test_gather.py
+++ b/dunlinpoint/experts/tests/test_gather.py
@@ -190,6 +190,26 @@
     assert max(asked.values()) == 1
 
 
+def test_an_order_that_was_not_answered_is_no_base():
+    # Symptom: an agent is sent changes to a map that it never got, again and again.
+    # Sequence: it dies as the map comes, and another map follows.
+    net = network()
+    asker = net.handler_by_port[switch.LEAD].asker
+    peer = gather.Peer("h", 5)
+    body = {"operation": orders.PREPARE, "version": 7, "epoch": EPOCH}
+    order = orders.Order.from_body({**body, "mapping": [[[0]] * 200]})
+    net.kill(5, 60_000)
+    failed = []
+    question = gather.Question(order=order)
+    asker.ask(peer, question, 250).addErrback(failed.append)
+    net.ranks.advance(300)
+    assert failed and asker.sender.pack(peer, order.text)[0] == orders.NO_BASE
+    net.start(5)
+    asker.ask(peer, question, 250)
+    net.ranks.advance(300)
+    assert asker.sender.pack(peer, order.text)[0] != orders.NO_BASE
+
+
 def test_an_agent_gives_orders_again_by_itself():
     # Pattern: engines leave a tenth of the orders unanswered and carry them out late.
     # Symptom: a map 0.5 s later, a round of the lead for each of three kinds of order.
