--- a/dunlinpoint/routing/tests/overload.py
+++ b/dunlinpoint/routing/tests/overload.py
@@ -3,11 +3,12 @@
 Every pass gives each stream an event. How long it takes follows from the engine's
 published figures: what the busiest rank does by itself, and what the most loaded
 rank does of the experts' part, set by set, which is *skew* times the mean. A stream
-is in time if its first event comes within the aim, counted from its caller's first
-attempt, and no pause is longer than allowed. A caller that is refused comes back
-once, when told to, and is lost if refused again.
+waits for a slot while all are taken. It is in time if its first event comes within the
+aim, counted from its caller's first attempt, and no pause is longer than allowed. A
+caller that is refused comes back once, when told to, and is lost if refused again.
 """
 
+import collections
 import heapq
 import random
 
@@ -17,26 +18,61 @@
 from dunlinpoint.routing import pace
 from dunlinpoint.routing.tests import passes
 
-# Engine: ms of a step, steps of a pass, ms a writing stream, tokens read a ms.
-STEP_MS = 4.55
-STEPS = 4
-STREAM_MS = 1.81
-READ_PER_MS = 61.4
-EXPERT_SHARE = 0.85
-SLOTS = 6
-# Requests: mean prompt (tokens), mean and most events, the aim of the first event.
-PROMPT = 835
-EVENTS = 24
-MOST_EVENTS = 61
-AIM_MS = 503
-ALLOWED_MS = 120
-TIMEOUT_MS = 8000
 # The way to the engine and back, and what the busiest rank has over the mean.
 WAY_MS = 8
 BUSIEST = 1.2
+EXPERT_SHARE = 0.85
 # What a late stream is worth to its caller, and what one refused twice costs.
 LATE = 0.25
 REFUSED_TWICE = -0.3
+WINDOW_MS = 2000
+
+
+@attrs.frozen
+class Engine:
+    """An engine, and what is asked of it.
+
+    A pass makes ``steps`` steps of ``step_ms`` and so much more for each stream of a
+    rank; ``events``, ``most_events`` and ``prompt`` (tokens) are a stream's size.
+    """
+
+    step_ms: float = 4.55
+    steps: int = 4
+    stream_ms: float = 1.81
+    read_per_ms: float = 61.4
+    slots: int = 6
+    events: float = 24
+    most_events: int = 61
+    prompt: float = 835
+    aim_ms: int = 503
+    allowed_ms: int = 120
+
+    def pass_ms(self, writing, read_tokens, skew, slow, ranks):
+        """How long a pass of *writing* streams takes that reads *read_tokens*."""
+        work = self.steps * self.stream_ms * writing / ranks
+        read = read_tokens / self.read_per_ms / ranks
+        own = self.steps * self.step_ms
+        own += (1 - EXPERT_SHARE) * (BUSIEST * work + 3 * read)
+        return own * slow + EXPERT_SHARE * (work + read) * max(skew, slow)
+
+
+SMALL = Engine()
+# Of a group of 72 ranks.
+WIDE = Engine(
+    steps=5, stream_ms=2.18, slots=5, events=19.4, most_events=48, allowed_ms=150
+)
+# Of groups of 64 ranks with few slots and long steps.
+LARGE = Engine(
+    step_ms=5.85,
+    steps=8,
+    stream_ms=1.56,
+    read_per_ms=61.2,
+    slots=3,
+    events=17,
+    most_events=43,
+    aim_ms=509,
+    allowed_ms=150,
+)
 
 
 @attrs.define
@@ -50,29 +86,39 @@
     entries: int = 9
     length_ms: int = 30_000
     seed: int = 1
+    engine: Engine = SMALL
 
 
 @attrs.define
 class Result:
-    """What became of the callers."""
+    """What became of the callers, by the window in which each asked first."""
+
+    by_window: dict = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
+
+    def count(self, caller, kind):
+        """One caller's end: ``in_time``, ``late`` or ``lost``."""
+        self.by_window[int(caller.asked_ms // WINDOW_MS)][kind] += 1
 
-    in_time: int = 0
-    late: int = 0
-    lost: int = 0
+    def total(self, kind):
+        """How many callers ended so."""
+        return sum(window[kind] for window in self.by_window.values())
 
     @property
     def asked(self):
-        return self.in_time + self.late + self.lost
+        return sum(window.total() for window in self.by_window.values())
 
     @property
     def worth(self):
         """Mean worth of a caller."""
-        total = self.in_time + LATE * self.late + REFUSED_TWICE * self.lost
-        return total / self.asked
+        late, lost = LATE * self.total("late"), REFUSED_TWICE * self.total("lost")
+        return (self.total("in_time") + late + lost) / self.asked
 
-    def count(self, kind):
-        """One caller's end: *kind* names a count."""
-        setattr(self, kind, getattr(self, kind) + 1)
+    def share_in_time(self, window):
+        """The part of those in time who asked in one window."""
+        found = self.by_window[window]
+        return found["in_time"] / max(1, found.total())
 
 
 @attrs.define(eq=False)
@@ -92,72 +138,66 @@
         self.came_ms = self.asked_ms
 
 
-def pass_ms(writing, read_tokens, skew, slow, ranks):
-    """How long a pass takes."""
-    work = STEPS * STREAM_MS * writing / ranks
-    read = read_tokens / READ_PER_MS / ranks
-    own = STEPS * STEP_MS + (1 - EXPERT_SHARE) * (BUSIEST * work + 3 * read)
-    return own * slow + EXPERT_SHARE * (work + read) * max(skew, slow)
-
-
-def play(load, limited=True):
-    """Play *load* with entries that keep to their pace, or let everyone in."""
+def play(load, make_pace=pace.Pace):
+    """Play *load* with entries that admit by ``make_pace(allowed_ms)``."""
+    engine = load.engine
     rng = random.Random(load.seed)
     weights = [rng.uniform(0.5, 1.5) for _ in range(load.entries)]
-    paces = [pace.Pace(ALLOWED_MS) for _ in range(load.entries)]
+    paces = [make_pace(engine.allowed_ms) for _ in range(load.entries)]
     result, now = Result(), 0.0
     running, queued, coming = [], [], []
     while now < load.length_ms:
-        began, queued = split(queued, SLOTS * load.ranks - len(running))
+        began, queued = split(queued, engine.slots * load.ranks - len(running))
         running += began
         read = sum(s.prompt for s in began)
         skew, slow = load.skew(now), load.slow(now)
-        took = pass_ms(len(running), read, skew, slow, load.ranks)
+        took = engine.pass_ms(len(running), read, skew, slow, load.ranks)
         for _ in range(passes.arrivals(rng, load.per_s(now) * took / 1000)):
             caller = fresh(rng, load, weights, now + rng.random() * took)
             heapq.heappush(coming, (caller.asked_ms, rng.random(), caller))
         now += took
         for stream in running:
-            step(stream, now, paces[stream.entry], result)
+            step(engine, stream, now, paces[stream.entry], result)
         running = [s for s in running if s.events > 0]
         while coming and coming[0][0] <= now:
             at, _, caller = heapq.heappop(coming)
             entry = paces[caller.entry]
-            if not limited or entry.has_room(now, rng, caller.returned):
+            if entry.has_room(now, rng, caller.returned):
                 entry.began()
                 queued.append(caller)
+                continue
+            if at < caller.came_ms + tries.ROOM_WAIT_SHARE * engine.aim_ms:
+                again_ms = at + tries.ROOM_LOOK_MS
+            elif caller.returned:
+                result.count(caller, "lost")
+                continue
             else:
-                keep_out(rng, caller, at, coming, weights, result)
+                again_ms = send_away(rng, caller, at, weights)
+            heapq.heappush(coming, (again_ms, rng.random(), caller))
     return result
 
 
-def keep_out(rng, caller, at, coming, weights, result):
-    """*caller* found no room at *at*: it waits, is sent away, or is lost."""
-    if at < caller.came_ms + tries.ROOM_WAIT_SHARE * AIM_MS:
-        again_ms = at + tries.ROOM_LOOK_MS
-    elif caller.returned:
-        result.count("lost")
-        return
-    else:
-        caller.returned = True
-        caller.entry = rng.choices(range(len(weights)), weights)[0]
-        again_ms = caller.came_ms = at + rng.uniform(*tries.ROOM_MS)
-    heapq.heappush(coming, (again_ms, rng.random(), caller))
+def send_away(rng, caller, at, weights):
+    """Refuse *caller* at *at*; when it comes back, at another entry."""
+    caller.returned = True
+    caller.entry = rng.choices(range(len(weights)), weights)[0]
+    caller.came_ms = at + rng.uniform(*tries.ROOM_MS)
+    return caller.came_ms
 
 
-def step(stream, now, control, result):
+def step(engine, stream, now, control, result):
     """One event of *stream* at *now*."""
     if stream.last_ms is None:
-        stream.is_late |= now + WAY_MS - stream.asked_ms > AIM_MS
+        stream.is_late |= now + WAY_MS - stream.asked_ms > engine.aim_ms
     else:
         pause_ms = now - stream.last_ms
-        stream.is_late |= pause_ms > ALLOWED_MS
+        stream.is_late |= pause_ms > engine.allowed_ms
         control.saw(pause_ms, int(now))
     stream.last_ms = now
     stream.events -= 1
     if stream.events <= 0:
         control.ended()
-        result.count("late" if stream.is_late else "in_time")
+        result.count(stream, "late" if stream.is_late else "in_time")
 
 
 def split(items, count):
@@ -168,7 +208,27 @@
 
 def fresh(rng, load, weights, at):
     """A caller that asks for the first time."""
-    events = min(MOST_EVENTS, 1 + int(rng.expovariate(1 / EVENTS)))
-    prompt = int(rng.expovariate(1 / PROMPT))
+    engine = load.engine
+    events = min(engine.most_events, 1 + int(rng.expovariate(1 / engine.events)))
+    prompt = int(rng.expovariate(1 / engine.prompt))
     entry = rng.choices(range(load.entries), weights)[0]
     return Stream(entry, at, events, prompt)
+
+
+class AllIn:
+    """Admission that lets everyone in."""
+
+    def __init__(self, allowed_ms):
+        pass
+
+    def saw(self, pause_ms, now):
+        pass
+
+    def began(self):
+        pass
+
+    def ended(self):
+        pass
+
+    def has_room(self, now, rng, returned):
+        return True
--- a/dunlinpoint/routing/tests/test_pace.py
+++ b/dunlinpoint/routing/tests/test_pace.py
@@ -143,5 +143,5 @@
             lambda now: per_s, jumps, slow, ranks=ranks, entries=entries, seed=seed
         )
         worth.append(overload.play(load).worth)
-        all_in.append(overload.play(load, limited=False).worth)
+        all_in.append(overload.play(load, overload.AllIn).worth)
     assert statistics.mean(worth) > statistics.mean(all_in) + gain, (worth, all_in)
