A part of the requests is refused at once while long passes of a group last

What callers saw: a large group lost its lead for two seconds, and for ten seconds after it one caller in nine was in time, at a load of which all were in time before. Cause: streams in flight. Longer passes make streams last longer, until slots are full, and full slots keep passes long. Requests were let in by the last passes only and drew anew each 25 ms while they waited, so nearly all got in.

Change: the mean of passes over 3.5 s, once some were over the allowed pause, gives the part that is let in, by one draw a request; it ends as soon as passes are short over 0.4 s. Callers that came back get 0.3 of that part, and all are told to come back in about 2 s. Room in groups has a module of its own; the median of pauses is worked out where it is read, not at each event.

--- /dev/null
+++ b/dunlinpoint/forward/room.py
@@ -0,0 +1,122 @@
+"""Room in groups of ranks: the group a stream joins, and who waits or is refused."""
+
+import enum
+
+from dunlinpoint import logs
+from dunlinpoint.forward import answers
+from dunlinpoint.routing import outage, pace
+
+log = logs.logger("entry")
+
+# When a caller should come back that waited for room in vain: streams last a second or
+# two, and as many end in that time as would have to.
+RETRY_MS = (500, 1500)
+# The same while long passes last. Those who come back sooner meet the same group, are
+# refused again, and have no try left.
+LASTING_RETRY_MS = (1800, 2600)
+# How long a request waits for room, as a part of the time in which its first event is
+# due: reading its prompt takes most of the rest.
+WAIT_SHARE = 0.5
+WAIT_MS = 300
+# How often it looks: a few times a pass.
+LOOK_MS = 25
+
+
+class Room(enum.Enum):
+    """What a request finds: a group, none for a moment, or long passes that last."""
+
+    JOINED = "joined"
+    FULL = "no_room"
+    OVERLOADED = "overloaded"
+
+
+def join(forward, call, group):
+    """Count *call* at *group* of ranks and no longer at the one before."""
+    groups = forward.groups(call)
+    if groups is None or call.group == group:
+        return
+    if call.group is not None:
+        groups.left(call.group)
+    if group is not None:
+        groups.pace(group).began()
+    call.group = group
+
+
+def wait_until(call):
+    """Until when (ms) *call* waits for room: after that it could not be in time.
+
+    A wait of a few passes bridges what a jump of demand takes; sent away, a caller is
+    late when it comes back.
+    """
+    wait_ms = min(WAIT_SHARE * call.route.aim_ms, WAIT_MS)
+    return min(call.arrived_ms + wait_ms, call.deadline_ms)
+
+
+def find(forward, call, by_group, now):
+    """Have *call* join a group of *by_group* that has room; the ``Room`` found.
+
+    A request that was let in once is not refused for room when it must go on
+    elsewhere: it is no more of a load there than it was.
+    """
+    groups = forward.groups(call)
+    if groups is None or call.group in by_group or not by_group:
+        return Room.JOINED
+    left_ms = call.deadline_ms - now
+    returned = pace.has_returned(left_ms, call.route.timeout_ms)
+    if call.group is not None:
+        group = groups.choose(by_group, now, returned, forward.rng)
+        join(forward, call, group or next(iter(by_group)))
+        return Room.JOINED
+    if call.draw is None:
+        # Drawn anew at each look, a share of a tenth let in two of three callers.
+        call.draw = forward.rng.random()
+    usable = groups.not_overloaded(by_group, now, returned, call.draw)
+    note_overload(forward, call.service, groups, by_group, now)
+    if not usable:
+        return Room.OVERLOADED
+    group = groups.choose(usable, now, returned, forward.rng)
+    if group is None:
+        return Room.FULL
+    join(forward, call, group)
+    return Room.JOINED
+
+
+def note_overload(forward, service, groups, by_group, now):
+    """Log when long passes of a group begin, or cease, to have requests refused."""
+    for group in by_group:
+        found = groups.pace(group)
+        share = found.share_let_in_lasting(now)
+        key = service, group
+        if (share < 1) == (key in forward.overloaded):
+            continue
+        forward.overloaded ^= {key}
+        if share < 1:
+            forward.counters.incr("overload_began")
+        log.info(
+            "overload",
+            service=service,
+            group=group,
+            on=share < 1,
+            lasting_ms=round(found.lasting.value, 1),
+            pause_ms=found.pause_ms,
+            streams=found.in_flight,
+        )
+
+
+def refuse(forward, call, found):
+    """Refuse *call* for the want of room *found*, and say when to come back."""
+    groups, now = forward.groups(call), forward.clock.now()
+    paces = [groups.pace(group) for group in groups.share_by_group]
+    lasting = found is Room.OVERLOADED
+    retry_ms = forward.rng.uniform(*(LASTING_RETRY_MS if lasting else RETRY_MS))
+    answers.answer(
+        forward,
+        call.request,
+        503,
+        found.value,
+        min(retry_ms, outage.heeded_ms(call.deadline_ms - now)),
+        service=call.service,
+        pause_ms=[seen.pause_ms for seen in paces],
+        lasting_ms=[round(seen.lasting.value, 1) for seen in paces],
+        let_in=[round(seen.share_let_in(now), 2) for seen in paces],
+    )
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -46,6 +46,7 @@
     members_by_service: dict = attrs.field(factory=dict)
     group_members_by_service: dict = attrs.field(factory=dict)
     uneven_groups: set = attrs.field(factory=set)
+    overloaded: set = attrs.field(factory=set)
     arranged: tuple | None = None
     started_ms: int = 0
 
@@ -214,6 +215,7 @@
     expired: bool = False
     connection: pool.Connection | None = None
     group: str | None = None
+    draw: float | None = None
     last_failure: tuple | None = None
     arrived_ms: int = 0
     first_ms: int | None = None
--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -11,9 +11,9 @@
 
 from dunlinpoint import clock, metrics
 from dunlinpoint.config import document as config
-from dunlinpoint.forward import exchange, tries
+from dunlinpoint.forward import exchange, room, tries
 from dunlinpoint.routing import groups as all_groups
-from dunlinpoint.routing import outage, pick
+from dunlinpoint.routing import outage, pace, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 MEMBER = ttypes.Member(endpoint_id="a", zone="z", slots=6)
@@ -43,6 +43,7 @@
     rng: random.Random = attrs.field(factory=lambda: random.Random(1))
     counters: metrics.Counters = attrs.field(factory=lambda: metrics.Counters(None))
     uneven_groups: set = attrs.field(factory=set)
+    overloaded: set = attrs.field(factory=set)
 
     def members(self, _service):
         return [MEMBER]
@@ -62,6 +63,7 @@
     service: str = "s"
     streaming: bool = True
     group: str | None = None
+    draw: float | None = None
     tried: set = attrs.field(factory=set)
     left: bool = False
     request: object = None
@@ -85,7 +87,7 @@
         ends.append((reason, forward.clock.now(), status, retry_ms))
 
     monkeypatch.setattr(tries.exchange, "one_try", one_try)
-    monkeypatch.setattr(tries.answers, "answer", refused)
+    monkeypatch.setattr(room.answers, "answer", refused)
     return reactor, forward, ends
 
 
@@ -104,7 +106,7 @@
     reactor, forward, ends = entry
     play(reactor, forward, Call(DEADLINE_MS), lambda now: 118 if now < 100 else 50)
     ((kind, at_ms),) = ends
-    assert kind == "sent" and 100 <= at_ms < tries.ROOM_WAIT_SHARE * AIM_MS + 50
+    assert kind == "sent" and 100 <= at_ms < room.WAIT_SHARE * AIM_MS + 50
 
 
 def test_who_could_not_be_in_time_any_more_is_sent_away(entry):
@@ -112,8 +114,64 @@
     play(reactor, forward, Call(DEADLINE_MS), lambda _now: 118)
     ((reason, at_ms, status, retry_ms),) = ends
     assert (reason, status) == ("no_room", 503)
-    assert at_ms <= tries.ROOM_WAIT_SHARE * AIM_MS + tries.ROOM_LOOK_MS
-    assert tries.ROOM_MS[0] <= retry_ms <= tries.ROOM_MS[1]
+    assert at_ms <= room.WAIT_SHARE * AIM_MS + room.LOOK_MS
+    assert room.RETRY_MS[0] <= retry_ms <= room.RETRY_MS[1]
+
+
+def overload(forward):
+    """Passes of the longest allowed length for six seconds, up to now."""
+    for since_ms in range(6000, -1, -50):
+        forward.found.saw("g", ALLOWED_MS + 1, forward.clock.now() - since_ms)
+
+
+def test_where_long_passes_last_callers_are_sent_away_at_once(entry):
+    # Pattern: all slots of a group are taken, and as many callers come as streams end.
+    # Symptom: requests wait for room, draw anew at each look, nearly all get in, and
+    # nearly all are late. One draw decides, at once, and those who are refused are told
+    # to come back later than the passes of now last.
+    reactor, forward, ends = entry
+    reactor.advance(10)
+    overload(forward)
+    now = forward.clock.now()
+    call = Call(now + DEADLINE_MS, arrived_ms=now, draw=0.5)
+    tries.run(forward, call)
+    ((reason, at_ms, status, retry_ms),) = ends
+    assert (reason, at_ms, status) == ("overloaded", now, 503)
+    assert room.LASTING_RETRY_MS[0] <= retry_ms <= room.LASTING_RETRY_MS[1]
+    assert forward.overloaded == {("s", "g")}
+
+
+def test_a_time_to_come_back_is_one_that_the_caller_heeds(entry):
+    reactor, forward, ends = entry
+    reactor.advance(10)
+    overload(forward)
+    now = forward.clock.now()
+    tries.run(forward, Call(now + 3000, arrived_ms=now, draw=0.5))
+    ((_reason, _at_ms, _status, retry_ms),) = ends
+    assert retry_ms <= 1000
+
+
+def test_the_end_of_an_overload_is_told(entry):
+    reactor, forward, ends = entry
+    reactor.advance(10)
+    overload(forward)
+    now = forward.clock.now()
+    tries.run(forward, Call(now + DEADLINE_MS, arrived_ms=now, draw=0.5))
+    reactor.advance(pace.STALE_MS / 1000 + 0.1)
+    now = forward.clock.now()
+    tries.run(forward, Call(now + DEADLINE_MS, arrived_ms=now, draw=0.5))
+    assert ends[-1][0] == "sent"
+    assert forward.overloaded == set()
+
+
+def test_a_stream_that_goes_on_elsewhere_is_not_refused_for_long_passes(entry):
+    # Symptom feared: streams broken off midway while passes are long.
+    reactor, forward, ends = entry
+    reactor.advance(10)
+    overload(forward)
+    now = forward.clock.now()
+    tries.run(forward, Call(now + DEADLINE_MS, arrived_ms=now, draw=1.0, group="h"))
+    assert ends == [("sent", now)]
 
 
 def test_a_caller_that_left_while_it_waited_is_sent_nowhere(entry):
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -3,23 +3,13 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs
-from dunlinpoint.forward import answers, exchange, routes
-from dunlinpoint.routing import outage, pace, pick
+from dunlinpoint.forward import answers, exchange, room, routes
+from dunlinpoint.routing import outage, pick
 
 log = logs.logger("entry")
 
 # Less than this left is not worth handing to an endpoint.
 LEAST_LEFT_MS = 10
-# When a caller should come back whom the pace leaves no room: streams last a
-# second or two, and as many end in that time as would have to.
-ROOM_MS = (500, 1500)
-# How long a request waits for room before that, as a part of the time in which its
-# first event is due: reading its prompt takes most of the rest. On the model of a
-# group near its limit, half of it is worth 0.02 of a caller's worth over none.
-ROOM_WAIT_SHARE = 0.5
-ROOM_WAIT_MS = 300
-# How often it looks: a few times a pass.
-ROOM_LOOK_MS = 25
 
 
 @defer.inlineCallbacks
@@ -28,7 +18,7 @@
     try:
         yield run_tries(forward, call)
     finally:
-        join(forward, call, None)
+        room.join(forward, call, None)
 
 
 @defer.inlineCallbacks
@@ -44,11 +34,12 @@
                 continue
             give_up(forward, call, "group_stands", outage_ms(forward, call, members))
             return
-        if not find_group(forward, call, by_group, now):
-            if now < wait_for_room_until(call):
-                yield forward.clock.pause(ROOM_LOOK_MS)
-                continue
-            refuse_for_room(forward, call)
+        found = room.find(forward, call, by_group, now)
+        if found is room.Room.FULL and now < room.wait_until(call):
+            yield forward.clock.pause(room.LOOK_MS)
+            continue
+        if found is not room.Room.JOINED:
+            room.refuse(forward, call, found)
             return
         member = next_member(forward, call, by_group, now)
         if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
@@ -65,64 +56,6 @@
         forward.counters.retried(state)
 
 
-def join(forward, call, group):
-    """Count *call* at *group* of ranks and no longer at the one before."""
-    groups = forward.groups(call)
-    if groups is None or call.group == group:
-        return
-    if call.group is not None:
-        groups.left(call.group)
-    if group is not None:
-        groups.pace(group).began()
-    call.group = group
-
-
-def wait_for_room_until(call):
-    """Until when (ms) *call* waits for room: after that it could not be in time.
-
-    A wait of a few passes bridges what a jump of demand takes; sent away, a caller is
-    late when it comes back.
-    """
-    wait_ms = min(ROOM_WAIT_SHARE * call.route.aim_ms, ROOM_WAIT_MS)
-    return min(call.arrived_ms + wait_ms, call.deadline_ms)
-
-
-def find_group(forward, call, by_group, now):
-    """Have *call* join a group of *by_group*; ``False`` if none has room.
-
-    A request that was let in once is not refused for room when it must go on
-    elsewhere: it is no more of a load there than it was.
-    """
-    groups = forward.groups(call)
-    if groups is None or call.group in by_group:
-        return True
-    left_ms = call.deadline_ms - now
-    returned = pace.has_returned(left_ms, call.route.timeout_ms)
-    group = groups.choose(by_group, now, returned, forward.rng)
-    if group is None and call.group is not None:
-        group = next(iter(by_group), None)
-    if group is None:
-        return not by_group
-    join(forward, call, group)
-    return True
-
-
-def refuse_for_room(forward, call):
-    """Refuse *call*: every group has as many streams as its pace allows."""
-    groups, now = forward.groups(call), forward.clock.now()
-    paces = [groups.pace(group) for group in groups.share_by_group]
-    answers.answer(
-        forward,
-        call.request,
-        503,
-        "no_room",
-        forward.rng.uniform(*ROOM_MS),
-        service=call.service,
-        pause_ms=[found.pause_ms for found in paces],
-        let_in=[round(found.share_let_in(now), 2) for found in paces],
-    )
-
-
 def next_member(forward, call, by_group, now):
     """The endpoint to try next: of the call's group if one is left there."""
     own = [call.group] if call.group in by_group else []
@@ -130,7 +63,7 @@
         near = (call.service, group) not in forward.uneven_groups
         member = forward.picker.pick(by_group[group], now, call.tried, near)
         if member is not None:
-            join(forward, call, group)
+            room.join(forward, call, group)
             return member
     return None
 
--- a/dunlinpoint/routing/groups.py
+++ b/dunlinpoint/routing/groups.py
@@ -87,6 +87,14 @@
                 del by_group[group]
         self._normalise()
 
+    def not_overloaded(self, usable, now, returned, draw):
+        """Those of *usable* that a caller with *draw* (0 to 1) is not kept out of."""
+        return [
+            group
+            for group in usable
+            if draw < self.pace(group).share_let_in_lasting(now, returned)
+        ]
+
     def choose(self, usable, now, returned, rng):
         """A group of *usable* that has room, drawn by share, or ``None``."""
         open_to = [g for g in usable if self.pace(g).has_room(now, rng, returned)]
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -137,6 +137,11 @@
         return max(starts, default=now)
 
 
+def heeded_ms(left_ms):
+    """The longest time to come back (ms) that a caller with *left_ms* heeds."""
+    return max(0, left_ms) * RETRY_AFTER_SHARE
+
+
 def may_come_back(left_ms):
     """Whether a caller heeds a time that is likely to be after the outage.
 
@@ -144,7 +149,7 @@
     late to begin with, would only be refused again: it waits for the group to
     open, for which no message is needed but the one that it has.
     """
-    return left_ms * RETRY_AFTER_SHARE >= LEAST_OUTAGE_MS
+    return heeded_ms(left_ms) >= LEAST_OUTAGE_MS
 
 
 def come_back_ms(since_ms, now, left_ms, rng):
@@ -154,5 +159,4 @@
     that comes back too soon is refused again and may have no try left.
     """
     wanted = max(LEAST_OUTAGE_MS, now - since_ms)
-    heeded = max(0, left_ms) * RETRY_AFTER_SHARE
-    return min(wanted, heeded) * (1 - SPREAD * rng.random())
+    return min(wanted, heeded_ms(left_ms)) * (1 - SPREAD * rng.random())
--- a/dunlinpoint/routing/pace.py
+++ b/dunlinpoint/routing/pace.py
@@ -1,23 +1,26 @@
 """Who is let in to a group of ranks: by the length of the passes just seen.
 
 All streams of a group get their next event in the same pass, and the more there are,
-the longer a pass takes. Past some number every stream is late at once. Two things make
-that worse than it need be. Longer passes make streams last longer, so there are more of
-them, so passes are longer still: what began it may be gone for ten seconds. And demand
-for experts jumps every few seconds, which makes the passes of the next half second
-twice as long; a group that runs near its limit is over it then.
-
-No entry sees how many streams there are, but each sees the pauses between its own
-events, which are the same for all. So the longer they are, the fewer of the requests
-that come are let in, until passes last nearly as long as is allowed. It needs no
-message, and is the same for entries that see two streams and twenty.
-
-Weighed on a model of a group near its limit (``tests/overload.py``): limits of streams
-in flight that grow and shrink with the pauses. They were worth less than to let in
-everyone: they shrank too late, as streams in flight stay for seconds, and grew too
-soon.
+the longer a pass takes. Past some number every stream is late at once. No entry sees
+how many streams there are, but each sees the pauses between its own events, which are
+the same for all. So the longer they are, the fewer of the requests that come are let
+in. It needs no message, and is the same for entries that see two streams and twenty.
+
+Passes get long in two ways, which are told apart by how long it lasts:
+
+- Demand for experts jumps every few seconds, and a map answers it within half a
+  second. Requests wait that long (:meth:`Pace.has_room`).
+- Longer passes make streams last longer, so there are more of them, so passes are
+  longer still, until all slots are taken and streams queue at engines. What began it,
+  a lost lead or a slow rank, may be gone for ten seconds; the same load that fitted
+  before no longer does, and nearly every stream is late. Waiting for a few passes
+  changes nothing then. Only fewer streams lead out of it, so a part of the requests is
+  refused at once while passes are long as a mean over more than a second
+  (:meth:`Pace.share_let_in_lasting`).
 """
 
+import collections
+import math
 import statistics
 
 import attrs
@@ -27,12 +30,23 @@
 # After so long without an event nothing is known of passes.
 STALE_MS = 1000
 # Parts of the longest allowed pause: up to the first all are let in, from the second
-# on none. On the model, the mean worth of a caller over eight loads near and over the
-# limit is 0.75 with 0.7 and 0.9 and with 0.6 and 0.85, 0.74 with 0.75 and 0.85, 0.73
-# with 0.5 and 0.8, which keeps some out on calm days as well, and 0.71 with everyone
-# let in.
+# on none.
 ALL_IN = 0.7
 NONE_IN = 0.9
+# The same for the mean of passes over LASTING_MS, which is some times as long as a jump
+# of demand lasts: one alone has nobody refused.
+LASTING_MS = 3500
+# It is over as soon as passes are short as a mean over this: what keeps them long may
+# be gone at once, as a map that comes late is.
+SHORT_MS = 400
+LASTING_ALL_IN = 0.55
+LASTING_NONE_IN = 0.85
+# Where no pause was too long for so long, all streams are in time as it is, and nobody
+# is refused.
+LATE_MS = 8000
+# While long passes last, callers that came back are let in so much less often. They
+# are late whatever happens, and in the slot that one takes another would be in time.
+LASTING_RETURNED = 0.3
 # For callers that came back after a refusal passes count as so much shorter: refused
 # again, most have no try left. Larger figures keep out more of those who could still
 # be in time.
@@ -50,38 +64,86 @@
     return left_ms < FRESH_SHARE * timeout_ms
 
 
+def share_between(part, all_in, none_in):
+    """1 up to *all_in*, 0 from *none_in* on, and evenly less between them."""
+    return min(1.0, max(0.0, (none_in - part) / (none_in - all_in)))
+
+
+@attrs.define
+class Mean:
+    """A mean that forgets, over about ``over_ms``."""
+
+    over_ms: int
+    value: float = 0.0
+
+    def add(self, value, elapsed_ms):
+        """Take in *value*, *elapsed_ms* after the one before it."""
+        weight = 1 - math.exp(-elapsed_ms / self.over_ms)
+        self.value += weight * (value - self.value)
+
+
 @attrs.define
 class Pace:
     """Streams of one service and group at this entry, and the passes they see.
 
-    ``pause_ms`` is the median of the last pauses, ``None`` before there is any.
+    ``lasting`` and ``short`` are means of pauses (ms), and ``late_ms`` is when the last
+    pause over the allowed one was seen.
     """
 
     allowed_ms: int
     in_flight: int = 0
-    recent: list = attrs.field(factory=list)
-    pause_ms: float | None = None
-    seen_ms: int = 0
+    recent: collections.deque = attrs.field(factory=collections.deque)
+    lasting: Mean = attrs.field(factory=lambda: Mean(LASTING_MS))
+    short: Mean = attrs.field(factory=lambda: Mean(SHORT_MS))
+    seen_ms: int | None = None
+    late_ms: int | None = None
 
     def saw(self, pause_ms, now):
         """A stream's next event came *pause_ms* after the one before it."""
         if pause_ms > STOOD * self.allowed_ms:
             return
-        self.recent = [seen for seen in self.recent if now - seen[0] <= RECENT_MS]
+        while self.recent and now - self.recent[0][0] > RECENT_MS:
+            self.recent.popleft()
         self.recent.append((now, pause_ms))
-        self.pause_ms = statistics.median(pause for _, pause in self.recent)
+        if pause_ms > self.allowed_ms:
+            self.late_ms = now
+        if not self._is_known(now):
+            # A group that opens has its longest passes before its first map. Taken for
+            # the mean, they would refuse everyone who comes back to it.
+            self.lasting.value = self.short.value = LASTING_ALL_IN * self.allowed_ms
+        else:
+            self.lasting.add(pause_ms, now - self.seen_ms)
+            self.short.add(pause_ms, now - self.seen_ms)
         self.seen_ms = now
 
+    def _is_known(self, now):
+        return self.seen_ms is not None and now - self.seen_ms <= STALE_MS
+
+    @property
+    def pause_ms(self):
+        """The median of the last pauses, ``None`` before there is any."""
+        if not self.recent:
+            return None
+        return statistics.median(pause for _, pause in self.recent)
+
     def share_let_in(self, now, returned=False):
         """The part (0 to 1) of requests, or of *returned* callers', to be let in."""
-        if self.in_flight < LEAST_STREAMS or self.pause_ms is None:
-            return 1.0
-        if now - self.seen_ms > STALE_MS:
+        if self.in_flight < LEAST_STREAMS or not self._is_known(now):
             return 1.0
         part = self.pause_ms / self.allowed_ms
         if returned:
             part *= RETURNED_SHARE
-        return min(1.0, max(0.0, (NONE_IN - part) / (NONE_IN - ALL_IN)))
+        return share_between(part, ALL_IN, NONE_IN)
+
+    def share_let_in_lasting(self, now, returned=False):
+        """The part of requests not to be refused at once: 1 unless long passes last."""
+        if self.in_flight < LEAST_STREAMS or not self._is_known(now):
+            return 1.0
+        if self.late_ms is None or now - self.late_ms > LATE_MS:
+            return 1.0
+        part = min(self.lasting.value, self.short.value) / self.allowed_ms
+        share = share_between(part, LASTING_ALL_IN, LASTING_NONE_IN)
+        return share * LASTING_RETURNED if returned and share < 1 else share
 
     def has_room(self, now, rng, returned=False):
         """Whether one more stream may begin, of a caller that has *returned*."""
--- a/dunlinpoint/routing/tests/overload.py
+++ b/dunlinpoint/routing/tests/overload.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from dunlinpoint.forward import tries
+from dunlinpoint.forward import room
 from dunlinpoint.routing import pace
 from dunlinpoint.routing.tests import passes
 
@@ -129,6 +129,7 @@
     asked_ms: float
     events: int
     prompt: int
+    draw: float
     returned: bool = False
     is_late: bool = False
     last_ms: float | None = None
@@ -162,26 +163,30 @@
         while coming and coming[0][0] <= now:
             at, _, caller = heapq.heappop(coming)
             entry = paces[caller.entry]
-            if entry.has_room(now, rng, caller.returned):
+            lets_in = entry.share_let_in_lasting(now, caller.returned) > caller.draw
+            if lets_in and entry.has_room(now, rng, caller.returned):
                 entry.began()
                 queued.append(caller)
                 continue
-            if at < caller.came_ms + tries.ROOM_WAIT_SHARE * engine.aim_ms:
-                again_ms = at + tries.ROOM_LOOK_MS
+            waits = at < caller.came_ms + room.WAIT_SHARE * engine.aim_ms
+            if lets_in and waits:
+                again_ms = at + room.LOOK_MS
             elif caller.returned:
                 result.count(caller, "lost")
                 continue
             else:
-                again_ms = send_away(rng, caller, at, weights)
+                again_ms = send_away(rng, caller, at, weights, not lets_in)
             heapq.heappush(coming, (again_ms, rng.random(), caller))
     return result
 
 
-def send_away(rng, caller, at, weights):
+def send_away(rng, caller, at, weights, lasting):
     """Refuse *caller* at *at*; when it comes back, at another entry."""
     caller.returned = True
     caller.entry = rng.choices(range(len(weights)), weights)[0]
-    caller.came_ms = at + rng.uniform(*tries.ROOM_MS)
+    caller.draw = rng.random()
+    wait_ms = rng.uniform(*(room.LASTING_RETRY_MS if lasting else room.RETRY_MS))
+    caller.came_ms = at + wait_ms
     return caller.came_ms
 
 
@@ -212,7 +217,7 @@
     events = min(engine.most_events, 1 + int(rng.expovariate(1 / engine.events)))
     prompt = int(rng.expovariate(1 / engine.prompt))
     entry = rng.choices(range(load.entries), weights)[0]
-    return Stream(entry, at, events, prompt)
+    return Stream(entry, at, events, prompt, rng.random())
 
 
 class AllIn:
@@ -230,5 +235,8 @@
     def ended(self):
         pass
 
+    def share_let_in_lasting(self, now, returned):
+        return 1.0
+
     def has_room(self, now, rng, returned):
         return True
--- a/dunlinpoint/routing/tests/test_overload.py
+++ b/dunlinpoint/routing/tests/test_overload.py
@@ -6,7 +6,10 @@
 Sequence: without new maps passes get long. Streams then last longer, so there are more
 of them, until all slots are taken and the others queue at engines. A new lead's maps
 come, but full slots alone keep passes long, and as many callers arrive as end.
-Cause: open. It may be the load in flight that lasts, not what began it.
+Cause: requests were let in by the last passes only, and drew anew at each look while
+they waited, so that nearly all got in whatever the passes left room for. Played with
+everyone let in, the same load stays late just so; played without the lost lead, all are
+in time: it is the load in flight that lasts, not its cause.
 """
 
 import statistics
--- a/dunlinpoint/routing/tests/test_pace.py
+++ b/dunlinpoint/routing/tests/test_pace.py
@@ -82,6 +82,56 @@
     assert paced(20, 3000).share_let_in(1000) == 1
 
 
+def lasting(pause_ms, for_ms, in_flight=20):
+    """A ``Pace`` that saw passes of *pause_ms* for so long, to the moment *for_ms*."""
+    found = paced(in_flight)
+    for now in range(0, for_ms + 1, 50):
+        found.saw(pause_ms, now)
+    return found
+
+
+def test_a_jump_of_demand_alone_has_nobody_refused_at_once():
+    # Pattern: demand jumps, and a map answers it within half a second. Symptom feared:
+    # callers sent away for seconds who would have been in time after a short wait.
+    found = lasting(45, 6000)
+    for now in range(6050, 6450, 50):
+        found.saw(130, now)
+    assert found.share_let_in(6400) == 0
+    assert found.share_let_in_lasting(6400) == 1
+
+
+def test_long_passes_that_last_have_a_part_refused_until_they_are_short():
+    found = lasting(150, 6000)
+    assert found.share_let_in_lasting(6000) < 0.1
+    for now in range(6050, 12000, 50):
+        found.saw(60, now)
+    assert found.share_let_in_lasting(12000) == 1
+
+
+def test_passes_that_make_nobody_late_have_nobody_refused_at_once():
+    # Pattern: engines whose shortest pass is long. Symptom feared: a part of the
+    # callers refused for good on a calm day on which all would be in time.
+    assert lasting(100, 20_000).share_let_in_lasting(20_000) == 1
+
+
+def test_in_a_state_that_lasts_those_who_came_back_are_let_in_last():
+    found = lasting(105, 2000)
+    found.saw(ALLOWED_MS + 1, 2000)
+    assert 0 < found.share_let_in_lasting(2000, returned=True)
+    shares = [found.share_let_in_lasting(2000, returned) for returned in (True, False)]
+    assert shares[0] < shares[1] < 1
+
+
+def test_the_first_passes_after_an_outage_refuse_nobody_at_once():
+    # Symptom feared: everyone comes back to a group that has just opened and is
+    # refused. Sequence: its first passes are long, as it has no map yet. Cause: taking
+    # the first pass for the mean of the last seconds.
+    found = lasting(150, 6000)
+    opened = 6000 + 3 * pace.STALE_MS
+    found.saw(140, opened)
+    assert found.share_let_in_lasting(opened) == 1
+
+
 def rush(now):
     return 55 if 8_000 < now < 14_000 else 25
 
