A request that ends each endpoint that runs it is refused after the third

What callers saw: one request, brought again and again, ended an endpoint at each attempt, two where it may be repeated; in a group of ranks each end stops all of them for seconds. Cause: nothing was remembered of a request once its attempt was over.

Evidence is an end: nothing listens at the endpoint's place any more, or a new start is announced there. Two ends: it runs alone and is not tried again by itself. Three, apart in time and without having been served in between: 503 at once, for ten minutes, as it has not run. dunlinctl suspects and lift. Ruled out as evidence: cuts, resets, slow and garbled answers, planned stops.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -11,6 +11,8 @@
   document's ``leaving`` list (``--back`` takes it out again).
 - ``dunlinctl outcome KEY --controls ...`` tells what became of a
   non-idempotent call, from the agents that keep its key.
+- ``dunlinctl suspects --controls ...`` lists the requests that endpoints ended under;
+  ``dunlinctl lift DIGEST --controls ...`` voids what is held against one.
 - ``dunlinctl explain REQUEST_ID FILES...`` tells a request's story from the
   logs of several processes.
 
@@ -32,6 +34,7 @@
 from dunlinpoint.config import packed
 from dunlinpoint.control import discovery
 from dunlinpoint.routing import owners
+from dunlinpoint.suspects import register
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
 
@@ -141,7 +144,7 @@
     found = []
     for link in links(reactor, controls):
         try:
-            shown = yield link.call("view", "", 0, -1, 0, bodies, "")
+            shown = yield link.call("view", "", 0, -1, 0, bodies, "", 0)
         except errors.WireError as exc:
             shown = exc
         found.append((link.address, shown))
@@ -267,6 +270,63 @@
         return 1
 
 
+@dataclass
+class Suspects:
+    """List the requests that endpoints ended under, as each control knows them."""
+
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        on_reactor(self.suspects)
+
+    @defer.inlineCallbacks
+    def suspects(self, reactor):
+        for address, shown in (yield views(reactor, self.controls)):
+            if isinstance(shown, Exception):
+                continue
+            found = register.Register()
+            for report in shown.reports:
+                found.take(report, 0)
+            for digest, suspect in found.suspect_by_digest.items():
+                line = {"control": address, "digest": digest.hex()}
+                line["standing"] = suspect.standing().value
+                line["age_ms_by_endpoint"] = {
+                    life: -ended_ms
+                    for life, ended_ms in suspect.ended_ms_by_life.items()
+                }
+                print(json.dumps(line))
+        return 0
+
+
+@dataclass
+class Lift:
+    """Void all that is held against a request, named by its digest."""
+
+    digest: str
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        try:
+            self.name = bytes.fromhex(self.digest)
+        except ValueError:
+            raise checks.SettingError(f"digest: {self.digest!r} is not hex") from None
+        on_reactor(self.lift)
+
+    @defer.inlineCallbacks
+    def lift(self, reactor):
+        """Tell every control; each that takes it tells the entries."""
+        told = 0
+        for link in links(reactor, self.controls):
+            try:
+                yield link.call("report", [ttypes.CrashReport(self.name, "", 0)])
+            except errors.WireError as exc:
+                print(json.dumps({"control": link.address, "error": str(exc)}))
+            else:
+                told += 1
+        print(json.dumps({"digest": self.digest, "controls_told": told}))
+        return 0 if told else 1
+
+
 @dataclass
 class Explain:
     """Tell one request's story from the log files of several processes."""
@@ -294,7 +354,7 @@
     """dunlinctl: steer dunlinpoint through its configuration document."""
 
     command: cappa.Subcommands[
-        Validate | Apply | Show | Members | Drain | Outcome | Explain
+        Validate | Apply | Show | Members | Drain | Outcome | Suspects | Lift | Explain
     ]
 
 
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -23,6 +23,7 @@
 from dunlinpoint.config import document as config
 from dunlinpoint.control import acceptor as acceptors
 from dunlinpoint.control import agreement, discovery, followers, membership, voters
+from dunlinpoint.suspects import register
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Control, ttypes
 
@@ -77,6 +78,7 @@
     waiting: list = attrs.field(factory=list)
     followers: followers.Followers = attrs.field(factory=followers.Followers)
     peer_revision_by_address: dict = attrs.field(factory=dict)
+    suspects: register.Register = attrs.field(factory=register.Register)
 
     @classmethod
     def from_config(cls, settings, reactor, counters):
@@ -145,8 +147,11 @@
             self.waiting.remove(waiter)
             waiter.callback(None)
 
-    def show(self, revision, number, bodies, zone="", follower=""):
-        """This instance's ``View`` for a follower at *revision* and round *number*."""
+    def show(self, revision, number, bodies, zone="", follower="", reports_known=None):
+        """This instance's ``View`` for a follower at *revision* and round *number*.
+
+        It bears the reports after *reports_known* where the follower names one.
+        """
         now = self.clock.now()
         place, places = self.followers.place(zone, follower, now)
         local = self.peers.local
@@ -154,7 +159,13 @@
         document = None
         if local.committed.round > number:
             document = local.committed.to_message(bodies)
+        reports = reports_revision = None
+        if reports_known is not None:
+            reports = self.suspects.reports(reports_known, now)
+            reports_revision = self.suspects.revision
         return ttypes.View(
+            reports=reports,
+            reports_revision=reports_revision,
             members=[] if unchanged else self.membership.members(now),
             document=document,
             zone=self.settings.zone,
@@ -201,19 +212,38 @@
         return ttypes.HeartbeatReply(state.membership.lease_ms, document, controls)
 
     @defer.inlineCallbacks
-    def view(self, zone, revision, number, wait_ms, bodies, follower=""):
+    def view(
+        self,
+        zone,
+        revision,
+        number,
+        wait_ms,
+        bodies,
+        follower="",
+        reports_known=None,
+    ):
         state = self.state
-        shown = state.show(revision, number, bodies, zone, follower)
-        if wait_ms and shown.unchanged and shown.document is None:
+        asked = revision, number, bodies, zone, follower, reports_known
+        shown = state.show(*asked)
+        is_news = not shown.unchanged or shown.document is not None or shown.reports
+        if wait_ms and not is_news:
             changed = defer.Deferred()
             state.waiting.append(changed)
             timer = state.clock.later(wait_ms, state.wake, changed)
             yield changed
             if timer.active():
                 timer.cancel()
-            shown = state.show(revision, number, bodies, zone, follower)
+            shown = state.show(*asked)
         return shown
 
+    def report(self, reports):
+        state = self.state
+        now = state.clock.now()
+        news = [report for report in reports if state.suspects.take(report, now)]
+        state.counters.incr("crash_reports", len(news))
+        if news:
+            state.changed()
+
     @defer.inlineCallbacks
     def apply(self, expected_version, change_id, body_json):
         state = self.state
@@ -267,6 +297,7 @@
             0,
             True,
             NO_FOLLOWER,
+            None,
         )
         for address in addresses
     ]
--- /dev/null
+++ b/dunlinpoint/control/tests/test_reports.py
@@ -0,0 +1,64 @@
+"""How a control passes on what entries saw of requests that endpoints ended under."""
+
+import pytest
+from twisted.internet import task
+
+from dunlinpoint import metrics
+from dunlinpoint.control import server
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+NOTHING_KNOWN = 0
+REPORT = ttypes.CrashReport(b"d" * 16, "life", 40)
+
+
+@pytest.fixture
+def control():
+    """A control without a disk, its handler and its clock."""
+    reactor = task.Clock()
+    settings = server.Settings("c", "z", "h", 1, None, [("h", 1)], bootstrap=True)
+    state = server.State.from_config(settings, reactor, metrics.Counters(None))
+    return reactor, state, server.Handler(state)
+
+
+def poll(control, reports_known, wait_ms=800):
+    """A follower's poll that knows the members and the document."""
+    _, state, handler = control
+    asked = "z", state.membership.revision, 1 << 62, wait_ms, False, ""
+    return handler.view(*asked, reports_known)
+
+
+def test_a_report_answers_the_polls_that_wait(control):
+    # Symptom feared: an entry hears of an end after its poll, when the request has come
+    # back to it.
+    reactor, state, handler = control
+    waiting = poll(control, state.suspects.revision)
+    reactor.advance(0.1)
+    assert not waiting.called
+    handler.report([REPORT])
+    shown = waiting.result
+    assert [(r.digest, r.life) for r in shown.reports] == [(REPORT.digest, "life")]
+    assert shown.reports_revision == state.suspects.revision
+
+
+def test_what_is_known_already_answers_nobody(control):
+    reactor, state, handler = control
+    handler.report([REPORT])
+    waiting = poll(control, state.suspects.revision)
+    handler.report([REPORT])
+    reactor.advance(0.1)
+    assert not waiting.called
+
+
+def test_an_entry_that_starts_is_told_all(control):
+    _, _, handler = control
+    handler.report([REPORT])
+    shown = poll(control, NOTHING_KNOWN).result
+    assert [r.life for r in shown.reports] == ["life"]
+
+
+def test_followers_that_want_no_reports_get_none(control):
+    # Agents follow as well, on links of a few Mbit/s.
+    _, _, handler = control
+    handler.report([REPORT])
+    shown = poll(control, None, wait_ms=0).result
+    assert shown.reports is None and shown.reports_revision is None
--- a/dunlinpoint/follow/controls.py
+++ b/dunlinpoint/follow/controls.py
@@ -22,7 +22,8 @@
 class Follow:
     """One control instance as this process follows it.
 
-    *vouched_ms* is when it last held nothing newer than what we hold.
+    *vouched_ms* is when it last held nothing newer than what we hold;
+    *reports_revision* names the reports on requests that it has told.
     """
 
     link: rpc.Link
@@ -33,6 +34,7 @@
     node_id: str = ""
     zone: str | None = None
     asks_bodies: bool = False
+    reports_revision: int = 0
     wanted: bool = True
 
 
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -77,6 +77,8 @@
     voting: list = attrs.field(factory=list)
     on_document: list = attrs.field(factory=list)
     on_news: list = attrs.field(factory=list)
+    on_reports: list = attrs.field(factory=list)
+    wants_reports: bool = False
     wait_ms: int = WAIT_MS
     body_pause_ms: int = 0
     body_ms: int | None = None
@@ -115,6 +117,11 @@
             follow.member_ids = [m.endpoint_id for m in shown.members]
             for member in shown.members:
                 self._take(member, now + member.lease_left_ms)
+        if shown.reports_revision is not None:
+            follow.reports_revision = shown.reports_revision
+        if shown.reports:
+            for hear in self.on_reports:
+                hear(shown.reports)
         document = shown.document
         if document is None or document.round <= self.document.round:
             follow.asks_bodies = follow.zone == self.zone
@@ -234,6 +241,7 @@
                 self.wait_ms,
                 follow.asks_bodies,
                 self.follower,
+                follow.reports_revision if self.wants_reports else None,
                 timeout_ms=self.wait_ms + controls.CONTROL_TIMEOUT_MS,
             )
         except errors.WireError:
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -19,7 +19,7 @@
 from twisted.web import http_headers
 
 from dunlinpoint import logs
-from dunlinpoint.forward import answers, pool, routes
+from dunlinpoint.forward import answers, pool, quarantine, routes
 from dunlinpoint.forward import guard as guards
 from dunlinpoint.routing import pick
 
@@ -55,6 +55,10 @@
     state = yield send_to(forward, call, member)
     took_ms = forward.clock.now() - began_ms
     forward.counters.timed("try", took_ms)
+    if state == DONE:
+        quarantine.served(forward, call)
+    elif state == BROKEN and not call.over and call.events.count == events_before:
+        quarantine.broke(forward, call, member)
     if state != DONE:
         log.warning(
             "try_ended",
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -187,6 +187,16 @@
         self._keep(pick.life(member), connection)
         return True
 
+    @defer.inlineCallbacks
+    def is_closed(self, member):
+        """Whether nothing listens at the address of *member*, whose machine answers."""
+        try:
+            connection = yield self._open(member)
+        except NotSent as exc:
+            return isinstance(exc.__cause__, error.ConnectionRefusedError)
+        self._keep(pick.life(member), connection)
+        return False
+
     @defer.inlineCallbacks
     def _open(self, member):
         endpoint = endpoints.TCP4ClientEndpoint(
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -12,8 +12,9 @@
 from dunlinpoint.entry import limits as workspace_limits
 from dunlinpoint.experts import messages
 from dunlinpoint.follow import view
-from dunlinpoint.forward import events, names, pool, routes, waiting
+from dunlinpoint.forward import events, names, pool, quarantine, routes, waiting
 from dunlinpoint.routing import budget, groups, outage, pick, spread
+from dunlinpoint.suspects import sharing
 
 log = logs.logger("entry")
 
@@ -32,6 +33,7 @@
     pool: pool.Pool
     picker: pick.Picker
     waiting: waiting.Waiting
+    quarantine: quarantine.Quarantine
     names: names.Names = names.DEFAULT
     budget: budget.Budget = attrs.field(factory=budget.Budget)
     table: routes.Table = attrs.field(factory=routes.Table)
@@ -66,13 +68,20 @@
             counters=counters,
             pool=pool.Pool.from_config(reactor),
             picker=pick.Picker(entry_view.zone),
+            quarantine=quarantine.Quarantine(sharing.Sharing(entry_view, ticks)),
             names=dialect,
             key_lease_ms=key_lease_ms,
         )
         entry_view.on_document.append(forward.take)
         entry_view.on_news.append(forward.news)
+        entry_view.wants_reports = True
+        entry_view.on_reports.append(forward.hear_reports)
         return forward
 
+    def hear_reports(self, reports):
+        """A control told what entries saw of requests that endpoints ended under."""
+        self.quarantine.hear(self, reports)
+
     def take(self, document):
         """Put a newer document in force."""
         doc = config.parse(packed.unpack(document.body))
@@ -91,6 +100,7 @@
 
     def news(self):
         """Something was heard of the deployment: whoever waits looks again."""
+        quarantine.look_for_new_starts(self)
         if self.waiting.waiters:
             self.waiting.news()
 
@@ -216,6 +226,8 @@
     connection: pool.Connection | None = None
     group: str | None = None
     draw: float | None = None
+    digest: bytes | None = None
+    is_alone: bool = False
     last_failure: tuple | None = None
     arrived_ms: int = 0
     first_ms: int | None = None
--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -11,7 +11,7 @@
 
 from dunlinpoint import clock, metrics
 from dunlinpoint.config import document as config
-from dunlinpoint.forward import exchange, room, tries
+from dunlinpoint.forward import exchange, quarantine, room, tries
 from dunlinpoint.routing import groups as all_groups
 from dunlinpoint.routing import outage, pace, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
@@ -44,6 +44,7 @@
     counters: metrics.Counters = attrs.field(factory=lambda: metrics.Counters(None))
     uneven_groups: set = attrs.field(factory=set)
     overloaded: set = attrs.field(factory=set)
+    quarantine: object = attrs.field(factory=lambda: quarantine.Quarantine(None))
 
     def members(self, _service):
         return [MEMBER]
@@ -64,6 +65,7 @@
     streaming: bool = True
     group: str | None = None
     draw: float | None = None
+    is_alone: bool = False
     tried: set = attrs.field(factory=set)
     left: bool = False
     request: object = None
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -3,8 +3,9 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs
-from dunlinpoint.forward import answers, exchange, room, routes
+from dunlinpoint.forward import answers, exchange, quarantine, room, routes
 from dunlinpoint.routing import outage, pick
+from dunlinpoint.suspects import register
 
 log = logs.logger("entry")
 
@@ -15,10 +16,13 @@
 @defer.inlineCallbacks
 def run(forward, call):
     """Try endpoints until one answers or no other may be tried."""
+    if not quarantine.enter(forward, call):
+        return
     try:
         yield run_tries(forward, call)
     finally:
         room.join(forward, call, None)
+        quarantine.leave(forward, call)
 
 
 @defer.inlineCallbacks
@@ -92,6 +96,9 @@
         return False
     if call.tries >= call.route.max_attempts:
         return False
+    if quarantine.standing(forward, call) is not register.Standing.CLEAR:
+        # It would end one endpoint more, within one attempt of its caller.
+        return False
     return call.tries == 0 or forward.budget.spend(call.service)
 
 
--- /dev/null
+++ b/dunlinpoint/suspects/tests/test_sharing.py
@@ -0,0 +1,77 @@
+"""How reports on requests reach the controls."""
+
+import attrs
+from twisted.internet import defer, task
+
+from dunlinpoint import clock
+from dunlinpoint.suspects import sharing
+from dunlinpoint.wire import errors
+
+
+@attrs.define
+class Link:
+    """A control that takes reports, or is out of reach."""
+
+    reached: bool = True
+    taken: list = attrs.field(factory=list)
+
+    def call(self, _method, reports):
+        if not self.reached:
+            return defer.fail(errors.Lost("h:1"))
+        self.taken += [(report.life, report.age_ms) for report in reports]
+        return defer.succeed(None)
+
+
+@attrs.define
+class Follow:
+    link: Link
+
+
+@attrs.define
+class Controls:
+    follow_by_address: dict
+
+
+@attrs.define
+class View:
+    controls: Controls
+
+
+def entry(*links):
+    reactor = task.Clock()
+    controls = Controls({n: Follow(link) for n, link in enumerate(links)})
+    return reactor, sharing.Sharing(View(controls), clock.Clock(reactor))
+
+
+def report(life, at_ms=0):
+    return sharing.Waiting(b"d", life, at_ms)
+
+
+def test_every_control_in_reach_is_told():
+    near, away, cut = Link(), Link(), Link(reached=False)
+    _, found = entry(near, away, cut)
+    found.tell([report("a")])
+    assert near.taken == away.taken == [("a", 0)]
+    assert found.waiting == []
+
+
+def test_reports_wait_for_a_control_and_keep_their_time():
+    # Sequence: an entry is cut off from all controls when an endpoint ends, and another
+    # ends before it reaches one again.
+    link = Link(reached=False)
+    reactor, found = entry(link)
+    found.tell([report("a")])
+    reactor.advance(0.2)
+    found.tell([report("b", 200)])
+    link.reached = True
+    reactor.advance(sharing.RETRY_MS / 1000 - 0.2)
+    assert link.taken == [("a", 500), ("b", 300)]
+    assert found.waiting == [] and not found.is_telling
+
+
+def test_reports_that_wait_are_bounded(monkeypatch):
+    monkeypatch.setattr(sharing, "MAX_WAITING", 3)
+    _, found = entry(Link(reached=False))
+    for life in "abcde":
+        found.tell([report(life)])
+    assert [waiting.life for waiting in found.waiting] == ["c", "d", "e"]
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -218,6 +218,16 @@
   3: list<Voter> controls,
 }
 
+// What is known of a request that may end every endpoint that runs it, named by its
+// digest. life is the start of an endpoint that ended while it ran the request. An empty
+// life voids all that was seen before: the request was served, or an operator lifted
+// what was held against it. It was seen age_ms ago.
+struct CrashReport {
+  1: binary digest,
+  2: string life,
+  3: i64 age_ms,
+}
+
 // One control instance's members and document. revision names the member list
 // within one life of the control; unchanged says the asker holds it already
 // and members is empty. settled is false while this instance has accepted a
@@ -236,6 +246,10 @@
   // The follower's place, 0 up, among so many entries of its zone that follow.
   10: i32 place,
   11: i32 places,
+  // Reports that the follower, which knows those up to an earlier reports_revision,
+  // has not been told.
+  12: list<CrashReport> reports,
+  13: i64 reports_revision,
 }
 
 struct ApplyResult {
@@ -261,7 +275,11 @@
   // after a change or wait_ms, whichever comes first. Without bodies a newer
   // document comes without its text.
   // follower names an entry that wants to know its place among the entries.
-  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower),
+  // reports_known is the last reports_revision that it was shown, absent where it wants
+  // no reports.
+  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known),
+  // An entry tells what it saw of requests that endpoints ended under.
+  void report(1: list<CrashReport> reports),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
   // node_id names the voter that is asked; another at its address refuses.
   Promise prepare(1: i64 round, 2: i64 ballot, 3: string node_id),
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -30,7 +30,7 @@
         """
         pass
 
-    def view(zone, revision, round, wait_ms, bodies, follower):
+    def view(zone, revision, round, wait_ms, bodies, follower, reports_known):
         """
         Parameters:
          - zone
@@ -39,6 +39,15 @@
          - wait_ms
          - bodies
          - follower
+         - reports_known
+
+        """
+        pass
+
+    def report(reports):
+        """
+        Parameters:
+         - reports
 
         """
         pass
@@ -152,7 +161,7 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "heartbeat failed: unknown result"))
 
-    def view(self, zone, revision, round, wait_ms, bodies, follower):
+    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known):
         """
         Parameters:
          - zone
@@ -161,12 +170,13 @@
          - wait_ms
          - bodies
          - follower
+         - reports_known
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower)
+        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known)
         d.addCallbacks(
             callback=self.cb_send_view,
             callbackArgs=(seqid,),
@@ -182,7 +192,7 @@
         d.errback(f)
         return d
 
-    def send_view(self, zone, revision, round, wait_ms, bodies, follower):
+    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('view', TMessageType.CALL, self._seqid)
         args = view_args()
@@ -192,6 +202,7 @@
         args.wait_ms = wait_ms
         args.bodies = bodies
         args.follower = follower
+        args.reports_known = reports_known
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -210,6 +221,52 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "view failed: unknown result"))
 
+    def report(self, reports):
+        """
+        Parameters:
+         - reports
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_report, reports)
+        d.addCallbacks(
+            callback=self.cb_send_report,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_report,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_report(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_report(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_report(self, reports):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('report', TMessageType.CALL, self._seqid)
+        args = report_args()
+        args.reports = reports
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_report(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = report_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        return d.callback(None)
+
     def apply(self, expected_version, change_id, body_json):
         """
         Parameters:
@@ -476,6 +533,7 @@
         self._processMap = {}
         self._processMap["heartbeat"] = Processor.process_heartbeat
         self._processMap["view"] = Processor.process_view
+        self._processMap["report"] = Processor.process_report
         self._processMap["apply"] = Processor.process_apply
         self._processMap["prepare"] = Processor.process_prepare
         self._processMap["accept"] = Processor.process_accept
@@ -545,7 +603,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = view_result()
-        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower)
+        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known)
         d.addCallback(self.write_results_success_view, result, seqid, oprot)
         d.addErrback(self.write_results_exception_view, result, seqid, oprot)
         return d
@@ -576,6 +634,41 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_report(self, seqid, iprot, oprot):
+        args = report_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = report_result()
+        d = defer.maybeDeferred(self._handler.report, args.reports)
+        d.addCallback(self.write_results_success_report, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_report, result, seqid, oprot)
+        return d
+
+    def write_results_success_report(self, success, result, seqid, oprot):
+        oprot.writeMessageBegin("report", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_report(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("report", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_apply(self, seqid, iprot, oprot):
         args = apply_args()
         args.read(iprot)
@@ -906,17 +999,19 @@
      - wait_ms
      - bodies
      - follower
+     - reports_known
 
     """
 
 
-    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None,):
+    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None,):
         self.zone = zone
         self.revision = revision
         self.round = round
         self.wait_ms = wait_ms
         self.bodies = bodies
         self.follower = follower
+        self.reports_known = reports_known
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -957,6 +1052,11 @@
                     self.follower = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.reports_known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -991,6 +1091,10 @@
             oprot.writeFieldBegin('follower', TType.STRING, 6)
             oprot.writeString(self.follower.encode('utf-8') if sys.version_info[0] == 2 else self.follower)
             oprot.writeFieldEnd()
+        if self.reports_known is not None:
+            oprot.writeFieldBegin('reports_known', TType.I64, 7)
+            oprot.writeI64(self.reports_known)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1016,6 +1120,7 @@
     (4, TType.I32, 'wait_ms', None, None, ),  # 4
     (5, TType.BOOL, 'bodies', None, None, ),  # 5
     (6, TType.STRING, 'follower', 'UTF8', None, ),  # 6
+    (7, TType.I64, 'reports_known', None, None, ),  # 7
 )
 
 
@@ -1081,6 +1186,120 @@
 )
 
 
+class report_args(object):
+    """
+    Attributes:
+     - reports
+
+    """
+
+
+    def __init__(self, reports=None,):
+        self.reports = reports
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = CrashReport()
+                        _elem68.read(iprot)
+                        self.reports.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_args')
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter69 in self.reports:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_args)
+report_args.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 1
+)
+
+
+class report_result(object):
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_result')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(report_result)
+report_result.thrift_spec = (
+)
+
+
 class apply_args(object):
     """
     Attributes:
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -1965,6 +1965,85 @@
         return not (self == other)
 
 
+class CrashReport(object):
+    """
+    Attributes:
+     - digest
+     - life
+     - age_ms
+
+    """
+
+
+    def __init__(self, digest=None, life=None, age_ms=None,):
+        self.digest = digest
+        self.life = life
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.life = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.life is not None:
+            oprot.writeFieldBegin('life', TType.STRING, 2)
+            oprot.writeString(self.life.encode('utf-8') if sys.version_info[0] == 2 else self.life)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class View(object):
     """
     Attributes:
@@ -1979,11 +2058,13 @@
      - node_id
      - place
      - places
+     - reports
+     - reports_revision
 
     """
 
 
-    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None,):
+    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None,):
         self.members = members
         self.document = document
         self.control_id = control_id
@@ -1995,6 +2076,8 @@
         self.node_id = node_id
         self.place = place
         self.places = places
+        self.reports = reports
+        self.reports_revision = reports_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2067,6 +2150,22 @@
                     self.places = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.reports = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = CrashReport()
+                        _elem60.read(iprot)
+                        self.reports.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.reports_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2080,8 +2179,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter55 in self.members:
-                iter55.write(oprot)
+            for iter61 in self.members:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -2124,6 +2223,17 @@
             oprot.writeFieldBegin('places', TType.I32, 11)
             oprot.writeI32(self.places)
             oprot.writeFieldEnd()
+        if self.reports is not None:
+            oprot.writeFieldBegin('reports', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.reports))
+            for iter62 in self.reports:
+                iter62.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.reports_revision is not None:
+            oprot.writeFieldBegin('reports_revision', TType.I64, 13)
+            oprot.writeI64(self.reports_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2489,6 +2599,13 @@
     (2, TType.STRUCT, 'document', [Document, None], None, ),  # 2
     (3, TType.LIST, 'controls', (TType.STRUCT, [Voter, None], False), None, ),  # 3
 )
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'life', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(View)
 View.thrift_spec = (
     None,  # 0
@@ -2503,6 +2620,8 @@
     (9, TType.STRING, 'node_id', 'UTF8', None, ),  # 9
     (10, TType.I32, 'place', None, None, ),  # 10
     (11, TType.I32, 'places', None, None, ),  # 11
+    (12, TType.LIST, 'reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 12
+    (13, TType.I64, 'reports_revision', None, None, ),  # 13
 )
 all_structs.append(ApplyResult)
 ApplyResult.thrift_spec = (
