One class for orders left unanswered; comments without figures of trials

The giver beside an engine and the lead's reach kept the same two lines of state word for word. A log field that nothing writes is gone.

--- a/dunlinpoint/experts/giver.py
+++ b/dunlinpoint/experts/giver.py
@@ -15,8 +15,8 @@
 OK = (200, 202)
 REFUSED = 409
 # How long an engine beside its agent may take to answer (ms): a third of what a lead on
-# another machine used to wait. Chosen, not measured; an order that is given again too
-# soon is refused or taken as the same, which harms nothing.
+# another machine would wait. An order that is given again too soon is refused or taken
+# as the same, which harms nothing.
 TRY_MS = 50
 # How often an order is given, and how many copies at once after the first went
 # unanswered: with half of them lost, 1 in 16 is left for the lead to give again, and 1
@@ -37,6 +37,22 @@
     return taken[0] if taken else max(statuses)
 
 
+@attrs.define
+class Unanswered:
+    """When an order was last left unanswered."""
+
+    clock: clock.Clock
+    at_ms: int | None = None
+
+    def note(self):
+        """An order was left unanswered now."""
+        self.at_ms = self.clock.now()
+
+    def lately(self):
+        """Whether one was, so lately that others may be."""
+        return self.at_ms is not None and self.clock.now() - self.at_ms < UNANSWERED_MS
+
+
 @attrs.define
 class Giver:
     """Gives orders to the engine that is beside this agent, one after the other.
@@ -49,8 +65,11 @@
     prepared: orders.Order | None = None
     last: orders.Order | None = None
     last_status: int = 0
-    unanswered_ms: int | None = None
     lock: defer.DeferredLock = attrs.field(factory=defer.DeferredLock)
+    unanswered: Unanswered = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.unanswered = Unanswered(self.clock)
 
     def give(self, order):
         """Give *order*; a Deferred of its status, or 0 if nothing tells."""
@@ -73,13 +92,13 @@
     def _try(self, order):
         unsure = order == self.last and not self.last_status
         for _ in range(TRIES):
-            copies = COPIES if self.orders_get_lost() else 1
+            copies = COPIES if self.unanswered.lately() else 1
             statuses = yield defer.gatherResults(
                 [self.engine.order(order.text, TRY_MS) for _ in range(copies)]
             )
             status = best(statuses)
             if 0 in statuses:
-                self.unanswered_ms = self.clock.now()
+                self.unanswered.note()
             if status == REFUSED and unsure and order.operation == orders.PREPARE:
                 # The one before may have been carried out, and this refused for it.
                 return 0
@@ -87,9 +106,3 @@
                 return status
             unsure = True
         return 0
-
-    def orders_get_lost(self):
-        """Whether the engine left an order unanswered lately."""
-        if self.unanswered_ms is None:
-            return False
-        return self.clock.now() - self.unanswered_ms < UNANSWERED_MS
--- a/dunlinpoint/experts/reach.py
+++ b/dunlinpoint/experts/reach.py
@@ -52,11 +52,14 @@
     on_counts: object = lambda now, counts: None
     arming: switch.Arming = attrs.field(factory=switch.Arming)
     member_by_rank: dict = attrs.field(factory=dict)
-    unanswered_ms: int | None = None
+    unanswered: giver.Unanswered = attrs.field(init=False)
     silent_ms_by_rank: dict = attrs.field(factory=dict)
     counts: list = attrs.field(factory=list)
     counted_ms: int = 0
 
+    def __attrs_post_init__(self):
+        self.unanswered = giver.Unanswered(self.clock)
+
     def forget(self):
         """Another epoch began: ranks may be others."""
         self.member_by_rank = {}
@@ -170,12 +173,12 @@
         if number != own_rank:
             called = called.at(self.member_by_rank[number].engine)
         text = orders.Order.from_body(body).text
-        copies = giver.COPIES if self.orders_get_lost() else 1
+        copies = giver.COPIES if self.unanswered.lately() else 1
         statuses = yield defer.gatherResults(
             [called.order(text) for _ in range(copies)]
         )
         if 0 in statuses:
-            self.unanswered_ms = self.clock.now()
+            self.unanswered.note()
         return giver.best(statuses)
 
     def group(self, size, own_rank):
@@ -193,7 +196,7 @@
             if order is not None and any(
                 number not in answers or not answers[number].status for number in ranks
             ):
-                self.unanswered_ms = self.clock.now()
+                self.unanswered.note()
             return answers
 
         def order(number, body):
@@ -204,7 +207,7 @@
             ask,
             order,
             self.clock.pause,
-            self.orders_get_lost,
+            self.unanswered.lately,
             self.clock.now,
             self.mapping_of,
             arming=self.arming,
@@ -217,12 +220,6 @@
             return None
         return json.loads(order.text)["mapping"]
 
-    def orders_get_lost(self):
-        """Whether an order went unanswered lately."""
-        if self.unanswered_ms is None:
-            return False
-        return self.clock.now() - self.unanswered_ms < giver.UNANSWERED_MS
-
 
 def peer_of(member):
     """Where *member*'s agent answers."""
--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -44,10 +44,7 @@
 # ranks answer, and while orders go unanswered. A step reached before every
 # rank is armed stands still, and with it every answer of the group; a step far
 # ahead leaves the group with the old map for as long. Holding and arming takes
-# 50 to 100 ms where all answer, and 150 ms more where one does not in time. With
-# 150 ms and two passes one such order held the group for 0.3 s and made a fifth of
-# a quiet day's worst seconds late; with 350 ms and five passes the most loaded rank
-# had 1.60 times the mean instead of 1.51.
+# 50 to 100 ms where all answer, and 150 ms more where one does not in time.
 AHEAD_MS = 300
 AHEAD_UNANSWERED_MS = 1500
 LEAST_AHEAD = 3
--- a/dunlinpoint/experts/tests/test_gather.py
+++ b/dunlinpoint/experts/tests/test_gather.py
@@ -230,7 +230,7 @@
     ranks.advance(60)
     assert given in ([200], [0])
     assert ranks.by_rank[2].prepared == 7
-    assert beside.orders_get_lost()
+    assert beside.unanswered.lately()
 
 
 @pytest.mark.parametrize("fault", ["freezes", "dies"])
--- a/dunlinpoint/experts/window.py
+++ b/dunlinpoint/experts/window.py
@@ -16,16 +16,12 @@
 
 import attrs
 
-# Between two jumps readings differ by the prompts that are read. On counts read from a
-# group of 16 ranks, played through the planner, the most loaded rank had 1.69 times the
-# mean with 300, 600 and 1,000 ms and 1.75 with 1,500; where sets jump one after the
-# other (the model of the tests), passes cost 1.39, 1.43 and 1.47 with the first three.
+# Between two jumps readings differ by the prompts that are read, which a longer mean
+# evens out; where sets jump one after the other, a shorter one follows sooner.
 HALF_LIFE_MS = 300
 # A reading is of other demand than the mean before it where the two differ in so many
 # times the part of choices that is usual between readings of the set, and in this part
-# at least. On the counts above, readings differed in 0.06 to 0.15 of the choices, and
-# in 0.3 to 0.55 after a jump; 1.7, 2 and 2.5 times gave 1.70, 1.69 and 1.71, never
-# forgetting 1.87.
+# at least.
 JUMP_TIMES = 2.0
 LEAST_JUMP = 0.15
 # How many readings tell what is usual, and how many are needed for it.
--- a/dunlinpoint/experts/worth.py
+++ b/dunlinpoint/experts/worth.py
@@ -15,9 +15,7 @@
 EXPERT_SHARE = 0.85
 # How long ranks may copy for one map. Demand moves on to other experts every few
 # seconds and at once; a map that takes as long to copy is made for demand that
-# is gone. On counts read from a group of 12 ranks, the load of the most loaded
-# rank came to 1.77 times the mean with 150 ms, 1.86 with 300, 1.96 with 600 and
-# 2.06 with 900.
+# is gone.
 COPY_MS = 150
 # The same for a map in a hurry. Where an expert takes 33 ms (72 ranks), one a rank is
 # most of what even four bring after a jump, and is in force 0.1 s sooner.
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -82,7 +82,6 @@
     "missing": "ranks that did not answer",
     "moved": "experts copied",
     "choices": "choices of experts in the first set that a map was planned by",
-    "floor": "skew that maps come to with requests they were not planned by",
     "pass_ms": "how long a pass takes",
     "hurry": "whether a change of map was wanted at once",
     "left": "what is still to do",
