Callers wait for a standing group at each try, and their turn once it is open

What callers saw: a zone is cut off, the one group of ranks over three zones stands for 6.7 s, and nobody who asked in its first 2.6 s was ever served; after it, those who had waited took all slots, and who asked next was late for seconds. Cause, from the logs of all entries: the first try was refused at once and only the second waited, 1.5 s, so a caller of 8 s was heard for 4; callers whose try the break itself refused were told to come back in 150 ms and spent their last try within the outage; once open, the first passes (125 ms and more, before the first map) began the gate for long passes that last, which let in 0.3 of those who come back: 155 late callers refused at 56 ms a pass.

Change: a stream's caller waits at each try as long as it stays, worked out from its route's aim and allowed pause, and is told to come back in a third of its time: heard for 5.5 s. Refused as its group broke, it waits likewise. Without the time for a whole answer left it is refused at once. For 8 s after a group opened late callers wait their turn for a part of the entry's slots, who has no other try first, the gate for long passes refuses nobody, and a late stream is less urgent to its endpoint than one in time. An entry cut off from the controls tells its callers to come back in a third of their time as well.

Ruled out: streams in flight at the cut and those who ask in the first second of 6.7 s can not be served by any order of two tries.

--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -4,6 +4,7 @@
 
 from dunlinpoint.config import document as config
 from dunlinpoint.forward import answers, events, routes, state, tries
+from dunlinpoint.routing import outage
 
 DEFAULT_DEADLINE_MS = 60_000
 # How long a request may wait for what a starting entry does not know yet:
@@ -25,9 +26,9 @@
     workspace = None
     if table.keyed and not route.public:
         if forward.key_lease_ended():
-            answers.answer(
-                forward, request, 503, "document_not_vouched", answers.RETRY_AFTER_MS
-            )
+            # This lasts as long as what cuts the entry off: seconds.
+            retry_ms = outage.heeded_ms(deadline_of(forward, request))
+            answers.answer(forward, request, 503, "document_not_vouched", retry_ms)
             return None
         workspace = table.workspace(answers.header(request, b"authorization"))
         if workspace is None:
@@ -46,6 +47,7 @@
         events=events.Events(int(last_id) if last_id.isdigit() else None),
         streaming=route.kind == config.STREAMING,
         arrived_ms=arrived_ms,
+        heard_ms=arrived_ms,
     )
 
 
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -19,7 +19,7 @@
 from twisted.web import http_headers
 
 from dunlinpoint import logs
-from dunlinpoint.forward import answers, pool, quarantine, routes
+from dunlinpoint.forward import answers, pool, quarantine, room, routes
 from dunlinpoint.forward import guard as guards
 from dunlinpoint.routing import pick
 
@@ -27,6 +27,9 @@
 
 OWN_HEADERS = {b"content-length", b"authorization", b"expect"}
 LEAST_URGENT = 9
+# By how much less urgent to an endpoint a request is whose caller is late already: in a
+# slot that it leaves to another, that one is still in time.
+LATE_PRIORITY = 5
 # The state of one try.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 
@@ -136,11 +139,13 @@
     )
 
 
-def priority_of(call):
-    """How urgent *call* is to an endpoint, 0 (first) to 9."""
+def priority_of(call, now):
+    """How urgent *call* is to an endpoint at *now*, 0 (first) to 9."""
     priority = call.route.priority
     if call.workspace is not None and call.workspace.priority is not None:
         priority = call.workspace.priority
+    if call.streaming and room.is_late(call, now):
+        priority += LATE_PRIORITY
     return min(max(priority, 0), LEAST_URGENT)
 
 
@@ -156,13 +161,14 @@
     for name, values in call.request.requestHeaders.getAllRawHeaders():
         if name.lower() not in dropped:
             headers.setRawHeaders(name, values)
-    left = call.deadline_ms - forward.clock.now()
+    now = forward.clock.now()
+    left = call.deadline_ms - now
     headers.setRawHeaders(own.deadline_ms, [b"%d" % max(1, left)])
     headers.setRawHeaders(own.endpoint_id, [member.endpoint_id.encode()])
     headers.removeHeader(own.workspace)
     if call.workspace is not None:
         headers.setRawHeaders(own.workspace, [call.workspace.name.encode()])
-    headers.setRawHeaders(own.priority, [b"%d" % priority_of(call)])
+    headers.setRawHeaders(own.priority, [b"%d" % priority_of(call, now)])
     if call.streaming and call.events.last_id is not None:
         headers.setRawHeaders(own.last_event_id, [b"%d" % call.events.last_id])
     request = call.request
@@ -257,7 +263,7 @@
         if call.first_ms is None:
             call.first_ms = now - call.arrived_ms
             forward.counters.timed("first_event", call.first_ms)
-        last_ms = now
+        last_ms = call.heard_ms = now
         if not call.started:
             call.started = True
             answers.copy_head(request, head, None)
--- a/dunlinpoint/forward/room.py
+++ b/dunlinpoint/forward/room.py
@@ -4,7 +4,7 @@
 
 from dunlinpoint import logs
 from dunlinpoint.forward import answers
-from dunlinpoint.routing import outage, pace
+from dunlinpoint.routing import late, outage, pace
 
 log = logs.logger("entry")
 
@@ -20,6 +20,8 @@
 WAIT_MS = 300
 # How often it looks: a few times a pass.
 LOOK_MS = 25
+# The same for callers that wait their turn after an outage, which takes longer.
+TURN_LOOK_MS = 50
 
 
 class Room(enum.Enum):
@@ -40,18 +42,45 @@
     if group is not None:
         groups.pace(group).began()
     call.group = group
+    if call.turn is not None:
+        groups.queue.leave(call.turn)
+        call.turn = None
+
+
+def is_late(call, now):
+    """Whether the first event of *call* can't come within its aim any more."""
+    route = call.route
+    return late.is_late(call.deadline_ms - now, route.timeout_ms, route.aim_ms)
+
+
+def leaves_ms(call):
+    """Until when (ms) *call* may wait and still be answered whole.
+
+    Its caller leaves without an event for a while, or has no time left for the rest.
+    """
+    patience_ms = outage.patience_ms(call.route.aim_ms, call.route.pause_ms)
+    until_ms = call.heard_ms + patience_ms - outage.FIRST_EVENT_MS
+    return min(until_ms, call.deadline_ms - outage.ANSWER_MS)
 
 
 def wait_until(call):
     """Until when (ms) *call* waits for room: after that it could not be in time.
 
     A wait of a few passes bridges what a jump of demand takes; sent away, a caller is
-    late when it comes back.
+    late when it comes back. One that waits its turn after an outage waits as long as
+    it stays.
     """
+    if call.turn is not None:
+        return leaves_ms(call)
     wait_ms = min(WAIT_SHARE * call.route.aim_ms, WAIT_MS)
     return min(call.arrived_ms + wait_ms, call.deadline_ms)
 
 
+def look_ms(call):
+    """After how long *call* looks for room again."""
+    return LOOK_MS if call.turn is None else TURN_LOOK_MS
+
+
 def find(forward, call, by_group, now):
     """Have *call* join a group of *by_group* that has room; the ``Room`` found.
 
@@ -70,10 +99,18 @@
     if call.draw is None:
         # Drawn anew at each look, a share of a tenth let in two of three callers.
         call.draw = forward.rng.random()
-    usable = groups.not_overloaded(by_group, now, returned, call.draw)
-    note_overload(forward, call.service, groups, by_group, now)
+    # The first passes after an outage are long whatever is refused, and late callers
+    # wait their turn there.
+    settled = [g for g in by_group if not forward.outages.opened_lately(g, now)]
+    usable = groups.not_overloaded(settled, now, returned, call.draw)
+    usable += [group for group in by_group if group not in settled]
+    note_overload(forward, call.service, groups, settled, now)
     if not usable:
         return Room.OVERLOADED
+    if is_late(call, now):
+        usable = open_to_late(forward, call, usable, now)
+        if not usable:
+            return Room.FULL
     group = groups.choose(usable, now, returned, forward.rng)
     if group is None:
         return Room.FULL
@@ -81,6 +118,32 @@
     return Room.JOINED
 
 
+def open_to_late(forward, call, usable, now):
+    """Those of *usable* that *call*, which is late, may join now.
+
+    In a group that opened lately it waits its turn for a slot.
+    """
+    settled = [g for g in usable if not forward.outages.opened_lately(g, now)]
+    if settled:
+        return settled
+    groups = forward.groups(call)
+    if call.turn is None:
+        left_ms = call.deadline_ms - call.arrived_ms
+        returned = pace.has_returned(left_ms, call.route.timeout_ms)
+        call.turn = not returned, leaves_ms(call), id(call)
+        groups.queue.enter(call.turn)
+    spare = groups.with_slots(usable)
+    is_next = groups.queue.ahead_of(call.turn) < sum(spare.values())
+    return list(spare) if is_next else []
+
+
+def leave(forward, call):
+    """*call* is over: it is at no group and waits for none."""
+    join(forward, call, None)
+    if call.turn is not None:
+        forward.groups(call).queue.leave(call.turn)
+
+
 def note_overload(forward, service, groups, by_group, now):
     """Log when long passes of a group begin, or cease, to have requests refused."""
     for group in by_group:
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -13,7 +13,7 @@
 from dunlinpoint.experts import messages
 from dunlinpoint.follow import view
 from dunlinpoint.forward import events, names, pool, quarantine, routes, waiting
-from dunlinpoint.routing import budget, groups, outage, pick, spread
+from dunlinpoint.routing import budget, groups, late, outage, pick, spread
 from dunlinpoint.suspects import sharing
 
 log = logs.logger("entry")
@@ -170,7 +170,9 @@
             group: sum(m.zone == self.view.zone for m in members)
             for group, members in by_group.items()
         }
-        found.learn(sizes, here)
+        members = self.members_by_service.get(service, [])
+        slots = late.own_slots(members, self.view.zone, self.view.places)
+        found.learn(sizes, here, slots)
 
     def groups(self, call):
         """The ``Groups`` of *call*'s service, or ``None`` where no pause is set."""
@@ -230,9 +232,11 @@
     is_alone: bool = False
     last_failure: tuple | None = None
     arrived_ms: int = 0
+    heard_ms: int = 0
     first_ms: int | None = None
     at_endpoint: int = 0
     waited: bool = False
+    turn: tuple | None = None
 
     def stop(self):
         """Drop the try under way."""
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -21,7 +21,7 @@
     try:
         yield run_tries(forward, call)
     finally:
-        room.join(forward, call, None)
+        room.leave(forward, call)
         quarantine.leave(forward, call)
 
 
@@ -36,11 +36,11 @@
             opened = yield group_opens(forward, call, now)
             if opened:
                 continue
-            give_up(forward, call, "group_stands", outage_ms(forward, call, members))
+            give_up(forward, call, "group_stands", come_back_ms(forward, call))
             return
         found = room.find(forward, call, by_group, now)
         if found is room.Room.FULL and now < room.wait_until(call):
-            yield forward.clock.pause(room.LOOK_MS)
+            yield forward.clock.pause(room.look_ms(call))
             continue
         if found is not room.Room.JOINED:
             room.refuse(forward, call, found)
@@ -54,6 +54,12 @@
         state = yield exchange.one_try(forward, call, member)
         if state == exchange.DONE or call.left:
             return
+        if state == exchange.NOT_RUN and is_standing(forward, call):
+            # One that was refused because its group broke waits like any other.
+            yield group_opens(forward, call, forward.clock.now())
+            if is_standing(forward, call):
+                give_up(forward, call, "group_stands", come_back_ms(forward, call))
+                return
         if not may_try_again(forward, call, state):
             give_up(forward, call, state)
             return
@@ -74,17 +80,15 @@
 
 @defer.inlineCallbacks
 def group_opens(forward, call, now):
-    """Wait for a standing group if the caller can't come back; whether it opened."""
-    left_ms = call.deadline_ms - now
-    if call.waited or not call.streaming or outage.may_come_back(left_ms):
+    """Wait for a standing group as long as the caller does; whether it opened."""
+    if call.waited or not call.streaming:
         return False
     call.waited = True
 
     def ready():
         return call.over or forward.open_groups(call.service, forward.clock.now())
 
-    limit_ms = min(outage.WAIT_MS, left_ms)
-    opened = yield forward.waiting.until(ready, limit_ms)
+    opened = yield forward.waiting.until(ready, room.leaves_ms(call) - now)
     return opened and not call.over
 
 
@@ -102,10 +106,18 @@
     return call.tries == 0 or forward.budget.spend(call.service)
 
 
-def outage_ms(forward, call, members):
-    """When a caller should come back whose endpoints' groups all stand."""
+def is_standing(forward, call):
+    """Whether there are endpoints for *call*, and all their groups stand."""
     now = forward.clock.now()
-    since = forward.outages.since_ms(members, now)
+    return bool(forward.members(call.service)) and not forward.open_groups(
+        call.service, now
+    )
+
+
+def come_back_ms(forward, call):
+    """When the caller of *call* should come back, whose groups all stand."""
+    now = forward.clock.now()
+    since = forward.outages.since_ms(forward.members(call.service), now)
     return outage.come_back_ms(since, now, call.deadline_ms - now, forward.rng)
 
 
--- a/dunlinpoint/routing/groups.py
+++ b/dunlinpoint/routing/groups.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from dunlinpoint.routing import pace
+from dunlinpoint.routing import late, pace
 
 # How often shares change, and by which power of the ratio of pauses: a group
 # with passes twice as long loses a sixth of its share a turn, and half of it in
@@ -50,13 +50,18 @@
 
 @attrs.define
 class Groups:
-    """Shares, pauses and paces by group of one service's ranks."""
+    """Shares, pauses and paces by group of one service's ranks.
+
+    ``slots`` is the part of all groups' slots that falls to this entry.
+    """
 
     allowed_ms: int
     share_by_group: dict = attrs.field(factory=dict)
     home_by_group: dict = attrs.field(factory=dict)
     seen_by_group: dict = attrs.field(factory=dict)
     pace_by_group: dict = attrs.field(factory=dict)
+    slots: float = 0.0
+    queue: late.Queue = attrs.field(factory=late.Queue)
     turn_ms: int = 0
 
     def pace(self, group):
@@ -66,8 +71,12 @@
             found = self.pace_by_group[group] = pace.Pace(self.allowed_ms)
         return found
 
-    def learn(self, sizes, sizes_here):
-        """Take in how many endpoints each group has, and how many in this zone."""
+    def learn(self, sizes, sizes_here, slots):
+        """Take in how many endpoints each group has, and how many in this zone.
+
+        *slots* is this entry's part of what all of them run at once.
+        """
+        self.slots = slots
         if set(sizes) == set(self.share_by_group):
             return
         total, here = sum(sizes.values()), sum(sizes_here.values())
@@ -95,6 +104,17 @@
             if draw < self.pace(group).share_let_in_lasting(now, returned)
         ]
 
+    def with_slots(self, usable):
+        """How many streams of late callers may begin now, by group of *usable*."""
+        spare = {
+            group: int(
+                late.SLOTS_SHARE * self.slots * self.share_by_group.get(group, 0)
+                - self.pace(group).in_flight
+            )
+            for group in usable
+        }
+        return {group: count for group, count in spare.items() if count > 0}
+
     def choose(self, usable, now, returned, rng):
         """A group of *usable* that has room, drawn by share, or ``None``."""
         open_to = [g for g in usable if self.pace(g).has_room(now, rng, returned)]
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -8,8 +8,10 @@
 
 So a group is one thing here. It stands while its agents say so (*broken*), or
 after one of its endpoints named another as the cause of a refusal
-(*suspected*), until something comes from it again. Requests are refused at
-once meanwhile, but for a probe of a suspected group now and then.
+(*suspected*), until something comes from it again. Nothing is sent to it meanwhile, but
+for a probe of a suspected group now and then: callers of streams wait at their entry as
+long as they stay, and are told when to come back. With two tries, a caller is heard for
+most of its time.
 """
 
 import attrs
@@ -20,14 +22,23 @@
 # the lost one for 1.5 s, it takes a second or more to come back, and they form
 # anew for 0.6 s.
 LEAST_OUTAGE_MS = 2500
-# How long a caller may wait here that could not come back late enough. Callers
-# of streams leave after 2 s without an event.
-WAIT_MS = 1500
+# For so long after a group opened callers are about who waited for it: as long as a
+# caller of streams has.
+WORKED_OFF_MS = 8000
+# Callers of streams leave when nothing has come for the longest of these: a time, so
+# many times the aim of the first event, so many times the allowed pause.
+LEAST_PATIENCE_MS = 2000
+PATIENCE_AIMS = 4
+PATIENCE_PAUSES = 8
+# The part of that which the first event takes after the group has opened.
+FIRST_EVENT_MS = 250
+# What most whole answers take: a caller with less left is not kept waiting.
+ANSWER_MS = 1000
 # A caller heeds a time to come back of up to a third of what it has left.
-RETRY_AFTER_SHARE = 0.32
-# Callers are sent back spread over this part of the time, so that they do not
-# all meet the group in the moment in which it opens.
-SPREAD = 0.2
+RETRY_AFTER_SHARE = 0.33
+# Callers are sent back spread over this part of the time, so that those whose streams
+# broke in the same moment do not come back in one.
+SPREAD = 0.05
 
 
 @attrs.define
@@ -51,6 +62,7 @@
     epoch_by_group: dict = attrs.field(factory=dict)
     broken_since_by_group: dict = attrs.field(factory=dict)
     suspicion_by_group: dict = attrs.field(factory=dict)
+    opened_ms_by_group: dict = attrs.field(factory=dict)
 
     def learn(self, ranks, live_addresses, now):
         """Take in what the agents of *ranks* say; the groups that opened."""
@@ -74,11 +86,13 @@
                 self.suspicion_by_group.pop(group, None)
                 opened.add(group)
             self.epoch_by_group[group] = epoch
+        self.opened_ms_by_group |= dict.fromkeys(opened, now)
         known = set(ranks_by_group) | set(self.group_by_address.values())
         for by_group in (
             self.epoch_by_group,
             self.broken_since_by_group,
             self.suspicion_by_group,
+            self.opened_ms_by_group,
         ):
             for group in [g for g in by_group if g not in known]:
                 del by_group[group]
@@ -113,12 +127,6 @@
         suspicion = self.suspicion_by_group.get(group)
         return suspicion is not None and now < suspicion.probe_ms
 
-    def usable(self, members, now):
-        """Those of *members* whose group does not stand."""
-        if not self.broken_since_by_group and not self.suspicion_by_group:
-            return members
-        return [m for m in members if not self.stands(m, now)]
-
     def probe(self, member, now):
         """*member* is sent a request: if its group is suspected, as a probe."""
         group = self.group_by_address.get(address_of(member))
@@ -126,6 +134,11 @@
         if suspicion is not None:
             suspicion.probe_ms = now + PROBE_MS
 
+    def opened_lately(self, group, now):
+        """Whether callers are still about who waited for *group* to open."""
+        opened_ms = self.opened_ms_by_group.get(group)
+        return opened_ms is not None and now - opened_ms < WORKED_OFF_MS
+
     def since_ms(self, members, now):
         """When the outage of the last group of *members* to stand began."""
         starts = []
@@ -137,21 +150,17 @@
         return max(starts, default=now)
 
 
+def patience_ms(aim_ms, pause_ms):
+    """How long (ms) a caller of a stream waits for the next event, at least."""
+    aims, pauses = PATIENCE_AIMS * aim_ms, PATIENCE_PAUSES * pause_ms
+    return max(LEAST_PATIENCE_MS, aims, pauses)
+
+
 def heeded_ms(left_ms):
     """The longest time to come back (ms) that a caller with *left_ms* heeds."""
     return max(0, left_ms) * RETRY_AFTER_SHARE
 
 
-def may_come_back(left_ms):
-    """Whether a caller heeds a time that is likely to be after the outage.
-
-    One that does is sent away at once. One that has come back already, or was
-    late to begin with, would only be refused again: it waits for the group to
-    open, for which no message is needed but the one that it has.
-    """
-    return heeded_ms(left_ms) >= LEAST_OUTAGE_MS
-
-
 def come_back_ms(since_ms, now, left_ms, rng):
     """When a caller refused in an outage should come back, in ms from *now*.
 
