--- a/dunlinpoint/forward/tests/test_exchange.py
+++ b/dunlinpoint/forward/tests/test_exchange.py
@@ -40,13 +40,12 @@
     ],
 )
 def test_the_workspace_decides_how_urgent_a_request_is(route, workspace, told):
-    # Symptom: urgent customers wait behind others at a full engine. Cause:
-    # priorities stayed in the document.
+    # Guards against priorities that stay in the document.
     assert exchange.priority_of(Call(route, workspace), now=0) == told
 
 
 def test_who_is_late_already_is_less_urgent_than_any_who_is_not():
-    # Symptom: after an outage those who ask next are late, behind those who waited.
+    # Guards against callers made late by those who waited for an outage to end.
     late = [exchange.priority_of(Call(p), now=AIM_MS + 1) for p in range(5)]
     in_time = [exchange.priority_of(Call(p), now=AIM_MS) for p in range(5)]
     assert min(late) > max(in_time)
--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -137,10 +137,7 @@
 
 
 def test_where_long_passes_last_callers_are_sent_away_at_once(entry):
-    # Pattern: all slots of a group are taken, and as many callers come as streams end.
-    # Symptom: requests wait for room, draw anew at each look, nearly all get in, and
-    # nearly all are late. One draw decides, at once, and those who are refused are told
-    # to come back later than the passes of now last.
+    # Guards against requests that draw anew at each look until nearly all are in.
     reactor, forward, ends = entry
     reactor.advance(10)
     overload(forward)
@@ -177,7 +174,7 @@
 
 
 def test_a_stream_that_goes_on_elsewhere_is_not_refused_for_long_passes(entry):
-    # Symptom feared: streams broken off midway while passes are long.
+    # Guards against streams broken off midway while passes are long.
     reactor, forward, ends = entry
     reactor.advance(10)
     overload(forward)
@@ -187,8 +184,7 @@
 
 
 def test_a_caller_that_left_while_it_waited_is_sent_nowhere(entry):
-    # Symptom: endpoints work on streams that nobody reads. Sequence: a caller leaves
-    # while its request waits for room, and room comes. Cause: not looking again.
+    # Guards against endpoints at work on streams that nobody reads.
     reactor, forward, ends = entry
     call = Call(DEADLINE_MS)
     reactor.callLater(0.05, setattr, call, "left", True)
@@ -220,7 +216,7 @@
 
 
 def test_a_late_caller_waits_for_a_slot_that_those_in_time_leave(entry):
-    # Pattern: a group opens after an outage, and all who waited for it come at once.
+    # Guards against all who waited for an outage to end beginning at once.
     reactor, forward, ends = entry
     reactor.advance(10)
     opened(forward)
@@ -254,8 +250,7 @@
 
 
 def test_a_late_caller_that_left_keeps_nobody_waiting(entry):
-    # Symptom: late callers wait behind ones that have gone, and are refused with slots
-    # free. Cause: callers that leave stay in the queue.
+    # Guards against callers that have gone and stay in the queue.
     reactor, forward, ends = entry
     reactor.advance(10)
     opened(forward)
@@ -273,7 +268,7 @@
 
 
 def test_long_after_an_outage_a_late_caller_waits_for_no_turn(entry):
-    # Symptom feared: callers that were refused for another reason wait for seconds.
+    # Guards against callers refused for another reason that wait for seconds.
     reactor, forward, ends = entry
     reactor.advance(10)
     opened(forward)
@@ -298,8 +293,7 @@
 
 @pytest.mark.parametrize("left_ms", [DEADLINE_MS, DEADLINE_MS - 4000])
 def test_a_caller_waits_for_a_standing_group_at_each_try(entry, left_ms):
-    # Symptom: nobody who asks in the first seconds of an outage is served. Cause: a
-    # caller that could come back is sent off at once, and is heard for 4 s only.
+    # Guards against a first try that is sent off at once.
     reactor, forward, ends = entry
     Standing(forward, opens_ms=1500)
     tries.run(forward, Call(left_ms))
@@ -325,9 +319,7 @@
 def test_who_is_refused_as_its_group_broke_waits_and_comes_back_late(
     entry, monkeypatch
 ):
-    # Symptom: callers use their last try within an outage. Sequence: a rank is lost;
-    # endpoints refuse what waited there; the group stands by then. Cause: refused as if
-    # one endpoint had been full, and told to come back at once.
+    # Guards against callers told to come back at once, within the outage.
     reactor, forward, ends = entry
     standing = Standing(forward, opens_ms=0)
 
@@ -348,8 +340,7 @@
 
 
 def test_who_could_not_be_answered_whole_any_more_is_not_kept_waiting(entry):
-    # Pattern: an outage of many seconds. Symptom: callers held to the end of their time
-    # who could not have been served had the group opened.
+    # Guards against callers held to the end who could not have been served.
     reactor, forward, ends = entry
     Standing(forward, opens_ms=60_000)
     tries.run(forward, Call(outage.ANSWER_MS - 1))
--- a/dunlinpoint/routing/tests/test_late.py
+++ b/dunlinpoint/routing/tests/test_late.py
@@ -52,16 +52,13 @@
 
 
 def test_who_asks_while_a_group_stands_is_served_late_by_waiting_at_each_try():
-    # Symptom: nobody who asks in the first 2.6 s of an outage is served. Sequence: each
-    # is sent off at once, comes back, waits for 1.5 s and has no try left. Cause: only
-    # the second try waits.
+    # Guards against a first try that is sent off at once: nobody of these was served.
     assert worth(play(sends_off_at_first=True), [FIRST]) < 0.01
     assert worth(play(), [FIRST]) > 0.1
 
 
 def test_who_asks_after_an_outage_is_not_made_late_by_those_who_waited():
-    # Symptom: most are late for seconds after the group is open. Sequence: all who
-    # waited begin at once and take every slot; who asks next waits behind them.
+    # Guards against all who waited taking every slot at once.
     assert worth(play(late_share=ALL_SLOTS, late_are_last=False), OPEN) < 0.8
     assert worth(play(), OPEN) > 0.9
 
@@ -100,7 +97,7 @@
 
 
 def test_endpoints_that_do_not_say_how_many_they_run_have_some_slots():
-    # Symptom feared: late callers never begin, as no slot is known.
+    # Guards against late callers that never begin, as no slot is known.
     assert late.own_slots([member("a", None)], "a", 1) > 0
 
 
--- a/dunlinpoint/routing/tests/test_outage.py
+++ b/dunlinpoint/routing/tests/test_outage.py
@@ -45,10 +45,7 @@
 
 
 def test_a_group_that_opened_is_used_and_its_endpoints_are_forgiven():
-    # Symptom: after an outage most ranks get nothing for seconds, and the
-    # others too much. Sequence: every rank fails some requests while the
-    # group stands, and each failure has it avoided for longer. Cause:
-    # counting what the group did against each rank.
+    # Guards against counting what the group did against each of its ranks.
     found = known()
     found.learn([rank(0, broken=True), rank(1)], ADDRESSES, NOW)
     opened = found.learn([rank(0, epoch=2), rank(1, broken=True)], ADDRESSES, NOW + 9)
@@ -62,9 +59,7 @@
 
 
 def test_one_refusal_that_names_another_stops_the_group_but_for_probes():
-    # Symptom: callers wait 1.5 s twice and leave. Sequence: a rank is cut
-    # off; every request at the others waits for it, is refused, and goes
-    # to the next rank. Cause: taking ranks for independent servers.
+    # Guards against taking ranks for independent servers.
     found = known()
     found.suspect(ENDPOINTS[0], NOW)
     assert usable(found, NOW + 1) == ["i-2", "i-3"]
@@ -85,8 +80,7 @@
 
 
 def test_callers_come_back_after_the_outage_and_not_all_at_once():
-    # Pattern: a group stands for 2 to 6 s and 28 callers a second arrive, who
-    # heed a time of up to a third of what they have left.
+    # Guards against callers that come back into the outage, or all in one moment.
     rng = random.Random(1)
     times = [outage.come_back_ms(NOW, NOW + 100, 8000, rng) for _ in range(50)]
     assert min(times) >= outage.LEAST_OUTAGE_MS * (1 - outage.SPREAD)
@@ -103,10 +97,7 @@
 
 
 def test_an_endpoint_of_no_known_group_is_avoided_itself():
-    # Symptom: an entry sends request after request to one endpoint that runs
-    # none. Sequence: its address is another service's now, or its group is
-    # not known yet; its refusals name another endpoint. Cause: blaming a group
-    # that is not there, and nobody else.
+    # Guards against blaming a group that is not there, and nobody else.
     found = outage.Outages()
     assert not found.suspect(ENDPOINTS[0], NOW)
     assert known().suspect(ENDPOINTS[0], NOW)
