--- a/dunlinpoint/control/tests/test_membership.py
+++ b/dunlinpoint/control/tests/test_membership.py
@@ -15,10 +15,7 @@
 
 
 def test_a_second_heartbeat_without_a_sequence_is_taken():
-    # Symptom: an agent's second heartbeat fails inside control, its loop
-    # ends, and entries answer "not run" for want of members. Sequence: two
-    # heartbeats of an agent that sends no sequence. Cause: an absent field
-    # compared with a number.
+    # Guards against comparing an absent sequence with a number.
     members = membership.Membership()
     members.renew(beat(), 0)
     assert not members.renew(beat(load=3), 10)
@@ -26,9 +23,7 @@
 
 
 def test_late_heartbeat_does_not_undo_draining():
-    # Symptom: a leaving endpoint gets new work again. Sequence: "ready" with
-    # sequence 4 is held up by a cut, "draining" with 5 arrives, then 4 does.
-    # Cause: heartbeats taken in the order of arrival.
+    # Guards against heartbeats taken in the order of arrival.
     members = membership.Membership()
     members.renew(beat(5, draining=True), 0)
     assert not members.renew(beat(4, draining=False), 10)
@@ -36,9 +31,7 @@
 
 
 def test_late_heartbeat_does_not_bring_back_what_left():
-    # Symptom: requests go to an address that another endpoint has taken.
-    # Sequence: the endpoint leaves; a heartbeat from before arrives. Cause:
-    # nothing remembered that it had left.
+    # Guards against requests to an address that is another's now.
     members = membership.Membership()
     members.renew(beat(4), 0)
     members.leave("e1", 10)
@@ -47,7 +40,7 @@
 
 
 def test_leave_of_an_unknown_endpoint_is_remembered():
-    # Symptom and cause as above; here the control never saw it alive.
+    # As above, at a control that never saw it alive.
     members = membership.Membership()
     assert members.leave("e1", 0)
     assert not members.renew(beat(6), 20)
@@ -65,9 +58,7 @@
 
 
 def test_an_endpoint_that_starts_again_is_a_member_at_once():
-    # Symptom: a restarted endpoint gets no work until its earlier life's lease has
-    # run out. Sequence: heartbeats 1 to 40 of one start, a crash, heartbeat 1 of the
-    # next. Cause: heartbeats ordered by their counts alone, which start anew.
+    # Guards against ordering heartbeats by counts alone, which start anew.
     members = membership.Membership()
     members.renew(beat(40, incarnation=1000), 0)
     assert members.renew(beat(1, incarnation=2000, port=2), 10)
@@ -75,9 +66,7 @@
 
 
 def test_an_endpoint_that_left_and_starts_again_is_a_member():
-    # Symptom: a replaced endpoint gets no work for two minutes. Sequence: it leaves,
-    # which is remembered against late heartbeats, and starts again under its id.
-    # Cause: whatever bore the id was taken for a late heartbeat.
+    # Guards against taking a new start under an id for a late heartbeat.
     members = membership.Membership()
     members.renew(beat(40, incarnation=1000), 0)
     members.leave("e1", 10, 1000)
@@ -86,9 +75,7 @@
 
 
 def test_what_an_earlier_life_said_late_does_not_touch_the_new_one():
-    # Symptom: a sound endpoint is drained, moved or gone for good. Sequence: it
-    # starts again; then what its earlier life said arrives, held up by a cut:
-    # a heartbeat, "draining", and that it leaves. Cause: as above.
+    # Guards against a sound endpoint drained, moved or gone for what it was.
     members = membership.Membership()
     members.renew(beat(1, incarnation=2000), 0)
     assert not members.renew(beat(41, incarnation=1000, port=9), 10)
@@ -99,10 +86,7 @@
 
 
 def test_a_leave_that_names_no_life_ends_those_there_were():
-    # Symptom: requests go to an endpoint that has left. Sequence: it announces itself
-    # at one control and leaves at another, naming no life; a late heartbeat of it
-    # follows. Cause: the leave was recorded for no life, which every life is newer
-    # than. One that starts after it is not meant.
+    # Guards against a leave recorded for no start, which every start is newer than.
     members = membership.Membership()
     assert members.leave("e1", 0, wall_ms=1500)
     assert not members.renew(beat(6, incarnation=1000), 20)
--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -49,8 +49,7 @@
 
 
 def test_an_empty_successor_does_not_vouch_for_the_voter_it_was():
-    # Symptom: a key that was taken away works. Sequence: b lost its disk
-    # and answers, empty, at its old address. Cause: counting addresses.
+    # Guards against counting addresses: a key that was taken away would work.
     _, found, by_name = follower()
     found.merge(by_name["a"], shown("a", document(1)), 10)
     found.merge(by_name["b"], shown("b", node_id="new"), 30)
@@ -58,9 +57,7 @@
 
 
 def test_what_is_known_to_be_old_is_not_vouched_for():
-    # Symptom: a route that was dropped is served. Sequence: a control of
-    # another zone says that there is a newer document and does not send
-    # it; the follower counts that answer as vouching for the one it has.
+    # Guards against an answer that hints at a newer document vouching for this one.
     _, found, by_name = follower()
     found.merge(by_name["a"], shown("a", document(1)), 10)
     found.merge(by_name["b"], shown("b", document(2, body=None)), 30)
@@ -87,9 +84,7 @@
 
 
 def test_seeds_are_asked_again_when_nobody_answers():
-    # Symptom: a follower stays without any control for good. Sequence: it
-    # dropped the seeds for those they named; those are all replaced while it
-    # is cut off. Cause: no way back to the addresses it was told.
+    # Guards against a follower without any control for good.
     clock = task.Clock()
     known = controls.Controls(clock, [("seed", 7000)], 0)
     assert [f.link.host for f in known.update([], 0)] == ["seed"]
@@ -101,9 +96,7 @@
 
 
 def test_a_list_that_says_nothing_new_changes_nothing():
-    # Symptom: an entry sorts all its endpoints again for most requests.
-    # Sequence: one member of many changes; the whole list comes, in which
-    # every lease has a little less time left. Cause: taking that for news.
+    # Guards against sorting all endpoints again for every renewed lease.
     _, found, by_name = follower()
 
     def listed(lease_left_ms, **changed):
@@ -124,11 +117,7 @@
 
 
 def test_members_dropped_in_a_cut_are_listed_again():
-    # Symptom: an entry refuses everyone ("no_endpoint") for seconds after a cut
-    # has healed. Sequence: cut off for longer than a lease; control b, whose list
-    # has changed, answers first, and what only a vouches for is dropped; a then
-    # says that its own list is as it was. Cause: an unchanged list renewed what
-    # was still known and did not bring back the rest.
+    # Guards against an unchanged list that leaves out what was dropped meanwhile.
     clock, found, by_name = follower()
     listed = shown("a")
     listed.members = [
@@ -150,10 +139,7 @@
 
 
 def test_controls_that_know_different_lives_of_an_endpoint():
-    # Symptom: an entry sends nothing to a restarted endpoint, or goes on sending to
-    # the address of its earlier life. Sequence: one control has heard the new start,
-    # the other only the earlier one (draining, or gone), whichever is merged first.
-    # Cause: what controls show was ordered by counts that start anew.
+    # Guards against ordering what controls show by counts that start anew.
     def listed(name, **fields):
         base = {"endpoint_id": "e", "host": "h", "port": 1, "kind": "service"}
         answer = shown(name)
@@ -172,9 +158,7 @@
 
 
 def test_a_follower_on_a_narrow_link_takes_documents_at_its_own_rhythm():
-    # Pattern: 1,400 routes that change each 0.3 s. Symptom: a group held for 2.8 s.
-    # Cause: its lead's link, full of documents of which it needs next to nothing. It
-    # has the newest within two pauses all the same.
+    # Guards against a lead's link full of documents that it hardly needs.
     clock, found, by_name = follower()
     found.body_pause_ms = 2000
     found.merge(by_name["a"], shown("a", document(1)), 10)
--- a/dunlinpoint/routing/tests/test_groups.py
+++ b/dunlinpoint/routing/tests/test_groups.py
@@ -18,10 +18,7 @@
 
 
 def test_a_crowded_zone_sends_on_to_groups_that_have_room():
-    # Pattern: callers of one zone send three times as many as those of another.
-    # Symptom: nearly all streams of the crowded zone late, none of the quiet one.
-    # Cause: endpoints chosen by what an entry itself has at each, one or none,
-    # and by zone. Grounds of the bounds: home only gives 0.35 and below.
+    # Guards against a crowded zone that keeps to its own group, slow as it is.
     place = zones.Deployment(UNEVEN, ACROSS)
     home = zones.play(place, zones.home_only)
     found = zones.play(place, zones.divided)
@@ -30,7 +27,7 @@
 
 
 def test_one_group_with_a_poor_map_is_relieved():
-    # Pattern: one group's most loaded rank has 2.6 times the mean for 8 s.
+    # One group's most loaded rank has 2.6 times the mean for 8 s.
     place = zones.Deployment(
         EVEN, ACROSS, lambda group, now: 2.6 if group == "g1" and now > 8000 else 1.5
     )
@@ -40,8 +37,7 @@
 
 
 def test_shares_do_not_swing():
-    # Symptom feared: every entry runs to the quicker group, which is then the
-    # slower one. On an even day nothing is late.
+    # Guards against all entries running to the quicker group at once.
     found = zones.play(zones.Deployment(EVEN, ACROSS), zones.divided)
     assert min(found.values()) > 0.97, found
 
@@ -76,10 +72,7 @@
 
 
 def test_streams_of_a_forgotten_group_leave_nothing_behind():
-    # Symptom: after a cut, an entry lets in more streams than passes have room
-    # for. Sequence: a group's endpoints are unknown for a moment while streams of
-    # it are in flight; they end; the group is back. Cause: they were taken off the
-    # count of a group that had just begun at none.
+    # Guards against a count of streams in flight that falls below none.
     found = groups.Groups(120)
     found.learn({"g1": 24}, {"g1": 24}, SLOTS)
     found.pace("g1").began()
--- a/dunlinpoint/routing/tests/test_pace.py
+++ b/dunlinpoint/routing/tests/test_pace.py
@@ -43,8 +43,7 @@
 
 
 def test_a_caller_that_came_back_finds_more_room():
-    # Pattern: a rush; callers refused once come back with less time left and
-    # have no try after it. Those who have just come still have one.
+    # A rush: who was refused once has no try after this one.
     found = paced(10, 98)
     assert found.share_let_in(1000, returned=True) > found.share_let_in(1000)
     just_over = paced(10, pace.NONE_IN * ALLOWED_MS)
@@ -59,9 +58,7 @@
 
 
 def test_room_is_back_with_the_first_short_pass():
-    # Pattern: everyone returns after an outage. Symptom: refused for want of room
-    # at pauses of half the allowed. Cause: a limit of what the first map's passes had
-    # left, which grew by one a turn.
+    # Guards against a limit that the first passes after an outage leave behind.
     found = paced(20, 119)
     for _ in range(20):
         found.saw(55, 1200)
@@ -69,16 +66,13 @@
 
 
 def test_passes_of_long_ago_keep_nobody_out():
-    # Pattern: a group is idle after an outage that began with long passes. Symptom:
-    # callers refused by an entry at which nothing runs any more.
+    # Guards against callers refused by an entry at which nothing runs any more.
     found = paced(20, 118)
     assert found.share_let_in(1000 + pace.STALE_MS + 1) == 1
 
 
 def test_a_group_that_stood_is_no_slow_one():
-    # Symptom: after an outage, entries refuse what the group could serve.
-    # Sequence: the group stands for 3 s; each stream sees one pause of 3 s.
-    # Cause: taking that pause for the pace of passes.
+    # Guards against taking the pause of an outage for the pace of passes.
     assert paced(20, 3000).share_let_in(1000) == 1
 
 
@@ -91,8 +85,7 @@
 
 
 def test_a_jump_of_demand_alone_has_nobody_refused_at_once():
-    # Pattern: demand jumps, and a map answers it within half a second. Symptom feared:
-    # callers sent away for seconds who would have been in time after a short wait.
+    # Guards against callers sent away whom a short wait would have in time.
     found = lasting(45, 6000)
     for now in range(6050, 6450, 50):
         found.saw(130, now)
@@ -109,8 +102,7 @@
 
 
 def test_passes_that_make_nobody_late_have_nobody_refused_at_once():
-    # Pattern: engines whose shortest pass is long. Symptom feared: a part of the
-    # callers refused for good on a calm day on which all would be in time.
+    # Guards against refusing for good where engines have long passes by nature.
     assert lasting(100, 20_000).share_let_in_lasting(20_000) == 1
 
 
@@ -123,9 +115,7 @@
 
 
 def test_the_first_passes_after_an_outage_refuse_nobody_at_once():
-    # Symptom feared: everyone comes back to a group that has just opened and is
-    # refused. Sequence: its first passes are long, as it has no map yet. Cause: taking
-    # the first pass for the mean of the last seconds.
+    # Guards against taking the first pass for the mean of the last seconds.
     found = lasting(150, 6000)
     opened = 6000 + 3 * pace.STALE_MS
     found.saw(140, opened)
@@ -148,9 +138,7 @@
 
 @pytest.mark.parametrize("per_s, skew", PATTERNS)
 def test_more_are_in_time_when_fewer_are_let_in(per_s, skew):
-    # Pattern: more arrive than passes of the allowed length have room for.
-    # Let in, every one of them makes all others late. Ratios against the
-    # same day with everyone let in.
+    # Guards against a rush in which every caller let in makes the others late.
     load = passes.Load(per_s, skew)
     kept = passes.play(load, limited=True)
     all_in = passes.play(load, limited=False)
@@ -182,11 +170,7 @@
 
 @pytest.mark.parametrize("per_s, slow, entries, ranks, gain", OVERLOADS)
 def test_fewer_are_late_near_the_limit(per_s, slow, entries, ranks, gain):
-    # Pattern: load near the limit while demand jumps every three seconds. Symptom:
-    # nearly every stream late, for seconds after the cause has gone. Cause: as many in
-    # flight as passes bear without a jump. A late stream counts a quarter, a caller
-    # refused twice costs a third. Grounds of the bounds: the gains over letting
-    # everyone in are 0.066, 0.085 and 0.023 as means of eight seeds.
+    # Guards against as many in flight as passes bear only without a jump of demand.
     worth, all_in = [], []
     for seed in range(1, 9):
         load = overload.Load(
--- a/dunlinpoint/routing/tests/test_pick.py
+++ b/dunlinpoint/routing/tests/test_pick.py
@@ -55,9 +55,7 @@
 
 
 def test_records_of_endpoints_that_are_gone_are_dropped():
-    # Symptom: an entry's memory grows for as long as it runs. Sequence:
-    # thousands of endpoints are replaced one after the other. Cause: a
-    # record for each that there ever was.
+    # Guards against memory that grows with every endpoint there ever was.
     picker = pick.Picker("z0")
     for i in range(3000):
         name = f"e{i}"
@@ -76,10 +74,7 @@
 
 
 def test_the_entries_of_a_zone_begin_all_round_its_endpoints():
-    # Symptom: with 31 entries, the busiest of 72 ranks gets 2.5 times the
-    # mean. Sequence: entries are numbered zone by zone, endpoints by id; the
-    # ten entries of a zone begin within a third of the round, and each
-    # prefers its zone's endpoints there. Cause: one round over all zones.
+    # Guards against entries of a zone that begin at endpoints close to each other.
     members = [member(f"m{i}", f"z{i % 3}") for i in range(24)]
     first = [spread.arranged(members, "z1", i, 4)[0] for i in range(4)]
     assert {m.zone for m in first} == {"z1"}
@@ -109,9 +104,7 @@
 
 @pytest.mark.parametrize("group, busiest", GROUPS)
 def test_entries_that_see_nothing_of_each_other_spread_evenly(group, busiest):
-    # Pattern: many entries, none of which sees what the others have in
-    # flight. The bounds are a tenth above what the seeded model gives; the
-    # ratios compare with ties broken at random in the same run.
+    # Guards against a busiest endpoint that sets the pace of all others.
     found = model.play(group, model.in_turn)
     before = model.play(group, model.at_random)
     assert found.busiest <= busiest
@@ -121,11 +114,7 @@
 
 
 def test_a_zone_with_few_ranks_of_a_group_does_not_swamp_them():
-    # Symptom: six ranks reject what 18 others of their group would have run, and
-    # every stream of the group waits for them. Sequence: a group of 24 has 18 ranks
-    # in one zone and six in another, whose entries send them all that they send
-    # to the group. Cause: the own zone went first, however little of the group
-    # it has.
+    # Guards against six ranks that get all that their zone sends to a group of 24.
     group = [member(f"a{i:02}", "a") for i in range(18)]
     group += [member(f"b{i:02}", "b") for i in range(6)]
     got = collections.Counter()
@@ -151,9 +140,7 @@
 
 
 def test_an_endpoint_that_started_again_is_as_good_as_new():
-    # Symptom: a restarted endpoint gets no work, or a cut-off stream does not go on
-    # there. Sequence: an endpoint fails with requests at it, which end only later,
-    # and starts again under its id. Cause: what was kept of its earlier start.
+    # Guards against what was kept of an earlier start counting against the new one.
     picker = pick.Picker("z0")
     earlier, again = member("a"), member("a")
     earlier.incarnation, again.incarnation = 1000, 2000
