Followers are told what of the members has changed, not the whole list

What was seen: when a group of 63 ranks breaks or opens, each rank's next heartbeat changes the list, and each change sent all of it, some 130 members of a deployment of 99 machines, to every entry that follows. Cause: a view had no form between "unchanged" and everything. It grows with the square of the machines.

Change: a control keeps the revision with which each member is news, and which ids are members no more (a thousand at most; whoever missed more is told all). Followers ask for changes only; controls among each other and dunlinctl get whole lists as before, and so does a follower or a control of an earlier version. A revision of another life of the control is below where its changes are whole from. A dropped member that no other control lists is forgotten at once; it lingered for up to a lease before.

Ruled out: answering polls later, in batches, which makes outages longer for all.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -144,7 +144,7 @@
     found = []
     for link in links(reactor, controls):
         try:
-            shown = yield link.call("view", "", 0, -1, 0, bodies, "", 0)
+            shown = yield link.call("view", "", 0, -1, 0, bodies, "", 0, False)
         except errors.WireError as exc:
             shown = exc
         found.append((link.address, shown))
--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -24,6 +24,9 @@
 # endpoint back, and requests would go to an address that may be another's.
 LEFT_MEMORY_MS = 120_000
 REVISION_BITS = 40
+# How many ids that were dropped are told of; a follower that has missed more of them
+# is sent the whole list.
+DROPPED_KEPT = 1000
 
 
 @attrs.define
@@ -72,13 +75,30 @@
     return said.incarnation or 0, bool(said.gone), said.sequence or 0
 
 
+@attrs.frozen
+class Changes:
+    """What of a list changed: members that are new or other, ids that are gone."""
+
+    members: list
+    dropped: list
+
+
 @attrs.define
 class Membership:
-    """Leases by endpoint id."""
+    """Leases by endpoint id.
+
+    ``changed_by_id`` and ``dropped_by_id`` hold the revision with which a member, or
+    that it is none any more, is news; they are whole from ``whole_from`` on.
+    """
 
     lease_ms: int = LEASE_MS
     by_id: dict = attrs.field(factory=dict)
     revision: int = attrs.field(factory=first_revision)
+    whole_from: int = attrs.field(
+        default=attrs.Factory(lambda own: own.revision, takes_self=True)
+    )
+    changed_by_id: dict = attrs.field(factory=dict)
+    dropped_by_id: dict = attrs.field(factory=dict)
 
     def renew(self, beat, now):
         """Take in one heartbeat; ``True`` when routing must hear of it.
@@ -94,9 +114,18 @@
         keep_ms = LEFT_MEMORY_MS if beat.gone else self.lease_ms
         self.by_id[beat.endpoint_id] = Lease(beat, now + keep_ms)
         changed = lease is None or routed(lease.beat) != routed(beat)
-        self.revision += changed
+        if changed:
+            self._changed(beat.endpoint_id)
+        elif lease.beat.load != beat.load:
+            # No news by itself, it goes with the next that is.
+            self.changed_by_id[beat.endpoint_id] = self.revision + 1
         return changed
 
+    def _changed(self, endpoint_id):
+        self.revision += 1
+        self.changed_by_id[endpoint_id] = self.revision
+        self.dropped_by_id.pop(endpoint_id, None)
+
     def leave(self, endpoint_id, now, incarnation=None, wall_ms=0):
         """The endpoint says it has left; ``True`` when that is news.
 
@@ -119,19 +148,41 @@
             return False
         beat.gone = True
         self.by_id[endpoint_id] = Lease(beat, now + LEFT_MEMORY_MS)
-        self.revision += 1
+        self._changed(endpoint_id)
         return True
 
     def expire(self, now):
         """Drop members whose lease ran out; their ids."""
         gone = [i for i, lease in self.by_id.items() if lease.expires_ms <= now]
+        if not gone:
+            return gone
+        self.revision += 1
         for endpoint_id in gone:
             del self.by_id[endpoint_id]
-        self.revision += bool(gone)
+            self.changed_by_id.pop(endpoint_id, None)
+            self.dropped_by_id[endpoint_id] = self.revision
+        if len(self.dropped_by_id) > DROPPED_KEPT:
+            self.dropped_by_id.clear()
+            self.whole_from = self.revision
         return gone
 
-    def members(self, now):
-        """Live members and those that left, as ``Member`` messages."""
+    def changes_since(self, revision, now):
+        """The ``Changes`` after *revision*, or ``None`` where these are not known.
+
+        With each change the whole list went to every follower: a group of 63 ranks that
+        broke changed it 63 times within a heartbeat, 22 KB each time.
+        """
+        if not self.whole_from <= revision <= self.revision:
+            return None
+        changed = [i for i, at in self.changed_by_id.items() if at > revision]
+        dropped = [i for i, at in self.dropped_by_id.items() if at > revision]
+        return Changes(self.members(now, changed), dropped)
+
+    def members(self, now, ids=None):
+        """Live members and those that left, as ``Member`` messages; all or of *ids*."""
+        leases = self.by_id.values()
+        if ids is not None:
+            leases = [self.by_id[endpoint_id] for endpoint_id in ids]
         return [
             ttypes.Member(
                 endpoint_id=b.endpoint_id,
@@ -153,7 +204,7 @@
                 broken=b.broken,
                 incarnation=b.incarnation,
             )
-            for lease in self.by_id.values()
+            for lease in leases
             if lease.expires_ms > now
             for b in (lease.beat,)
         ]
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -147,15 +147,32 @@
             self.waiting.remove(waiter)
             waiter.callback(None)
 
-    def show(self, revision, number, bodies, zone="", follower="", reports_known=None):
+    def show(
+        self,
+        revision,
+        number,
+        bodies,
+        zone="",
+        follower="",
+        reports_known=None,
+        changes_only=False,
+    ):
         """This instance's ``View`` for a follower at *revision* and round *number*.
 
-        It bears the reports after *reports_known* where the follower names one.
+        It bears the reports after *reports_known* where the follower names one, and
+        with *changes_only* no more of the members than has changed since *revision*.
         """
         now = self.clock.now()
         place, places = self.followers.place(zone, follower, now)
         local = self.peers.local
         unchanged = revision == self.membership.revision
+        changes = None
+        if changes_only and not unchanged:
+            changes = self.membership.changes_since(revision, now)
+        if changes is not None:
+            members = changes.members
+        else:
+            members = [] if unchanged else self.membership.members(now)
         document = None
         if local.committed.round > number:
             document = local.committed.to_message(bodies)
@@ -166,7 +183,9 @@
         return ttypes.View(
             reports=reports,
             reports_revision=reports_revision,
-            members=[] if unchanged else self.membership.members(now),
+            members=members,
+            partial=changes is not None,
+            dropped=None if changes is None else changes.dropped,
             document=document,
             zone=self.settings.zone,
             control_id=self.settings.control_id,
@@ -221,9 +240,18 @@
         bodies,
         follower="",
         reports_known=None,
+        changes_only=False,
     ):
         state = self.state
-        asked = revision, number, bodies, zone, follower, reports_known
+        asked = (
+            revision,
+            number,
+            bodies,
+            zone,
+            follower,
+            reports_known,
+            changes_only,
+        )
         shown = state.show(*asked)
         is_news = not shown.unchanged or shown.document is not None or shown.reports
         if wait_ms and not is_news:
@@ -298,6 +326,7 @@
             True,
             NO_FOLLOWER,
             None,
+            False,
         )
         for address in addresses
     ]
--- /dev/null
+++ b/dunlinpoint/control/tests/test_changes.py
@@ -0,0 +1,152 @@
+"""What a control tells its followers of its members: what has changed, and no more."""
+
+import random
+
+import pytest
+from thrift.protocol import TBinaryProtocol
+from thrift.transport import TTransport
+from twisted.internet import task
+
+from dunlinpoint import metrics
+from dunlinpoint.control import membership, server
+from dunlinpoint.follow import view
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+DOCUMENT_KNOWN = 1 << 62
+IDS = [f"i-{number}" for number in range(8)]
+GROUP_SIZE = 63
+
+
+class Control:
+    """A control without a disk, and followers of it on one clock."""
+
+    def __init__(self):
+        self.reactor = task.Clock()
+        self.reactor.advance(100)
+        settings = server.Settings("c", "z", "h", 1, None, [("h", 1)], bootstrap=True)
+        counters = metrics.Counters(None)
+        self.state = server.State.from_config(settings, self.reactor, counters)
+
+    @property
+    def now(self):
+        return self.state.clock.now()
+
+    def follower(self):
+        found = view.View.from_config(self.reactor, "z", [("h", 1)])
+        (follow,) = found.controls.update([("h", 1)], 0)
+        return found, follow
+
+    def poll(self, follower, changes_only=True):
+        """One poll of *follower*; what it was shown."""
+        found, follow = follower
+        asked = follow.revision, DOCUMENT_KNOWN, False
+        shown = self.state.show(*asked, changes_only=changes_only)
+        found.merge(follow, shown, self.now)
+        return shown
+
+
+def beat(endpoint_id, sequence=1, **fields):
+    known = {"zone": "z", "host": "h", "port": 2, "kind": "service", "load": 0}
+    known |= {"draining": False, "config_version": 0, "incarnation": 0}
+    return ttypes.Heartbeat(
+        endpoint_id=endpoint_id, sequence=sequence, **(known | fields)
+    )
+
+
+def believed(follower):
+    """What *follower* knows of each live member."""
+    found, _ = follower
+    return {
+        m.endpoint_id: (m.epoch, m.broken, m.load, m.draining)
+        for m in found.live("service")
+    }
+
+
+def step(control, rng, sequence):
+    """One thing that happens to the members of *control*."""
+    endpoint_id = rng.choice(IDS)
+    kind = rng.choice(["beat", "beat", "beat", "leave", "time"])
+    if kind == "beat":
+        said = {"epoch": rng.randrange(3), "broken": rng.random() < 0.3}
+        said |= {"load": rng.randrange(3), "draining": rng.random() < 0.1}
+        control.state.renew(beat(endpoint_id, sequence, **said))
+    elif kind == "leave":
+        control.state.leave(endpoint_id)
+    else:
+        control.reactor.advance(rng.choice([0.05, 0.6, 1.5]))
+        server.expire(control.state)
+
+
+def true(control):
+    """What *control* itself knows of each live member."""
+    return {
+        m.endpoint_id: (m.epoch, m.broken, m.load, m.draining)
+        for m in control.state.membership.members(control.now)
+        if not m.draining and not m.gone
+    }
+
+
+@pytest.mark.parametrize("seed", range(1, 31))
+def test_who_is_told_changes_believes_what_the_control_knows(seed):
+    # Guards against members that only whole lists bring, change or take away.
+    rng = random.Random(seed)
+    control = Control()
+    follower = control.follower()
+    for sequence in range(1, 120):
+        step(control, rng, sequence)
+        if rng.random() < 0.4:
+            control.poll(follower)
+            # What ran out here while nobody asked is listed again with the next poll.
+            control.poll(follower)
+            control.state.membership.revision += 1
+            control.poll(follower)
+            assert believed(follower) == true(control)
+
+
+def test_a_follower_that_knows_another_life_of_the_control_is_told_all():
+    # Guards against changes told on top of a list that another process had.
+    control = Control()
+    follower = control.follower()
+    control.state.renew(beat("i-1"))
+    follower[1].revision = control.state.membership.revision + 1
+    shown = control.poll(follower)
+    assert not shown.partial and len(shown.members) == 1
+
+
+def test_a_follower_that_missed_too_much_is_told_all(monkeypatch):
+    # Guards against ids of dropped members kept for ever.
+    monkeypatch.setattr(membership, "DROPPED_KEPT", 3)
+    control = Control()
+    follower = control.follower()
+    control.poll(follower)
+    for name in IDS:
+        control.state.renew(beat(name))
+    control.poll(follower)
+    control.reactor.advance(3)
+    server.expire(control.state)
+    assert not control.state.membership.dropped_by_id
+    shown = control.poll(follower)
+    assert not shown.partial
+    assert believed(follower) == {}
+
+
+def size(shown):
+    transport = TTransport.TMemoryBuffer()
+    shown.write(TBinaryProtocol.TBinaryProtocol(transport))
+    return len(transport.getvalue())
+
+
+def test_a_group_that_breaks_is_told_in_a_tenth_of_the_bytes():
+    # Pattern: a group of 63 ranks breaks, and each rank's next heartbeat says so.
+    told = {}
+    for changes_only in (False, True):
+        control = Control()
+        follower = control.follower()
+        for rank in range(GROUP_SIZE):
+            control.state.renew(beat(f"rank-{rank}", epoch=1, broken=False))
+        control.poll(follower, changes_only)
+        told[changes_only] = 0
+        for rank in range(GROUP_SIZE):
+            control.state.renew(beat(f"rank-{rank}", 2, epoch=1, broken=True))
+            told[changes_only] += size(control.poll(follower, changes_only))
+    assert told[True] < told[False] / 10
--- a/dunlinpoint/follow/controls.py
+++ b/dunlinpoint/follow/controls.py
@@ -28,7 +28,7 @@
 
     link: rpc.Link
     revision: int = 0
-    member_ids: list = attrs.field(factory=list)
+    member_ids: set = attrs.field(factory=set)
     vouched_ms: int | None = None
     answered_ms: int | None = None
     node_id: str = ""
@@ -52,6 +52,10 @@
         times = [f.answered_ms for f in self.follow_by_address.values()]
         return max((t for t in times if t is not None), default=None)
 
+    def all(self):
+        """Every ``Follow`` there is."""
+        return self.follow_by_address.values()
+
     def update(self, known, now):
         """Follow the addresses *known*, drop others; the new ``Follow`` ones."""
         answered_ms = self.answered_ms()
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -114,8 +114,14 @@
             self._renew(follow, now + shown.lease_ms)
         else:
             follow.revision = shown.revision
-            follow.member_ids = [m.endpoint_id for m in shown.members]
+            if shown.partial:
+                if shown.dropped:
+                    self._drop(follow, shown.dropped, now)
+                self._renew(follow, now + shown.lease_ms)
+            else:
+                follow.member_ids.clear()
             for member in shown.members:
+                follow.member_ids.add(member.endpoint_id)
                 self._take(member, now + member.lease_left_ms)
         if shown.reports_revision is not None:
             follow.reports_revision = shown.reports_revision
@@ -146,8 +152,17 @@
             return True
         return self.clock.now() - self.body_ms >= self.body_pause_ms
 
+    def _drop(self, follow, endpoint_ids, now):
+        """*follow* vouches for *endpoint_ids* no longer; some other may."""
+        follow.member_ids.difference_update(endpoint_ids)
+        listed = set().union(*(f.member_ids for f in self.controls.all()))
+        for endpoint_id in set(endpoint_ids) - listed:
+            seen = self.by_id.get(endpoint_id)
+            if seen is not None:
+                seen.expires_ms = min(seen.expires_ms, now)
+
     def _renew(self, follow, expires_ms):
-        """All that *follow* listed is as it was.
+        """All that *follow* listed, and did not drop since, is as it was.
 
         Members of its list that were dropped meanwhile must be listed again. After
         a cut, the first control to answer has those dropped that only others vouch
@@ -242,6 +257,7 @@
                 follow.asks_bodies,
                 self.follower,
                 follow.reports_revision if self.wants_reports else None,
+                True,
                 timeout_ms=self.wait_ms + controls.CONTROL_TIMEOUT_MS,
             )
         except errors.WireError:
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -250,6 +250,10 @@
   // has not been told.
   12: list<CrashReport> reports,
   13: i64 reports_revision,
+  // With partial, members are those that changed since the follower's revision, and
+  // dropped names those that are no members any more; all others are as they were.
+  14: bool partial,
+  15: list<string> dropped,
 }
 
 struct ApplyResult {
@@ -277,7 +281,7 @@
   // follower names an entry that wants to know its place among the entries.
   // reports_known is the last reports_revision that it was shown, absent where it wants
   // no reports.
-  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known),
+  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known, 8: bool changes_only),
   // An entry tells what it saw of requests that endpoints ended under.
   void report(1: list<CrashReport> reports),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -30,7 +30,7 @@
         """
         pass
 
-    def view(zone, revision, round, wait_ms, bodies, follower, reports_known):
+    def view(zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only):
         """
         Parameters:
          - zone
@@ -40,6 +40,7 @@
          - bodies
          - follower
          - reports_known
+         - changes_only
 
         """
         pass
@@ -161,7 +162,7 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "heartbeat failed: unknown result"))
 
-    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known):
+    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only):
         """
         Parameters:
          - zone
@@ -171,12 +172,13 @@
          - bodies
          - follower
          - reports_known
+         - changes_only
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known)
+        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only)
         d.addCallbacks(
             callback=self.cb_send_view,
             callbackArgs=(seqid,),
@@ -192,7 +194,7 @@
         d.errback(f)
         return d
 
-    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known):
+    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('view', TMessageType.CALL, self._seqid)
         args = view_args()
@@ -203,6 +205,7 @@
         args.bodies = bodies
         args.follower = follower
         args.reports_known = reports_known
+        args.changes_only = changes_only
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -603,7 +606,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = view_result()
-        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known)
+        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known, args.changes_only)
         d.addCallback(self.write_results_success_view, result, seqid, oprot)
         d.addErrback(self.write_results_exception_view, result, seqid, oprot)
         return d
@@ -1000,11 +1003,12 @@
      - bodies
      - follower
      - reports_known
+     - changes_only
 
     """
 
 
-    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None,):
+    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None, changes_only=None,):
         self.zone = zone
         self.revision = revision
         self.round = round
@@ -1012,6 +1016,7 @@
         self.bodies = bodies
         self.follower = follower
         self.reports_known = reports_known
+        self.changes_only = changes_only
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1057,6 +1062,11 @@
                     self.reports_known = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.changes_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1095,6 +1105,10 @@
             oprot.writeFieldBegin('reports_known', TType.I64, 7)
             oprot.writeI64(self.reports_known)
             oprot.writeFieldEnd()
+        if self.changes_only is not None:
+            oprot.writeFieldBegin('changes_only', TType.BOOL, 8)
+            oprot.writeBool(self.changes_only)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1121,6 +1135,7 @@
     (5, TType.BOOL, 'bodies', None, None, ),  # 5
     (6, TType.STRING, 'follower', 'UTF8', None, ),  # 6
     (7, TType.I64, 'reports_known', None, None, ),  # 7
+    (8, TType.BOOL, 'changes_only', None, None, ),  # 8
 )
 
 
@@ -1209,11 +1224,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = CrashReport()
-                        _elem68.read(iprot)
-                        self.reports.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = CrashReport()
+                        _elem75.read(iprot)
+                        self.reports.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1230,8 +1245,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter69 in self.reports:
-                iter69.write(oprot)
+            for iter76 in self.reports:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -2060,11 +2060,13 @@
      - places
      - reports
      - reports_revision
+     - partial
+     - dropped
 
     """
 
 
-    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None,):
+    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None, partial=None, dropped=None,):
         self.members = members
         self.document = document
         self.control_id = control_id
@@ -2078,6 +2080,8 @@
         self.places = places
         self.reports = reports
         self.reports_revision = reports_revision
+        self.partial = partial
+        self.dropped = dropped
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2166,6 +2170,21 @@
                     self.reports_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.partial = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.dropped = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.dropped.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2179,8 +2198,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter61 in self.members:
-                iter61.write(oprot)
+            for iter67 in self.members:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -2226,14 +2245,25 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter62 in self.reports:
-                iter62.write(oprot)
+            for iter68 in self.reports:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports_revision is not None:
             oprot.writeFieldBegin('reports_revision', TType.I64, 13)
             oprot.writeI64(self.reports_revision)
             oprot.writeFieldEnd()
+        if self.partial is not None:
+            oprot.writeFieldBegin('partial', TType.BOOL, 14)
+            oprot.writeBool(self.partial)
+            oprot.writeFieldEnd()
+        if self.dropped is not None:
+            oprot.writeFieldBegin('dropped', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRING, len(self.dropped))
+            for iter69 in self.dropped:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2622,6 +2652,8 @@
     (11, TType.I32, 'places', None, None, ),  # 11
     (12, TType.LIST, 'reports', (TType.STRUCT, [CrashReport, None], False), None, ),  # 12
     (13, TType.I64, 'reports_revision', None, None, ),  # 13
+    (14, TType.BOOL, 'partial', None, None, ),  # 14
+    (15, TType.LIST, 'dropped', (TType.STRING, 'UTF8', False), None, ),  # 15
 )
 all_structs.append(ApplyResult)
 ApplyResult.thrift_spec = (
