After an outage no stream begins whose caller has not the time for a whole answer

They end with nothing and hold slots of others. Change: 1.5 s is the least for which a caller is kept waiting for a group, and for which it begins in one that opened lately; with less it is told so at once.

--- a/dunlinpoint/forward/room.py
+++ b/dunlinpoint/forward/room.py
@@ -132,6 +132,8 @@
         returned = pace.has_returned(left_ms, call.route.timeout_ms)
         call.turn = not returned, leaves_ms(call), id(call)
         groups.queue.enter(call.turn)
+    if call.deadline_ms - now < outage.ANSWER_MS:
+        return []
     spare = groups.with_slots(usable)
     is_next = groups.queue.ahead_of(call.turn) < sum(spare.values())
     return list(spare) if is_next else []
--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -279,6 +279,17 @@
     assert ends == [("sent", forward.clock.now())]
 
 
+def test_after_an_outage_no_slot_goes_to_who_could_not_be_answered_whole(entry):
+    # Guards against streams that end with their caller's time, in slots of others.
+    reactor, forward, ends = entry
+    reactor.advance(10)
+    opened(forward)
+    began_ms = forward.clock.now()
+    tries.run(forward, late_call(forward, outage.ANSWER_MS - 1))
+    ((reason, at_ms, status, _retry_ms),) = ends
+    assert (reason, at_ms, status) == ("no_room", began_ms, 503)
+
+
 class Standing:
     """Waiting that looks each 10 ms, and a group that stands until ``opens_ms``."""
 
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -32,8 +32,9 @@
 PATIENCE_PAUSES = 8
 # The part of that which the first event takes after the group has opened.
 FIRST_EVENT_MS = 250
-# What most whole answers take: a caller with less left is not kept waiting.
-ANSWER_MS = 1000
+# What most whole answers take: a caller with less left is not kept waiting, and not
+# begun after an outage in a slot that another could use.
+ANSWER_MS = 1500
 # A caller heeds a time to come back of up to a third of what it has left.
 RETRY_AFTER_SHARE = 0.33
 # Callers are sent back spread over this part of the time, so that those whose streams
