One step decides whether a request outlasts its groups' outage

The wait for a standing group stood twice in the tries, before a try and after one that its group's break refused; it is one function now, with one end.

--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -167,11 +167,7 @@
         return gone
 
     def changes_since(self, revision, now):
-        """The ``Changes`` after *revision*, or ``None`` where these are not known.
-
-        With each change the whole list went to every follower: a group of 63 ranks that
-        broke changed it 63 times within a heartbeat, 22 KB each time.
-        """
+        """The ``Changes`` after *revision*, or ``None`` where these are not known."""
         if not self.whole_from <= revision <= self.revision:
             return None
         changed = [i for i, at in self.changed_by_id.items() if at > revision]
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -29,15 +29,10 @@
 def run_tries(forward, call):
     """The tries of *call*, which is at a group of ranks meanwhile."""
     while not call.left:
+        if not (yield outlasts(forward, call)):
+            return
         now = forward.clock.now()
-        members = forward.members(call.service)
         by_group = forward.open_groups(call.service, now)
-        if members and not by_group:
-            opened = yield group_opens(forward, call, now)
-            if opened:
-                continue
-            give_up(forward, call, "group_stands", come_back_ms(forward, call))
-            return
         found = room.find(forward, call, by_group, now)
         if found is room.Room.FULL and now < room.wait_until(call):
             yield forward.clock.pause(room.look_ms(call))
@@ -54,12 +49,8 @@
         state = yield exchange.one_try(forward, call, member)
         if state == exchange.DONE or call.left:
             return
-        if state == exchange.NOT_RUN and is_standing(forward, call):
-            # One that was refused because its group broke waits like any other.
-            yield group_opens(forward, call, forward.clock.now())
-            if is_standing(forward, call):
-                give_up(forward, call, "group_stands", come_back_ms(forward, call))
-                return
+        if state == exchange.NOT_RUN and not (yield outlasts(forward, call)):
+            return
         if not may_try_again(forward, call, state):
             give_up(forward, call, state)
             return
@@ -79,17 +70,23 @@
 
 
 @defer.inlineCallbacks
-def group_opens(forward, call, now):
-    """Wait for a standing group as long as the caller does; whether it opened."""
-    if call.waited or not call.streaming:
-        return False
-    call.waited = True
-
-    def ready():
-        return call.over or forward.open_groups(call.service, forward.clock.now())
-
-    opened = yield forward.waiting.until(ready, room.leaves_ms(call) - now)
-    return opened and not call.over
+def outlasts(forward, call):
+    """Wait while all groups of *call* stand; with ``False``, it has been answered.
+
+    It waits once, as long as its caller stays.
+    """
+    if not is_standing(forward, call):
+        return True
+    if call.streaming and not call.waited:
+        call.waited = True
+        limit_ms = room.leaves_ms(call) - forward.clock.now()
+        yield forward.waiting.until(
+            lambda: call.over or not is_standing(forward, call), limit_ms
+        )
+        if not call.over and not is_standing(forward, call):
+            return True
+    give_up(forward, call, "group_stands", come_back_ms(forward, call))
+    return False
 
 
 def may_try_again(forward, call, state):
