--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -11,6 +11,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import attrs
 
@@ -30,15 +31,24 @@
 
 
 class Server(http.server.BaseHTTPRequestHandler):
-    """One server of the platform; ``runs`` notes (server id, request id)."""
+    """One server of the platform; ``runs`` notes (server id, request id).
+
+    ``says`` holds headers that all its answers bear, ``arrivals`` when (s) it got a
+    request.
+    """
 
     protocol_version = "HTTP/1.1"
 
     def log_message(self, *args):
         pass
 
-    def answer(self, status, body, **headers):
+    def begin(self, status):
         self.send_response(status)
+        for name, value in self.server.says.items():
+            self.send_header(name, value)
+
+    def answer(self, status, body, **headers):
+        self.begin(status)
         headers.setdefault("attempt", self.headers[ATTEMPT])
         self.send_header(ATTEMPT, headers.pop("attempt"))
         if headers.pop("signed", True):
@@ -51,6 +61,7 @@
 
     def do_POST(self):
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.server.arrivals.append(time.monotonic())
         kind = self.path.rsplit("/", 1)[1]
         if kind == "full":
             self.answer(503, b"", signed=False, X_Dunlinpoint_Not_Executed="1")
@@ -71,7 +82,7 @@
 
     def stream(self, last, always=False):
         """Events after *last*; broken off inside the fourth, or on a first run only."""
-        self.send_response(200)
+        self.begin(200)
         self.send_header(ATTEMPT, self.headers[ATTEMPT])
         self.send_header(SIGNATURE, self.server.id)
         self.send_header("Content-Type", "text/event-stream")
@@ -190,6 +201,7 @@
     for number in range(2):
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
         server.id, server.runs = f"i-{number}", runs
+        server.says, server.arrivals = {}, []
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
     running = Platform(
