Entries keep together to the limit that an endpoint names

Callers saw: nothing yet; the endpoint did. It had named a limit of 1 request a second for all entries together and got 12 in 4 s from entries that it had told (LIMIT).

Cause: what an endpoint says of itself in its answers was read by nobody. Only heartbeats, a heartbeat old, and failures counted.

A limit ends with an answer that was asked for after it was named and does not bear it. A turn within a request's time to wait is waited for, else it is refused at once.

Not done: an entry does not tell the others what it was told; each learns it from its own answers.

--- a/dunlinpoint/cli/explain.py
+++ b/dunlinpoint/cli/explain.py
@@ -28,6 +28,8 @@
     "started",
     "lines_lost",
 }
+# What an endpoint said of itself, which decides for requests that were not sent to it.
+NOTICES = {"endpoint_limit"}
 
 
 @attrs.frozen
@@ -70,10 +72,13 @@
     return [
         line
         for line in lines
-        if line in own
-        or (
-            first <= line.at_s <= last
-            and line.fields.get("event") in BELIEFS
-            and line.fields.get("endpoint_id") in tried | {None}
-        )
+        if line in own or (first <= line.at_s <= last and _matters(line, tried))
     ]
+
+
+def _matters(line, tried):
+    """Whether what *line* tells may have decided for a request at *tried*."""
+    event = line.fields.get("event")
+    if event in NOTICES:
+        return True
+    return event in BELIEFS and line.fields.get("endpoint_id") in tried | {None}
--- a/dunlinpoint/control/followers.py
+++ b/dunlinpoint/control/followers.py
@@ -12,6 +12,20 @@
 KEEP_MS = 4000
 
 
+@attrs.frozen
+class Place:
+    """Which entry of its zone one is (0 up), of how many, and the same of all zones."""
+
+    place: int
+    places: int
+    entry: int
+    entries: int
+
+
+# A follower without a name is no entry.
+NO_ENTRY = Place(0, 0, 0, 0)
+
+
 @attrs.define
 class Followers:
     """When each entry last asked, by its zone and name."""
@@ -19,15 +33,15 @@
     asked_ms_by_entry: dict = attrs.field(factory=dict)
 
     def place(self, zone, name, now):
-        """The place of entry *name* among those of *zone*, and their number.
-
-        Both are 0 for a follower without a name, which is no entry.
-        """
+        """The ``Place`` of entry *name* of *zone*; without a name it is no entry."""
         if not name:
-            return 0, 0
+            return NO_ENTRY
         self.asked_ms_by_entry[zone, name] = now
         for other, asked_ms in list(self.asked_ms_by_entry.items()):
             if now - asked_ms > KEEP_MS:
                 del self.asked_ms_by_entry[other]
-        names = sorted(n for z, n in self.asked_ms_by_entry if z == zone)
-        return names.index(name), len(names)
+        entries = sorted(self.asked_ms_by_entry)
+        near = [n for z, n in entries if z == zone]
+        return Place(
+            near.index(name), len(near), entries.index((zone, name)), len(entries)
+        )
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -163,7 +163,7 @@
         with *changes_only* no more of the members than has changed since *revision*.
         """
         now = self.clock.now()
-        place, places = self.followers.place(zone, follower, now)
+        place = self.followers.place(zone, follower, now)
         local = self.peers.local
         unchanged = revision == self.membership.revision
         changes = None
@@ -194,8 +194,10 @@
             settled=local.settled and local.votes,
             lease_ms=self.membership.lease_ms,
             node_id=local.node_id,
-            place=place,
-            places=places,
+            place=place.place,
+            places=place.places,
+            entry=place.entry,
+            entries=place.entries,
         )
 
     def known_controls(self):
--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -170,3 +170,20 @@
     assert by_name["a"].asks_bodies
     found.merge(by_name["a"], shown("a", document(3, 3)), 2040)
     assert found.document.round == 3
+
+
+def test_a_control_that_knows_few_entries_does_not_make_them_fewer():
+    # Guards against entries that each take a whole limit after controls started anew.
+    clock, found, by_name = follower()
+
+    def count(name, entry, entries):
+        answer = shown(name)
+        answer.entry, answer.entries = entry, entries
+        found.merge(by_name[name], answer, 10)
+        return found.entry, found.entries
+
+    assert count("a", 4, 6) == (4, 6)
+    assert count("b", 0, 1) == (4, 6)
+    assert count("b", 5, 7) == (5, 7)
+    clock.advance(view.FEWER_ENTRIES_MS / 1000 + 1)
+    assert count("a", 2, 3) == (2, 3)
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -48,6 +48,9 @@
 # How long an entry waits for a new document from its own zone's control
 # before it asks another zone's for it.
 OTHER_ZONE_PAUSE_MS = 120
+# When no control has shown as many entries for so long, there are fewer: controls
+# forget one after 4 s.
+FEWER_ENTRIES_MS = 5000
 
 
 @attrs.define
@@ -86,6 +89,9 @@
     follower: str = ""
     place: int = 0
     places: int = 1
+    entry: int = 0
+    entries: int = 1
+    entries_ms: int = 0
     generation: int = 0
     forgot_ms: int = 0
     live_by_kind: dict = attrs.field(factory=dict)
@@ -110,6 +116,7 @@
         follow.node_id = shown.node_id
         if shown.places and (shown.zone == self.zone or self.places == 1):
             self.place, self.places = shown.place, shown.places
+        self._count_entries(shown, now)
         if shown.unchanged:
             self._renew(follow, now + shown.lease_ms)
         else:
@@ -141,6 +148,16 @@
         if shown.settled:
             follow.vouched_ms = asked_ms
 
+    def _count_entries(self, shown, now):
+        """Take in which of how many entries this one is, of all zones.
+
+        A control that has just started, or is cut off, knows of fewer than there are.
+        """
+        fewer = (shown.entries or 0) < self.entries
+        if shown.entries and (not fewer or now - self.entries_ms > FEWER_ENTRIES_MS):
+            self.entry, self.entries = shown.entry, shown.entries
+            self.entries_ms = now
+
     def wants_body(self):
         """Whether a newer document is to be sent now, or later.
 
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -82,6 +82,7 @@
     """Send the request to *member*: the state of the try."""
     name = pick.life(member)
     forward.picker.began(name)
+    forward.picker.notices.sent(name, forward.clock.now())
     guard = None
     try:
         connection = yield forward.pool.connect(
@@ -179,12 +180,16 @@
 @defer.inlineCallbacks
 def exchange(forward, call, member, connection):
     """One exchange with *member*: the state of the try."""
+    sent_ms = forward.clock.now()
     head = yield pool.send(connection, outgoing(forward, call, member))
     own = forward.names
     echoed = head.headers.getRawHeaders(own.request_id, [None])[-1]
     if call.request_id is not None and echoed != call.request_id:
         forward.counters.incr("dropped.foreign_answer")
         raise closing(connection, "an answer to another request")
+    notice = forward.read_notice(head.code, head.headers)
+    now = forward.clock.now()
+    forward.picker.notices.take(pick.life(member), notice, sent_ms, now)
     if head.headers.hasHeader(own.not_run) or head.code == 421:
         yield drained(connection, head)
         not_run(forward, member, head)
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -13,7 +13,7 @@
 from dunlinpoint.experts import messages
 from dunlinpoint.follow import view
 from dunlinpoint.forward import events, names, pool, quarantine, routes, waiting
-from dunlinpoint.routing import budget, groups, late, outage, pick, spread
+from dunlinpoint.routing import budget, groups, late, notices, outage, pick, spread
 from dunlinpoint.suspects import sharing
 
 log = logs.logger("entry")
@@ -35,6 +35,7 @@
     waiting: waiting.Waiting
     quarantine: quarantine.Quarantine
     names: names.Names = names.DEFAULT
+    read_notice: object = notices.nothing
     budget: budget.Budget = attrs.field(factory=budget.Budget)
     table: routes.Table = attrs.field(factory=routes.Table)
     limits: config.Limits = attrs.field(factory=config.Limits)
@@ -53,9 +54,12 @@
     started_ms: int = 0
 
     @classmethod
-    def from_config(cls, reactor, entry_view, counters, dialect, key_lease_ms=0):
+    def from_config(
+        cls, reactor, entry_view, counters, dialect, read_notice, key_lease_ms=0
+    ):
         """Forwarding at the entry whose view is *entry_view*.
 
+        ``read_notice(status, headers)`` gives the ``Notice`` of an endpoint's answer.
         With *key_lease_ms* above 0, keyed requests are refused once no
         majority of controls has vouched for the document for so long.
         """
@@ -70,6 +74,7 @@
             picker=pick.Picker(entry_view.zone),
             quarantine=quarantine.Quarantine(sharing.Sharing(entry_view, ticks)),
             names=dialect,
+            read_notice=read_notice,
             key_lease_ms=key_lease_ms,
         )
         entry_view.on_document.append(forward.take)
@@ -117,7 +122,9 @@
     def arrange(self):
         """Arrange the members if they have changed."""
         live = self.view.live("service")
-        state = self.view.generation, self.view.place, self.view.places
+        view = self.view
+        self.picker.notices.learn(view.entry, view.entries, self.clock.now())
+        state = view.generation, view.place, view.places
         if self.arranged != state:
             self.arranged = state
             self._arrange(live)
@@ -135,6 +142,7 @@
         # that there ever was stay in memory until a restart.
         lives = {pick.life(m) for m in live}
         self.picker.forget(lives)
+        self.picker.notices.forget(lives, self.clock.now())
         self.pool.forget(lives)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(messages.KIND)
--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -13,7 +13,7 @@
 from dunlinpoint.config import document as config
 from dunlinpoint.forward import exchange, quarantine, room, tries, waiting
 from dunlinpoint.routing import groups as all_groups
-from dunlinpoint.routing import outage, pace, pick
+from dunlinpoint.routing import notices, outage, pace, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 MEMBER = ttypes.Member(endpoint_id="a", zone="z", slots=6)
@@ -357,3 +357,29 @@
     tries.run(forward, Call(outage.ANSWER_MS - 1))
     ((reason, at_ms, status, _retry_ms),) = ends
     assert (reason, at_ms, status) == ("group_stands", 0, 503)
+
+
+def limit(forward, per_s):
+    """The only endpoint names a limit, and has just been sent a request."""
+    life, now = pick.life(MEMBER), forward.clock.now()
+    forward.picker.notices.take(life, notices.Notice(per_s), now, now)
+    forward.picker.notices.sent(life, now)
+
+
+def test_a_turn_at_a_limited_endpoint_is_waited_for_if_it_is_near(entry):
+    # Guards against callers sent away who would have been in time.
+    reactor, forward, ends = entry
+    limit(forward, per_s=10)
+    play(reactor, forward, Call(DEADLINE_MS), lambda _now: 50)
+    ((kind, at_ms),) = ends
+    assert kind == "sent" and 100 <= at_ms < 120
+
+
+def test_who_would_wait_too_long_for_a_limited_endpoint_is_sent_away_at_once(entry):
+    # Guards against requests held for what is known not to come in time.
+    reactor, forward, ends = entry
+    limit(forward, per_s=1)
+    play(reactor, forward, Call(DEADLINE_MS), lambda _now: 50)
+    ((reason, at_ms, status, retry_ms),) = ends
+    assert (reason, at_ms, status) == ("limited", 0, 503)
+    assert 1000 <= retry_ms <= 2000
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -41,6 +41,13 @@
             room.refuse(forward, call, found)
             return
         member = next_member(forward, call, by_group, now)
+        free_ms = None if member else free_from_ms(forward, call, by_group, now)
+        if free_ms is not None:
+            if free_ms > room.wait_until(call):
+                give_up(forward, call, "limited", after_ms(forward, call, free_ms))
+                return
+            yield forward.clock.pause(free_ms - now)
+            continue
         if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
             give_up(forward, call, "no_endpoint" if member is None else "too_late")
             return
@@ -69,6 +76,22 @@
     return None
 
 
+def free_from_ms(forward, call, by_group, now):
+    """From when (ms) on an endpoint that takes nothing now will, ``None`` if none."""
+    members = [member for members in by_group.values() for member in members]
+    return forward.picker.free_ms(members, now, call.tried)
+
+
+def after_ms(forward, call, free_ms):
+    """When the caller of *call* should come back for an endpoint free at *free_ms*.
+
+    Callers are spread, as each endpoint takes one of them at a time.
+    """
+    now = forward.clock.now()
+    wanted_ms = max(answers.RETRY_AFTER_MS, free_ms - now) * forward.rng.uniform(1, 2)
+    return min(wanted_ms, outage.heeded_ms(call.deadline_ms - now))
+
+
 @defer.inlineCallbacks
 def outlasts(forward, call):
     """Wait while all groups of *call* stand; with ``False``, it has been answered.
--- a/dunlinpoint/platform/__init__.py
+++ b/dunlinpoint/platform/__init__.py
@@ -4,6 +4,7 @@
 module          holds
 ==============  ==========================================================
 ``dialect``     the platform's header names and paths
+``notices``     what servers say of themselves in their answers
 ``documents``   its configuration bodies to and from our document
 ``admin``       calls of endpoints and operators at a control instance
 ``settings``    settings that change while a process runs
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -7,7 +7,14 @@
 from dunlinpoint.cli import checks, flags
 from dunlinpoint.follow import view
 from dunlinpoint.forward import site, state
-from dunlinpoint.platform import addresses, commands, dialect, ready, settings
+from dunlinpoint.platform import (
+    addresses,
+    commands,
+    dialect,
+    notices,
+    ready,
+    settings,
+)
 
 log = logs.logger("entry")
 
@@ -43,6 +50,7 @@
         entry_view,
         flags.counters(reactor, command.metrics),
         dialect.HEADERS,
+        notices.from_answer,
         lease_ms,
     )
     entry_view.follow(reactor)
--- /dev/null
+++ b/dunlinpoint/platform/tests/test_notices.py
@@ -0,0 +1,33 @@
+"""Headers in which a server says something of itself, decoded."""
+
+import pytest
+from twisted.web import http_headers
+
+from dunlinpoint.platform import notices as decoder
+from dunlinpoint.routing import notices
+
+
+def read(status=200, **named):
+    headers = http_headers.Headers()
+    for name, value in named.items():
+        headers.setRawHeaders(name.replace("_", "-"), [value])
+    return decoder.from_answer(status, headers)
+
+
+def test_an_answer_that_says_nothing():
+    assert read() == notices.NOTHING
+
+
+@pytest.mark.parametrize("value, per_s", [("1", 1.0), ("0.25", 0.25), (" 12.5 ", 12.5)])
+def test_a_limit_is_a_decimal_number_a_second(value, per_s):
+    assert read(server_limit=value) == notices.Notice(limit_per_s=per_s)
+
+
+@pytest.mark.parametrize("value", ["", "many", "-1", "nan", "inf", "1,5", "0x10"])
+def test_what_cannot_be_read_is_told_as_such(value):
+    # Guards against a limit that counts as lifted because it was garbled.
+    assert read(server_limit=value) == notices.Notice(is_whole=False)
+
+
+def test_another_server_at_the_address_says_nothing_of_this_one():
+    assert read(421, server_limit="1") == notices.NOTHING
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -14,8 +14,12 @@
 has started again is as idle and as sound as any new one.
 """
 
+from __future__ import annotations
+
 import attrs
 
+from dunlinpoint.routing import notices
+
 # How many requests more an endpoint of the entry's own zone may have: the way
 # to another zone costs a millisecond or two, a queue far more.
 AWAY_REQUESTS = 1.0
@@ -59,6 +63,7 @@
 
     zone: str
     record_by_life: dict = attrs.field(factory=dict)
+    notices: notices.Notices = attrs.field(factory=notices.Notices)
 
     def record(self, name):
         """The record of the life *name*, new if there is none."""
@@ -80,13 +85,14 @@
 
         Endpoints whose lives are in *exclude* were tried already. Avoided ones
         are taken only when there is no other: an endpoint that failed lately
-        may serve, and no endpoint at all serves nothing.
+        may serve, and no endpoint at all serves nothing. One that has said that
+        it takes nothing now is never taken.
         """
         best, least = None, None
         spared, soonest = None, None
         for place, member in enumerate(members):
             name = life(member)
-            if name in exclude:
+            if name in exclude or self.notices.free_ms(name, now) > now:
                 continue
             record = self.record(name)
             if record.avoid_until_ms > now:
@@ -98,6 +104,12 @@
                 best, least = member, weight
         return spared if best is None else best
 
+    def free_ms(self, members, now, exclude=()):
+        """From when (ms) on one of *members* takes a request, ``None`` if none will."""
+        names = [name for name in map(life, members) if name not in exclude]
+        times = [self.notices.free_ms(name, now) for name in names]
+        return min(times, default=None)
+
     def _weight(self, member, record, order, near):
         requests = max(record.in_flight, member.load or 0)
         if near and member.zone != self.zone:
--- /dev/null
+++ b/dunlinpoint/routing/tests/test_notices.py
@@ -0,0 +1,74 @@
+"""What an endpoint says of itself, kept by its life."""
+
+import pytest
+
+from dunlinpoint.routing import notices, pick
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+LIFE = "i-1"
+LIMITED = notices.Notice(limit_per_s=2.0)
+PAUSE_MS = 500
+
+
+@pytest.fixture
+def told():
+    """Notices of an only entry, told of a limit at 1000 ms."""
+    found = notices.Notices()
+    found.take(LIFE, LIMITED, 900, 1000)
+    return found
+
+
+def is_limited(found):
+    return found.standing_by_life[LIFE].rate is not None
+
+
+def test_an_answer_without_the_limit_ends_it(told):
+    told.take(LIFE, notices.NOTHING, 1001, 1100)
+    assert not is_limited(told)
+
+
+def test_an_answer_asked_for_before_the_limit_was_named_does_not_end_it(told):
+    # Guards against answers that overtake each other on different connections.
+    told.take(LIFE, notices.NOTHING, 950, 1100)
+    assert is_limited(told)
+
+
+def test_an_answer_that_cannot_be_read_does_not_end_it(told):
+    told.take(LIFE, notices.Notice(is_whole=False), 1001, 1100)
+    assert is_limited(told)
+
+
+def test_a_new_start_of_an_endpoint_has_no_limit(told):
+    later = ttypes.Member(endpoint_id=LIFE, incarnation=7)
+    assert told.free_ms(pick.life(later), 1100) == 1100
+
+
+def test_a_limit_outlives_a_gap_in_the_member_list(told):
+    # Guards against a cut that takes an endpoint from the list and brings it back.
+    told.forget(set(), 1000 + notices.MEMORY_MS)
+    assert is_limited(told)
+    told.forget(set(), 1001 + notices.MEMORY_MS)
+    assert told.standing_by_life == {}
+
+
+def test_a_request_uses_up_the_turn(told):
+    free_ms = told.free_ms(LIFE, 1100)
+    assert 1000 <= free_ms <= 1000 + PAUSE_MS
+    told.sent(LIFE, free_ms)
+    assert told.free_ms(LIFE, free_ms + 1) == free_ms + PAUSE_MS
+
+
+def test_a_lower_limit_counts_from_now_on(told):
+    told.take(LIFE, notices.Notice(limit_per_s=1.0), 1001, 1100)
+    told.sent(LIFE, 1200)
+    assert told.free_ms(LIFE, 1200) == 1200 + 2 * PAUSE_MS
+
+
+def test_who_has_no_turn_is_not_picked_though_there_is_no_other():
+    # Guards against the way of avoided endpoints, which are taken for want of others.
+    picker = pick.Picker("z")
+    members = [ttypes.Member(endpoint_id=LIFE, zone="z", slots=4)]
+    picker.notices.take(LIFE, LIMITED, 900, 1000)
+    free_ms = picker.free_ms(members, 1000)
+    assert picker.pick(members, free_ms - 1) is None
+    assert picker.pick(members, free_ms) is members[0]
--- a/dunlinpoint/routing/tests/test_pick.py
+++ b/dunlinpoint/routing/tests/test_pick.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 import pytest
 
 from dunlinpoint.control import followers
@@ -83,12 +84,17 @@
 
 def test_places_follow_the_entries_that_ask():
     known = followers.Followers()
-    assert known.place("z1", "", 0) == (0, 0)
-    assert known.place("z1", "b", 0) == (0, 1)
-    assert known.place("z1", "a", 10) == (0, 2)
-    assert known.place("z2", "a", 10) == (0, 1)
-    assert known.place("z1", "b", 20) == (1, 2)
-    assert known.place("z1", "b", 20 + followers.KEEP_MS) == (0, 1)
+
+    def place(zone, name, now):
+        """Place and number in the zone, then among the entries of all zones."""
+        return attrs.astuple(known.place(zone, name, now))
+
+    assert place("z1", "", 0) == (0, 0, 0, 0)
+    assert place("z1", "b", 0) == (0, 1, 0, 1)
+    assert place("z1", "a", 10) == (0, 2, 0, 2)
+    assert place("z2", "a", 10) == (0, 1, 2, 3)
+    assert place("z1", "b", 20) == (1, 2, 1, 3)
+    assert place("z1", "b", 20 + followers.KEEP_MS) == (0, 1, 0, 1)
 
 
 # The most requests of a day at one rank, over the mean.
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -254,6 +254,9 @@
   // dropped names those that are no members any more; all others are as they were.
   14: bool partial,
   15: list<string> dropped,
+  // The follower's place, 0 up, among so many entries of all zones that follow.
+  16: i32 entry,
+  17: i32 entries,
 }
 
 struct ApplyResult {
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -2062,11 +2062,13 @@
      - reports_revision
      - partial
      - dropped
+     - entry
+     - entries
 
     """
 
 
-    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None, partial=None, dropped=None,):
+    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None, partial=None, dropped=None, entry=None, entries=None,):
         self.members = members
         self.document = document
         self.control_id = control_id
@@ -2082,6 +2084,8 @@
         self.reports_revision = reports_revision
         self.partial = partial
         self.dropped = dropped
+        self.entry = entry
+        self.entries = entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2185,6 +2189,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I32:
+                    self.entry = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2264,6 +2278,14 @@
                 oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.I32, 16)
+            oprot.writeI32(self.entry)
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 17)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2654,6 +2676,8 @@
     (13, TType.I64, 'reports_revision', None, None, ),  # 13
     (14, TType.BOOL, 'partial', None, None, ),  # 14
     (15, TType.LIST, 'dropped', (TType.STRING, 'UTF8', False), None, ),  # 15
+    (16, TType.I32, 'entry', None, None, ),  # 16
+    (17, TType.I32, 'entries', None, None, ),  # 17
 )
 all_structs.append(ApplyResult)
 ApplyResult.thrift_spec = (
--- a/tests/integration/test_explain.py
+++ b/tests/integration/test_explain.py
@@ -67,3 +67,18 @@
 
 def test_an_id_that_no_line_bears_is_said_so(platform):
     assert explain(platform, "nobody") == []
+
+
+def test_a_refusal_for_want_of_turns_is_explained_by_the_limits(platform):
+    for server in platform.servers:
+        server.says["Server-Limit"] = "0.5"
+    try:
+        for number in range(12):
+            platform.call("plain", f"limit-{number}")
+        lines = wait_for(lambda: explain(platform, "limit-11"))
+    finally:
+        for server in platform.servers:
+            server.says.clear()
+    assert lines[-1]["reason"] == "limited"
+    told = {x["endpoint_id"] for x in lines if x["event"] == "endpoint_limit"}
+    assert told == {"i-0", "i-1"}
