A test of an endpoint that asks for rest: red on this code

Seen by the users (BUDGET): an endpoint had asked an entry for 3 s of rest and got 4 requests from it in that time. The stand-in of the platform's servers can refuse with a time of rest now.

--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -34,7 +34,7 @@
     """One server of the platform; ``runs`` notes (server id, request id).
 
     ``says`` holds headers that all its answers bear, ``arrivals`` when (s) it got a
-    request.
+    request, ``rest`` the time (s) that it asks for with each refusal, if it refuses.
     """
 
     protocol_version = "HTTP/1.1"
@@ -63,6 +63,13 @@
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         self.server.arrivals.append(time.monotonic())
         kind = self.path.rsplit("/", 1)[1]
+        if self.server.rest is not None:
+            refusal = {
+                "X_Dunlinpoint_Not_Executed": "1",
+                "Retry_After": self.server.rest,
+            }
+            self.answer(503, b"", signed=False, **refusal)
+            return
         if kind == "full":
             self.answer(503, b"", signed=False, X_Dunlinpoint_Not_Executed="1")
             return
@@ -201,7 +208,7 @@
     for number in range(2):
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
         server.id, server.runs = f"i-{number}", runs
-        server.says, server.arrivals = {}, []
+        server.says, server.arrivals, server.rest = {}, [], None
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
     running = Platform(
--- a/tests/integration/test_notices.py
+++ b/tests/integration/test_notices.py
@@ -7,6 +7,8 @@
 LIMIT_PER_S = 1.0
 WINDOW_S = 4.0
 CALL_S = 0.05
+# What is on its way while an endpoint answers.
+SOON_S = 0.2
 
 
 def calls(platform, name, seconds, kind="plain", prefix="/once/"):
@@ -34,6 +36,7 @@
     yield platform
     for server in platform.servers:
         server.says.clear()
+        server.rest = None
 
 
 def test_an_endpoint_gets_no_more_than_it_said_that_it_takes(quiet):
@@ -44,3 +47,14 @@
     limited.arrivals.clear()
     assert set(calls(quiet, "limited", 6)) == {200}
     assert most_in_window(limited.arrivals) <= LIMIT_PER_S * WINDOW_S + 1
+
+
+def test_an_endpoint_that_asked_for_rest_is_left_alone_for_so_long(quiet):
+    # Guards against an endpoint in need that is asked again before its rest is over.
+    resting = quiet.servers[0]
+    resting.arrivals.clear()
+    resting.rest = "3"
+    assert set(calls(quiet, "resting", 5)) == {200}
+    first = resting.arrivals[0]
+    assert [at - first for at in resting.arrivals if SOON_S < at - first < 3] == []
+    assert any(at - first > 3 for at in resting.arrivals)
