An endpoint that asks for rest gets none of it disturbed

Callers saw: a detour of 2 to 5 ms.

Cause: the time of rest in a refusal was read by nobody. A refusal had the endpoint avoided for 0.4 s, doubling with each in a row; the end of a stream that had begun before made it sound again; and avoided endpoints are taken for want of others. Ruled out: no other endpoint left (each request was served at its next one), the refusal laid at another's door (no entry counted a group that stands).

Change: the notice of an answer holds the time of rest; until it is over the endpoint is not picked, whatever else is known of it and whether or not there is another. It outlives gaps in the member list, and a shorter rest does not end a longer one. Where all endpoints rest a request waits if that is short, and is else refused at once; its caller is told to come back when the first of them is free, spread.

--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -383,3 +383,14 @@
     ((reason, at_ms, status, retry_ms),) = ends
     assert (reason, at_ms, status) == ("limited", 0, 503)
     assert 1000 <= retry_ms <= 2000
+
+
+def test_where_all_rest_callers_come_back_after_it(entry):
+    # Guards against callers who come back while all endpoints still rest.
+    reactor, forward, ends = entry
+    rests = notices.Notice(rest_ms=1200)
+    forward.picker.notices.take(pick.life(MEMBER), rests, 0, 0)
+    play(reactor, forward, Call(DEADLINE_MS), lambda _now: 50)
+    ((reason, at_ms, status, retry_ms),) = ends
+    assert (reason, at_ms, status) == ("limited", 0, 503)
+    assert 1200 <= retry_ms <= 2400
--- a/dunlinpoint/forward/tries.py
+++ b/dunlinpoint/forward/tries.py
@@ -41,15 +41,17 @@
             room.refuse(forward, call, found)
             return
         member = next_member(forward, call, by_group, now)
-        free_ms = None if member else free_from_ms(forward, call, by_group, now)
-        if free_ms is not None:
-            if free_ms > room.wait_until(call):
-                give_up(forward, call, "limited", after_ms(forward, call, free_ms))
-                return
-            yield forward.clock.pause(free_ms - now)
-            continue
-        if member is None or call.deadline_ms - now < LEAST_LEFT_MS:
-            give_up(forward, call, "no_endpoint" if member is None else "too_late")
+        if member is None:
+            members = [m for inside in by_group.values() for m in inside]
+            free_ms = forward.picker.free_ms(members, now, call.tried)
+            if free_ms is not None and free_ms <= room.wait_until(call):
+                yield forward.clock.pause(free_ms - now)
+                continue
+            reason = "no_endpoint" if free_ms is None else "limited"
+            give_up(forward, call, reason, free_again_ms(forward, call))
+            return
+        if call.deadline_ms - now < LEAST_LEFT_MS:
+            give_up(forward, call, "too_late")
             return
         forward.outages.probe(member, now)
         call.tried.add(pick.life(member))
@@ -59,7 +61,7 @@
         if state == exchange.NOT_RUN and not (yield outlasts(forward, call)):
             return
         if not may_try_again(forward, call, state):
-            give_up(forward, call, state)
+            give_up(forward, call, state, free_again_ms(forward, call))
             return
         forward.counters.retried(state)
 
@@ -76,18 +78,16 @@
     return None
 
 
-def free_from_ms(forward, call, by_group, now):
-    """From when (ms) on an endpoint that takes nothing now will, ``None`` if none."""
-    members = [member for members in by_group.values() for member in members]
-    return forward.picker.free_ms(members, now, call.tried)
-
-
-def after_ms(forward, call, free_ms):
-    """When the caller of *call* should come back for an endpoint free at *free_ms*.
+def free_again_ms(forward, call):
+    """When the caller of *call* should come back: once an endpoint takes requests.
 
-    Callers are spread, as each endpoint takes one of them at a time.
+    Where all have said that they take none now, callers are spread over the time after
+    it, or they would meet in the same moment.
     """
     now = forward.clock.now()
+    free_ms = forward.picker.free_ms(forward.members(call.service), now)
+    if free_ms is None or free_ms <= now:
+        return answers.RETRY_AFTER_MS
     wanted_ms = max(answers.RETRY_AFTER_MS, free_ms - now) * forward.rng.uniform(1, 2)
     return min(wanted_ms, outage.heeded_ms(call.deadline_ms - now))
 
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -58,6 +58,7 @@
     "lasting_ms": "mean of the pauses between events over more than a second",
     "on": "whether it began, or ended",
     "streams": "streams in flight here at the group",
+    "rest_ms": "for how long an endpoint wants nothing from this entry",
     "limit_per_s": "requests a second that an endpoint takes; null without a limit",
     "entries": "entries that there are",
     "field": "what could not be read",
--- a/dunlinpoint/platform/notices.py
+++ b/dunlinpoint/platform/notices.py
@@ -2,12 +2,14 @@
 
 import math
 
-from dunlinpoint import logs
+from dunlinpoint import clock, logs
 from dunlinpoint.routing import notices
 
 log = logs.logger("entry")
 
 LIMIT = b"Server-Limit"
+REST = b"Retry-After"
+REFUSED = 503
 # The answer of a server that is not the one a request is meant for.
 OTHER_SERVER = 421
 
@@ -37,4 +39,8 @@
     if status == OTHER_SERVER:
         return notices.NOTHING
     limit_per_s, is_whole = _read(headers, LIMIT)
-    return notices.Notice(limit_per_s=limit_per_s, is_whole=is_whole)
+    rest_ms = None
+    if status == REFUSED:
+        rest_s, _ = _read(headers, REST)
+        rest_ms = None if rest_s is None else math.ceil(rest_s * clock.MS_PER_SECOND)
+    return notices.Notice(limit_per_s, rest_ms, is_whole)
--- a/dunlinpoint/platform/tests/test_notices.py
+++ b/dunlinpoint/platform/tests/test_notices.py
@@ -31,3 +31,18 @@
 
 def test_another_server_at_the_address_says_nothing_of_this_one():
     assert read(421, server_limit="1") == notices.NOTHING
+
+
+@pytest.mark.parametrize("value, rest_ms", [("3", 3000), ("0.25", 250), ("0", 0)])
+def test_a_refusal_may_ask_for_rest(value, rest_ms):
+    assert read(503, retry_after=value) == notices.Notice(rest_ms=rest_ms)
+
+
+@pytest.mark.parametrize("value", ["", "-1", "Thu, 03 Dec 2026 10:00:00 GMT"])
+def test_a_time_of_rest_that_cannot_be_read_is_none(value):
+    assert read(503, retry_after=value) == notices.NOTHING
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_server_that_is_unavailable_asks_for_rest(status):
+    assert read(status, retry_after="3") == notices.NOTHING
--- a/dunlinpoint/routing/notices.py
+++ b/dunlinpoint/routing/notices.py
@@ -28,10 +28,13 @@
 
     - ``limit_per_s``: requests a second that it takes from all entries together, as
       long as it says so; ``None`` without a limit.
+    - ``rest_ms``: for how long it wants nothing from this entry; ``None`` if it does
+      not say so.
     - ``is_whole``: whether all could be read; if not, what is absent says nothing.
     """
 
     limit_per_s: float | None = None
+    rest_ms: int | None = None
     is_whole: bool = True
 
 
@@ -49,10 +52,12 @@
 
     heard_ms: int = 0
     rate: rate.Rate | None = None
+    rests_until_ms: int = 0
 
     def free_ms(self, now):
         """From when (ms) on it takes the next request of this entry."""
-        return now if self.rate is None else self.rate.free_ms(now)
+        free_ms = now if self.rate is None else self.rate.free_ms(now)
+        return max(free_ms, self.rests_until_ms)
 
 
 @attrs.define
@@ -84,8 +89,14 @@
                 return
             standing = self.standing_by_life[life] = Standing()
         standing.heard_ms = now
+        if notice.rest_ms is not None:
+            self._take_rest(life, standing, notice.rest_ms, now)
         self._take_limit(life, standing, notice, sent_ms, now)
 
+    def _take_rest(self, life, standing, rest_ms, now):
+        standing.rests_until_ms = max(standing.rests_until_ms, now + rest_ms)
+        log.info("endpoint_rests", endpoint_id=life, rest_ms=rest_ms)
+
     def _take_limit(self, life, standing, notice, sent_ms, now):
         known, per_s = standing.rate, notice.limit_per_s
         if per_s is None:
@@ -128,5 +139,6 @@
     def forget(self, live, now):
         """Drop what was said by lives that are not among *live* and long silent."""
         for life, standing in list(self.standing_by_life.items()):
-            if life not in live and now - standing.heard_ms > MEMORY_MS:
+            known_until_ms = max(standing.heard_ms + MEMORY_MS, standing.rests_until_ms)
+            if life not in live and now > known_until_ms:
                 del self.standing_by_life[life]
--- a/dunlinpoint/routing/tests/test_notices.py
+++ b/dunlinpoint/routing/tests/test_notices.py
@@ -72,3 +72,52 @@
     free_ms = picker.free_ms(members, 1000)
     assert picker.pick(members, free_ms - 1) is None
     assert picker.pick(members, free_ms) is members[0]
+
+
+RESTS = notices.Notice(rest_ms=3000)
+
+
+@pytest.fixture
+def resting():
+    """A picker told at 1000 ms that its only endpoint rests for 3 s, and that one."""
+    picker = pick.Picker("z")
+    picker.notices.take(LIFE, RESTS, 990, 1000)
+    return picker, [ttypes.Member(endpoint_id=LIFE, zone="z", slots=4)]
+
+
+def test_a_resting_endpoint_is_not_picked_though_there_is_no_other(resting):
+    picker, members = resting
+    assert picker.pick(members, 3999) is None
+    assert picker.free_ms(members, 3999) == 4000
+    assert picker.pick(members, 4000) is members[0]
+
+
+def test_an_answer_to_an_earlier_request_does_not_end_a_rest(resting):
+    # Guards against streams that began before: their ends made an endpoint sound again.
+    picker, members = resting
+    picker.notices.take(LIFE, notices.NOTHING, 500, 2000)
+    picker.succeeded(LIFE)
+    assert picker.pick(members, 3999) is None
+
+
+def test_a_shorter_rest_does_not_end_a_longer_one(resting):
+    picker, members = resting
+    picker.notices.take(LIFE, notices.Notice(rest_ms=100), 990, 1100)
+    assert picker.free_ms(members, 1200) == 4000
+
+
+def test_a_rest_outlives_a_gap_in_the_member_list(resting):
+    picker, members = resting
+    long = notices.Notice(rest_ms=2 * notices.MEMORY_MS)
+    picker.notices.take(LIFE, long, 990, 1000)
+    picker.notices.forget(set(), 1000 + 2 * notices.MEMORY_MS)
+    assert picker.pick(members, 1000 + 2 * notices.MEMORY_MS - 1) is None
+
+
+def test_both_a_rest_and_a_limit_are_kept_to(resting):
+    picker, members = resting
+    picker.notices.take(LIFE, notices.Notice(limit_per_s=0.1), 4000, 4000)
+    picker.notices.sent(LIFE, 4000)
+    assert picker.free_ms(members, 4001) == 14_000
+    picker.notices.take(LIFE, notices.Notice(0.1, rest_ms=20_000), 4000, 4002)
+    assert picker.free_ms(members, 4003) == 24_002
