An agent that refuses is left alone for as long as it asks

The same cause on our own interface: the time in an agent's refusal was not read, and an entry asked an agent that drains with each request until control had told of it.

--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -26,7 +26,7 @@
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits
 from dunlinpoint.follow import view
-from dunlinpoint.routing import owners, pick
+from dunlinpoint.routing import notices, owners, pick
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, ttypes
 
@@ -109,6 +109,9 @@
                 return member
             except ttypes.Refused as refused:
                 entry.counters.retried(refused.reason)
+                now = entry.clock.now()
+                notice = notices.Notice(rest_ms=refused.retry_after_ms)
+                entry.picker.notices.take(pick.life(member), notice, now, now)
                 break
             except errors.NotSent:
                 entry.counters.retried("agent_unreachable")
