--- a/tests/integration/test_notices.py
+++ b/tests/integration/test_notices.py
@@ -58,3 +58,13 @@
     first = resting.arrivals[0]
     assert [at - first for at in resting.arrivals if SOON_S < at - first < 3] == []
     assert any(at - first > 3 for at in resting.arrivals)
+
+
+def test_an_endpoint_that_says_it_leaves_gets_nothing_new(quiet):
+    # Guards against an endpoint that leaves while control says it is ready.
+    leaving = quiet.servers[0]
+    leaving.says["Server-Leaving"] = "1"
+    calls(quiet, "told-leaving", 0.5)
+    leaving.arrivals.clear()
+    assert set(calls(quiet, "leaving", 3)) == {200}
+    assert leaving.arrivals == []
