The soak's back ends say what they take, and it is checked that entries heed it

What reached them is judged by the entry that each request came through, where nothing disturbed that entry or a way to a back end since it was told.

--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from dunlinpoint.soak import callers, checks, faults
+from dunlinpoint.soak import callers, checks, faults, notices
 from dunlinpoint.soak import world as worlds
 
 READY_S = 20.0
@@ -34,8 +34,8 @@
     folder: str
 
 
-def play(seed):
-    """Play *seed*; its ``Verdict``."""
+def play(seed, telling=False):
+    """Play *seed*, with *telling* back ends if asked for; its ``Verdict``."""
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     world = worlds.World.from_seed(folder, seed)
     rng = random.Random(f"callers {seed}")
@@ -49,6 +49,8 @@
             caller = callers.Caller(world, number, seen, random.Random(rng.random()))
             threads.append(threading.Thread(target=caller.run, daemon=True))
             threads[-1].start()
+        if telling:
+            notices.spells(seed, world.backends, time.monotonic())
         carry_out(world, operator, planned)
         broken += recovered(world)
     finally:
@@ -57,6 +59,7 @@
             thread.join(10)
         world.stop()
     broken += checks.broken(world, seen, operator)
+    broken += notices.broken(world, seen)
     answered = sum(1 for s in seen if s.status == 200 and s.whole)
     return Verdict(
         seed, len(seen), answered, len(operator.acked), len(planned), broken, folder
@@ -168,6 +171,9 @@
     parser = argparse.ArgumentParser(prog="dunlinpoint.soak")
     parser.add_argument("--seeds", default="", help="seeds, joined by commas")
     parser.add_argument("--fresh", type=int, default=0, help="so many new seeds")
+    parser.add_argument(
+        "--telling", action="store_true", help="back ends say what they take"
+    )
     args = parser.parse_args(argv)
     seeds = [int(seed) for seed in args.seeds.split(",") if seed]
     fresh = random.SystemRandom()
@@ -176,7 +182,7 @@
         parser.error(f"1 to {MAX_SEEDS} seeds are wanted")
     failed = 0
     for seed in seeds:
-        verdict = play(seed)
+        verdict = play(seed, args.telling)
         failed += bool(verdict.broken)
         print(json.dumps(attrs.asdict(verdict)), flush=True)
     sys.exit(1 if failed else 0)
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from dunlinpoint.soak import notices
+
 ID = "X-Dunlinpoint-Attempt-Id"
 MARK = "X-Dunlinpoint-Server-Signature"
 NOT_RUN = "X-Dunlinpoint-Not-Executed"
@@ -73,6 +75,15 @@
     draining: bool = False
     gone: bool = False
     sequence: int = 0
+    spell: notices.Spell | None = None
+    arrivals: list = attrs.field(factory=list)
+
+    def said(self, now_s):
+        """What it says of itself at *now_s*, or ``None``."""
+        spell = self.spell
+        if spell is None or not spell.from_s <= now_s < spell.to_s:
+            return None
+        return spell.kind
 
     def start(self):
         """Listen on a free port of the loopback address."""
@@ -96,10 +107,17 @@
     """One connection to a back end."""
 
     protocol_version = "HTTP/1.1"
+    said = None
 
     def log_message(self, *args):
         pass
 
+    def begin(self, status):
+        """The status line, and what the back end says of itself."""
+        self.send_response(status)
+        for name, value in notices.HEADERS.get(self.said, {}).items():
+            self.send_header(name, value)
+
     def do_POST(self):
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         backend = self.server.backend
@@ -107,6 +125,14 @@
         if self.headers.get(TARGET) != backend.server_id:
             self.head(421, {NOT_RUN: "1"}, b"")
             return
+        now_s = time.monotonic()
+        self.said = backend.said(now_s)
+        backend.arrivals.append(
+            notices.Arrival(backend.server_id, request_id, now_s, self.said)
+        )
+        if self.said == notices.REST:
+            self.head(503, {NOT_RUN: "1"}, b"")
+            return
         mood = backend.mood()
         if mood == "full":
             self.head(503, {NOT_RUN: "1"}, b"")
@@ -136,7 +162,7 @@
 
     def head(self, status, headers, data, sent=None):
         """Answer with *data*, or only its first *sent* bytes."""
-        self.send_response(status)
+        self.begin(status)
         self.send_header(ID, headers.pop(ID, self.headers[ID]))
         for name, value in headers.items():
             self.send_header(name, value)
@@ -146,7 +172,7 @@
 
     def stream(self, request_id, last, broken):
         """Events after *last*, broken off inside one if *broken*."""
-        self.send_response(200)
+        self.begin(200)
         self.send_header(ID, request_id)
         self.send_header(MARK, self.server.backend.server_id)
         self.send_header("Content-Type", "text/event-stream")
--- a/dunlinpoint/soak/tests/test_checks.py
+++ b/dunlinpoint/soak/tests/test_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from dunlinpoint.soak import callers, checks, servers, world
+from dunlinpoint.soak import callers, checks, notices, servers, world
 
 ENTRY = "entry-0"
 
@@ -83,3 +83,33 @@
     operator.acked = [callers.Acked(5, 10.0)]
     operator.reads = [callers.Read(4, 10.0 + checks.IN_FORCE_S + 1, "control-0")]
     assert len(broken(found, operator=operator)) == 1
+
+
+def heeded(kind, times_s, disturbed_s=(), said_s=10.0):
+    """What is found where one entry's requests came at *times_s* after being told."""
+    found = played(disturbed_s=disturbed_s)
+    arrivals = [notices.Arrival("i-0", "r", said_s, kind)]
+    said = kind if kind == notices.LIMIT else None
+    arrivals += [notices.Arrival("i-0", "r", at_s, said) for at_s in times_s]
+    found.arrivals = arrivals
+    return notices.broken(found, [seen()])
+
+
+OVER = {
+    notices.LIMIT: [11.0 + i / 10 for i in range(18)],
+    notices.REST: [10.6, 11.0, 11.9],
+    notices.LEAVING: [12.6],
+}
+ALLOWED = {
+    notices.LIMIT: [11.0 + i / 10 for i in range(17)],
+    notices.REST: [10.4, 10.6, 11.9, 12.1],
+    notices.LEAVING: [10.1, 12.4],
+}
+
+
+@pytest.mark.parametrize("kind", sorted(OVER))
+def test_what_a_back_end_said_in_vain_is_seen(kind):
+    # Guards against a soak that passes whatever entries do with it.
+    assert len(heeded(kind, OVER[kind])) == 1
+    assert heeded(kind, OVER[kind], disturbed_s=[9.0]) == []
+    assert heeded(kind, ALLOWED[kind]) == []
--- a/dunlinpoint/soak/world.py
+++ b/dunlinpoint/soak/world.py
@@ -98,6 +98,7 @@
     backends: list = attrs.field(factory=list)
     proxies: list = attrs.field(factory=list)
     runs: list = attrs.field(factory=list)
+    arrivals: list = attrs.field(factory=list)
     admin_port: int = 0
     port: int = 0
     link_faults_s: list = attrs.field(factory=list)
@@ -142,7 +143,9 @@
 
     def start_backend(self, server_id, rng):
         """One back end behind its proxy."""
-        backend = servers.Backend(server_id, "desk", rng, self.runs)
+        backend = servers.Backend(
+            server_id, "desk", rng, self.runs, arrivals=self.arrivals
+        )
         backend.start()
         listen, steer = deploy.free_port(), deploy.free_port()
         log = os.path.join(self.folder, f"proxy-{server_id}.log")
