A limit falls to four entries more, so that hardly one is without a use

Three endpoints of a service that all name a small limit left a third of six entries without a use of any of them (two users each), though the callers there could have been served. Now two seconds' worth of entries and four more use it; any endpoint runs four at once.

What an endpoint said is named so (it was Standing, which is an enum elsewhere), and the pause between requests has a log field of its own.

--- a/dunlinpoint/routing/notices.py
+++ b/dunlinpoint/routing/notices.py
@@ -50,7 +50,7 @@
 
 
 @attrs.define
-class Standing:
+class Said:
     """What one life of an endpoint has said, and when it was last heard."""
 
     heard_ms: int = 0
@@ -68,7 +68,7 @@
 
 @attrs.define
 class Notices:
-    """Standings by an endpoint's life, of those that have said something.
+    """What was said, by an endpoint's life, of those that have said something.
 
     This entry is number *place* (0 up) of *places*.
     """
@@ -76,47 +76,47 @@
     place: int = 0
     places: int = 1
     rng: random.Random = attrs.field(factory=random.Random)
-    standing_by_life: dict = attrs.field(factory=dict)
+    said_by_life: dict = attrs.field(factory=dict)
 
     def learn(self, place, places, now):
         """Take in which of how many entries this one is."""
         if (place, places) == (self.place, self.places) or places < 1:
             return
         self.place, self.places = place, places
-        for life, standing in self.standing_by_life.items():
-            if standing.rate is not None:
-                standing.rate.change(self._part(standing.rate.per_s, life), now)
+        for life, said in self.said_by_life.items():
+            if said.rate is not None:
+                said.rate.change(self._part(said.rate.per_s, life), now)
 
     def take(self, life, notice, sent_ms, now):
         """Take in the *notice* of an answer to a request sent at *sent_ms*."""
-        standing = self.standing_by_life.get(life)
-        if standing is None:
+        said = self.said_by_life.get(life)
+        if said is None:
             if notice == NOTHING:
                 return
-            standing = self.standing_by_life[life] = Standing()
-        standing.heard_ms = now
+            said = self.said_by_life[life] = Said()
+        said.heard_ms = now
         if notice.rest_ms is not None:
-            self._take_rest(life, standing, notice.rest_ms, now)
-        self._take_limit(life, standing, notice, sent_ms, now)
-        if notice.is_leaving and not standing.is_leaving:
-            standing.is_leaving = True
+            self._take_rest(life, said, notice.rest_ms, now)
+        self._take_limit(life, said, notice, sent_ms, now)
+        if notice.is_leaving and not said.is_leaving:
+            said.is_leaving = True
             log.info("endpoint_leaves", endpoint_id=life)
 
-    def _take_rest(self, life, standing, rest_ms, now):
-        standing.rests_until_ms = max(standing.rests_until_ms, now + rest_ms)
+    def _take_rest(self, life, said, rest_ms, now):
+        said.rests_until_ms = max(said.rests_until_ms, now + rest_ms)
         log.info("endpoint_rests", endpoint_id=life, rest_ms=rest_ms)
 
-    def _take_limit(self, life, standing, notice, sent_ms, now):
-        known, per_s = standing.rate, notice.limit_per_s
+    def _take_limit(self, life, said, notice, sent_ms, now):
+        known, per_s = said.rate, notice.limit_per_s
         if per_s is None:
             # Answers overtake each other: one that was asked for before the limit was
             # named says nothing of its end.
             if known is None or sent_ms <= known.named_ms or not notice.is_whole:
                 return
-            standing.rate = None
+            said.rate = None
         elif known is None:
             part = self._part(per_s, life)
-            standing.rate = rate.Rate.begin(per_s, now, part, self.rng)
+            said.rate = rate.Rate.begin(per_s, now, part, self.rng)
         else:
             known.named_ms = now
             if known.per_s == per_s:
@@ -127,7 +127,7 @@
             "endpoint_limit",
             endpoint_id=life,
             limit_per_s=per_s,
-            pause_ms=None if per_s is None else round(standing.rate.part.pause_ms),
+            apart_ms=None if per_s is None else round(said.rate.part.pause_ms),
             entries=self.places,
         )
 
@@ -136,18 +136,18 @@
 
     def free_ms(self, life, now):
         """From when (ms) on the endpoint takes the next request; never: infinite."""
-        standing = self.standing_by_life.get(life)
-        return now if standing is None else standing.free_ms(now)
+        said = self.said_by_life.get(life)
+        return now if said is None else said.free_ms(now)
 
     def sent(self, life, now):
         """A request is sent to the endpoint."""
-        standing = self.standing_by_life.get(life)
-        if standing is not None and standing.rate is not None:
-            standing.rate.sent(now)
+        said = self.said_by_life.get(life)
+        if said is not None and said.rate is not None:
+            said.rate.sent(now)
 
     def forget(self, live, now):
         """Drop what was said by lives that are not among *live* and long silent."""
-        for life, standing in list(self.standing_by_life.items()):
-            known_until_ms = max(standing.heard_ms + MEMORY_MS, standing.rests_until_ms)
+        for life, said in list(self.said_by_life.items()):
+            known_until_ms = max(said.heard_ms + MEMORY_MS, said.rests_until_ms)
             if life not in live and now > known_until_ms:
-                del self.standing_by_life[life]
+                del self.said_by_life[life]
--- a/dunlinpoint/routing/rate.py
+++ b/dunlinpoint/routing/rate.py
@@ -1,7 +1,7 @@
 """An entry's part of the rate that an endpoint takes from all entries together.
 
 No entry sees what the others send. They agree by what each knows: how many entries
-there are, which of them it is, and the rate. A slow rate falls to a few of them, told
+there are, which of them it is, and the rate. A slow rate falls to a few of them, drawn
 by the endpoint's name, and each of these leaves a pause between two requests. Were it
 divided among all, thirty entries that saved up one request each could send all of them
 in the same second.
@@ -17,7 +17,9 @@
 
 from dunlinpoint import clock
 
-# What the users of a rate may send at once, as seconds' worth of it.
+# What the users of a rate may send at once: some requests, which any endpoint runs at
+# once, and so many seconds' worth of the rate.
+AT_ONCE = 4
 BURST_S = 2.0
 # The part of a rate that is left to the other entries.
 ASKING_PART = 0.2
@@ -38,7 +40,7 @@
     def of(cls, per_s, life, place, places):
         """What of *per_s* falls to entry *place* (0 up) of *places*."""
         per_s = max(per_s, LEAST_PER_S)
-        users = min(places, max(1, int(BURST_S * per_s)))
+        users = min(places, AT_ONCE + int(BURST_S * per_s))
         others = places - users
         if (place + zlib.crc32(life.encode())) % places < users:
             per_s *= 1 if not others else 1 - ASKING_PART
--- a/dunlinpoint/routing/tests/test_notices.py
+++ b/dunlinpoint/routing/tests/test_notices.py
@@ -19,7 +19,7 @@
 
 
 def is_limited(found):
-    return found.standing_by_life[LIFE].rate is not None
+    return found.said_by_life[LIFE].rate is not None
 
 
 def test_an_answer_without_the_limit_ends_it(told):
@@ -48,7 +48,7 @@
     told.forget(set(), 1000 + notices.MEMORY_MS)
     assert is_limited(told)
     told.forget(set(), 1001 + notices.MEMORY_MS)
-    assert told.standing_by_life == {}
+    assert told.said_by_life == {}
 
 
 def test_a_request_uses_up_the_turn(told):
--- a/dunlinpoint/routing/tests/test_rate.py
+++ b/dunlinpoint/routing/tests/test_rate.py
@@ -84,14 +84,14 @@
     entries = entries_of(30, 1)
     tell(entries, 2.0)
     play(entries, 2.0, always, limit_at=lambda _now: False)
-    assert all(entry.standing_by_life[LIFE].rate is None for entry in entries)
+    assert all(entry.said_by_life[LIFE].rate is None for entry in entries)
 
 
 def test_more_entries_make_smaller_parts_at_once():
     # Guards against an old part that is kept while entries are added.
     (alone,) = entries_of(1, 1)
     tell([alone], 2.0)
-    before = alone.standing_by_life[LIFE].rate.part.pause_ms
+    before = alone.said_by_life[LIFE].rate.part.pause_ms
     alone.learn(0, 4, 10)
-    assert alone.standing_by_life[LIFE].rate.part.pause_ms >= 4 * before
+    assert alone.said_by_life[LIFE].rate.part.pause_ms >= 4 * before
     assert rate.Part.of(2.0, LIFE, 0, 1).pause_ms == before
