--- a/dunlinpoint/forward/tests/test_room.py
+++ b/dunlinpoint/forward/tests/test_room.py
@@ -375,25 +375,23 @@
     assert kind == "sent" and 100 <= at_ms < 120
 
 
-def test_who_would_wait_too_long_for_a_limited_endpoint_is_sent_away_at_once(entry):
-    # Guards against requests held for what is known not to come in time.
-    reactor, forward, ends = entry
-    limit(forward, per_s=1)
-    play(reactor, forward, Call(DEADLINE_MS), lambda _now: 50)
-    ((reason, at_ms, status, retry_ms),) = ends
-    assert (reason, at_ms, status) == ("limited", 0, 503)
-    assert 1000 <= retry_ms <= 2000
+def rest(forward, rest_ms):
+    """The only endpoint asks for rest."""
+    notice = notices.Notice(rest_ms=rest_ms)
+    forward.picker.notices.take(pick.life(MEMBER), notice, 0, 0)
 
 
-def test_where_all_rest_callers_come_back_after_it(entry):
-    # Guards against callers who come back while all endpoints still rest.
+@pytest.mark.parametrize("tell, value, free_ms", [(limit, 1, 1000), (rest, 1200, 1200)])
+def test_who_would_wait_too_long_for_an_endpoint_is_sent_away_at_once(
+    entry, tell, value, free_ms
+):
+    # Guards against requests held, or callers back, before an endpoint takes any.
     reactor, forward, ends = entry
-    rests = notices.Notice(rest_ms=1200)
-    forward.picker.notices.take(pick.life(MEMBER), rests, 0, 0)
+    tell(forward, value)
     play(reactor, forward, Call(DEADLINE_MS), lambda _now: 50)
     ((reason, at_ms, status, retry_ms),) = ends
     assert (reason, at_ms, status) == ("limited", 0, 503)
-    assert 1200 <= retry_ms <= 2400
+    assert free_ms <= retry_ms <= 2 * free_ms
 
 
 def test_where_all_leave_callers_come_back_soon(entry):
