--- a/dunlinpoint/control/followers.py
+++ b/dunlinpoint/control/followers.py
@@ -6,10 +6,14 @@
 entries begin at the same endpoint, which costs nothing but evenness.
 """
 
+import collections
+
 import attrs
 
 # Four long polls: an entry whose poll is answered late is still one.
 KEEP_MS = 4000
+# How often it is looked which entries have not asked for so long.
+LOOK_MS = 250
 
 
 @attrs.frozen
@@ -28,20 +32,44 @@
 
 @attrs.define
 class Followers:
-    """When each entry last asked, by its zone and name."""
+    """When each entry last asked, by its zone and name.
+
+    ``place_by_entry`` is worked out when they have changed: there are some hundred
+    entries, and each asks every second.
+    """
 
     asked_ms_by_entry: dict = attrs.field(factory=dict)
+    place_by_entry: dict = attrs.field(factory=dict)
+    looked_ms: int = 0
 
     def place(self, zone, name, now):
         """The ``Place`` of entry *name* of *zone*; without a name it is no entry."""
         if not name:
             return NO_ENTRY
         self.asked_ms_by_entry[zone, name] = now
-        for other, asked_ms in list(self.asked_ms_by_entry.items()):
-            if now - asked_ms > KEEP_MS:
-                del self.asked_ms_by_entry[other]
+        if now - self.looked_ms >= LOOK_MS:
+            self._forget(now)
+        if (zone, name) not in self.place_by_entry:
+            self._arrange()
+        return self.place_by_entry[zone, name]
+
+    def _forget(self, now):
+        """Drop entries that have not asked for a while."""
+        self.looked_ms = now
+        silent = [e for e, at in self.asked_ms_by_entry.items() if now - at > KEEP_MS]
+        for entry in silent:
+            del self.asked_ms_by_entry[entry]
+        if silent:
+            self.place_by_entry = {}
+
+    def _arrange(self):
+        """Number the entries, of each zone and of all."""
         entries = sorted(self.asked_ms_by_entry)
-        near = [n for z, n in entries if z == zone]
-        return Place(
-            near.index(name), len(near), entries.index((zone, name)), len(entries)
-        )
+        sizes = collections.Counter(zone for zone, _ in entries)
+        seen = collections.Counter()
+        self.place_by_entry = {}
+        for number, entry in enumerate(entries):
+            zone, _ = entry
+            place = Place(seen[zone], sizes[zone], number, len(entries))
+            self.place_by_entry[entry] = place
+            seen[zone] += 1
--- a/dunlinpoint/routing/tests/test_pick.py
+++ b/dunlinpoint/routing/tests/test_pick.py
@@ -97,6 +97,17 @@
     assert place("z1", "b", 20 + followers.KEEP_MS) == (0, 1, 0, 1)
 
 
+def test_a_poll_does_not_number_all_entries_anew():
+    # Guards against a control that spends a core on some hundred entries' polls.
+    known = followers.Followers()
+    names = [f"e{i}" for i in range(600)]
+    for name in names:
+        known.place("z1", name, 10)
+    before = known.place_by_entry
+    assert [known.place("z1", name, 300).entries for name in names] == [600] * 600
+    assert known.place_by_entry is before
+
+
 # The most requests of a day at one rank, over the mean.
 MOST = 1.4
 # Deployments of today, as grown, and as designed for; the arrivals that fill
