--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -88,6 +88,8 @@
   9: i64 armed,
   10: i64 held,
   11: list<list<i32>> experts,
+  // The engine's own slowdown in thousandths: 1000 at normal speed, more when slower.
+  12: i32 pace,
 }
 
 // Address at which a rank's agent serves the agents of the other ranks.
@@ -165,6 +167,12 @@
   // State of a rank's group: its epoch, and whether the group is broken.
   18: i64 epoch,
   19: bool broken,
+  // How much longer the endpoint stays cold after its start, in ms.
+  20: i64 cold_left_ms,
+  // The slowdown of a rank's engine, as in RankState.
+  21: i32 pace,
+  // Bit set of the optional agreement features that a control instance supports.
+  22: i32 features,
 }
 
 struct Member {
@@ -187,6 +195,9 @@
   17: bool broken,
   // The endpoint's incarnation; a later start has a larger number.
   18: i64 incarnation,
+  // As in Heartbeat; cold_left_ms is as of the time of this message.
+  19: i64 cold_left_ms,
+  20: i32 pace,
 }
 
 // A control instance that may vote. An instance that starts with an empty disk draws a
@@ -199,8 +210,16 @@
   4: string zone,
 }
 
-// The decision of one agreement round: the configuration document in force and the
-// voters of the next round. version counts documents, round counts decisions. body is
+// Whether a zone is evacuated, which means that its endpoints get no requests, and the
+// agreement round that last changed it.
+struct Evacuation {
+  1: string zone,
+  2: bool active,
+  3: i64 round,
+}
+
+// The decision of one agreement round: the configuration document in force, the zones'
+// evacuations and the voters of the next round. version counts documents, round counts decisions. body is
 // the compressed text; it is absent where the receiver has it or did not request it.
 struct Document {
   1: i64 version,
@@ -208,6 +227,7 @@
   3: binary body,
   4: i64 round,
   5: list<Voter> voters,
+  6: list<Evacuation> evacuations,
 }
 
 // controls is absent when the checksum controls_known shows that the sender of the
@@ -287,6 +307,9 @@
   // Publishes an entry's observations of requests that endpoints crashed under.
   void report(1: list<CrashReport> reports),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
+  // Begins (active) or ends the evacuation of a zone. version in the result is the
+  // version of the document in force.
+  ApplyResult evacuate(1: string zone, 2: bool active) throws (1: Refused refused),
   // node_id identifies the voter addressed; any other instance at its address refuses.
   Promise prepare(1: i64 round, 2: i64 ballot, 3: string node_id),
   bool accept(1: i64 round, 2: i64 ballot, 3: Document document, 4: string node_id),
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -63,6 +63,15 @@
         """
         pass
 
+    def evacuate(zone, active):
+        """
+        Parameters:
+         - zone
+         - active
+
+        """
+        pass
+
     def prepare(round, ballot, node_id):
         """
         Parameters:
@@ -324,6 +333,58 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "apply failed: unknown result"))
 
+    def evacuate(self, zone, active):
+        """
+        Parameters:
+         - zone
+         - active
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_evacuate, zone, active)
+        d.addCallbacks(
+            callback=self.cb_send_evacuate,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_evacuate,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_evacuate(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_evacuate(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_evacuate(self, zone, active):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('evacuate', TMessageType.CALL, self._seqid)
+        args = evacuate_args()
+        args.zone = zone
+        args.active = active
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_evacuate(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = evacuate_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        if result.refused is not None:
+            return d.errback(result.refused)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "evacuate failed: unknown result"))
+
     def prepare(self, round, ballot, node_id):
         """
         Parameters:
@@ -538,6 +599,7 @@
         self._processMap["view"] = Processor.process_view
         self._processMap["report"] = Processor.process_report
         self._processMap["apply"] = Processor.process_apply
+        self._processMap["evacuate"] = Processor.process_evacuate
         self._processMap["prepare"] = Processor.process_prepare
         self._processMap["accept"] = Processor.process_accept
         self._processMap["learn"] = Processor.process_learn
@@ -710,6 +772,44 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_evacuate(self, seqid, iprot, oprot):
+        args = evacuate_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = evacuate_result()
+        d = defer.maybeDeferred(self._handler.evacuate, args.zone, args.active)
+        d.addCallback(self.write_results_success_evacuate, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_evacuate, result, seqid, oprot)
+        return d
+
+    def write_results_success_evacuate(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("evacuate", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_evacuate(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except Refused as refused:
+            result.refused = refused
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("evacuate", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_prepare(self, seqid, iprot, oprot):
         args = prepare_args()
         args.read(iprot)
@@ -1224,11 +1324,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = CrashReport()
-                        _elem75.read(iprot)
-                        self.reports.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = CrashReport()
+                        _elem82.read(iprot)
+                        self.reports.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1245,8 +1345,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter76 in self.reports:
-                iter76.write(oprot)
+            for iter83 in self.reports:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1475,6 +1575,154 @@
 )
 
 
+class evacuate_args(object):
+    """
+    Attributes:
+     - zone
+     - active
+
+    """
+
+
+    def __init__(self, zone=None, active=None,):
+        self.zone = zone
+        self.active = active
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.active = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('evacuate_args')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.BOOL, 2)
+            oprot.writeBool(self.active)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(evacuate_args)
+evacuate_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'active', None, None, ),  # 2
+)
+
+
+class evacuate_result(object):
+    """
+    Attributes:
+     - success
+     - refused
+
+    """
+
+
+    def __init__(self, success=None, refused=None,):
+        self.success = success
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ApplyResult()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.refused = Refused.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('evacuate_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.STRUCT, 1)
+            self.refused.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(evacuate_result)
+evacuate_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ApplyResult, None], None, ),  # 0
+    (1, TType.STRUCT, 'refused', [Refused, None], None, ),  # 1
+)
+
+
 class prepare_args(object):
     """
     Attributes:
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -618,11 +618,12 @@
      - armed
      - held
      - experts
+     - pace
 
     """
 
 
-    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None,):
+    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None, pace=None,):
         self.group = group
         self.epoch = epoch
         self.rank = rank
@@ -634,6 +635,7 @@
         self.armed = armed
         self.held = held
         self.experts = experts
+        self.pace = pace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -709,6 +711,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.pace = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -769,6 +776,10 @@
                 oprot.writeListEnd()
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.I32, 12)
+            oprot.writeI32(self.pace)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1199,11 +1210,14 @@
      - round
      - epoch
      - broken
+     - cold_left_ms
+     - pace
+     - features
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, controls_known=None, round=None, epoch=None, broken=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, controls_known=None, round=None, epoch=None, broken=None, cold_left_ms=None, pace=None, features=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -1223,6 +1237,9 @@
         self.round = round
         self.epoch = epoch
         self.broken = broken
+        self.cold_left_ms = cold_left_ms
+        self.pace = pace
+        self.features = features
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1328,6 +1345,21 @@
                     self.broken = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I64:
+                    self.cold_left_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.pace = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I32:
+                    self.features = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1414,6 +1446,18 @@
             oprot.writeFieldBegin('broken', TType.BOOL, 19)
             oprot.writeBool(self.broken)
             oprot.writeFieldEnd()
+        if self.cold_left_ms is not None:
+            oprot.writeFieldBegin('cold_left_ms', TType.I64, 20)
+            oprot.writeI64(self.cold_left_ms)
+            oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.I32, 21)
+            oprot.writeI32(self.pace)
+            oprot.writeFieldEnd()
+        if self.features is not None:
+            oprot.writeFieldBegin('features', TType.I32, 22)
+            oprot.writeI32(self.features)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1453,11 +1497,13 @@
      - epoch
      - broken
      - incarnation
+     - cold_left_ms
+     - pace
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, epoch=None, broken=None, incarnation=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, lease_left_ms=None, group=None, config_version=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, epoch=None, broken=None, incarnation=None, cold_left_ms=None, pace=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -1476,6 +1522,8 @@
         self.epoch = epoch
         self.broken = broken
         self.incarnation = incarnation
+        self.cold_left_ms = cold_left_ms
+        self.pace = pace
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1576,6 +1624,16 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.I64:
+                    self.cold_left_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.I32:
+                    self.pace = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1658,6 +1716,14 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 18)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.cold_left_ms is not None:
+            oprot.writeFieldBegin('cold_left_ms', TType.I64, 19)
+            oprot.writeI64(self.cold_left_ms)
+            oprot.writeFieldEnd()
+        if self.pace is not None:
+            oprot.writeFieldBegin('pace', TType.I32, 20)
+            oprot.writeI32(self.pace)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1766,6 +1832,85 @@
         return not (self == other)
 
 
+class Evacuation(object):
+    """
+    Attributes:
+     - zone
+     - active
+     - round
+
+    """
+
+
+    def __init__(self, zone=None, active=None, round=None,):
+        self.zone = zone
+        self.active = active
+        self.round = round
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.active = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Evacuation')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.active is not None:
+            oprot.writeFieldBegin('active', TType.BOOL, 2)
+            oprot.writeBool(self.active)
+            oprot.writeFieldEnd()
+        if self.round is not None:
+            oprot.writeFieldBegin('round', TType.I64, 3)
+            oprot.writeI64(self.round)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Document(object):
     """
     Attributes:
@@ -1774,16 +1919,18 @@
      - body
      - round
      - voters
+     - evacuations
 
     """
 
 
-    def __init__(self, version=None, change_id=None, body=None, round=None, voters=None,):
+    def __init__(self, version=None, change_id=None, body=None, round=None, voters=None, evacuations=None,):
         self.version = version
         self.change_id = change_id
         self.body = body
         self.round = round
         self.voters = voters
+        self.evacuations = evacuations
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1825,6 +1972,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.evacuations = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = Evacuation()
+                        _elem46.read(iprot)
+                        self.evacuations.append(_elem46)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1854,8 +2012,15 @@
         if self.voters is not None:
             oprot.writeFieldBegin('voters', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.voters))
-            for iter41 in self.voters:
-                iter41.write(oprot)
+            for iter47 in self.voters:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.evacuations is not None:
+            oprot.writeFieldBegin('evacuations', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.evacuations))
+            for iter48 in self.evacuations:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1914,11 +2079,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.controls = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Voter()
-                        _elem47.read(iprot)
-                        self.controls.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Voter()
+                        _elem54.read(iprot)
+                        self.controls.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1943,8 +2108,8 @@
         if self.controls is not None:
             oprot.writeFieldBegin('controls', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.controls))
-            for iter48 in self.controls:
-                iter48.write(oprot)
+            for iter55 in self.controls:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2099,11 +2264,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Member()
-                        _elem54.read(iprot)
-                        self.members.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Member()
+                        _elem61.read(iprot)
+                        self.members.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2161,11 +2326,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = CrashReport()
-                        _elem60.read(iprot)
-                        self.reports.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = CrashReport()
+                        _elem67.read(iprot)
+                        self.reports.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2182,10 +2347,10 @@
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.dropped = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.dropped.append(_elem66)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.dropped.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2212,8 +2377,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter67 in self.members:
-                iter67.write(oprot)
+            for iter74 in self.members:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.document is not None:
@@ -2259,8 +2424,8 @@
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter68 in self.reports:
-                iter68.write(oprot)
+            for iter75 in self.reports:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports_revision is not None:
@@ -2274,8 +2439,8 @@
         if self.dropped is not None:
             oprot.writeFieldBegin('dropped', TType.LIST, 15)
             oprot.writeListBegin(TType.STRING, len(self.dropped))
-            for iter69 in self.dropped:
-                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            for iter76 in self.dropped:
+                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.entry is not None:
@@ -2548,6 +2713,7 @@
     (9, TType.I64, 'armed', None, None, ),  # 9
     (10, TType.I64, 'held', None, None, ),  # 10
     (11, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 11
+    (12, TType.I32, 'pace', None, None, ),  # 12
 )
 all_structs.append(Peer)
 Peer.thrift_spec = (
@@ -2604,6 +2770,9 @@
     (17, TType.I64, 'round', None, None, ),  # 17
     (18, TType.I64, 'epoch', None, None, ),  # 18
     (19, TType.BOOL, 'broken', None, None, ),  # 19
+    (20, TType.I64, 'cold_left_ms', None, None, ),  # 20
+    (21, TType.I32, 'pace', None, None, ),  # 21
+    (22, TType.I32, 'features', None, None, ),  # 22
 )
 all_structs.append(Member)
 Member.thrift_spec = (
@@ -2626,6 +2795,8 @@
     (16, TType.I64, 'epoch', None, None, ),  # 16
     (17, TType.BOOL, 'broken', None, None, ),  # 17
     (18, TType.I64, 'incarnation', None, None, ),  # 18
+    (19, TType.I64, 'cold_left_ms', None, None, ),  # 19
+    (20, TType.I32, 'pace', None, None, ),  # 20
 )
 all_structs.append(Voter)
 Voter.thrift_spec = (
@@ -2635,6 +2806,13 @@
     (3, TType.I32, 'port', None, None, ),  # 3
     (4, TType.STRING, 'zone', 'UTF8', None, ),  # 4
 )
+all_structs.append(Evacuation)
+Evacuation.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.BOOL, 'active', None, None, ),  # 2
+    (3, TType.I64, 'round', None, None, ),  # 3
+)
 all_structs.append(Document)
 Document.thrift_spec = (
     None,  # 0
@@ -2643,6 +2821,7 @@
     (3, TType.STRING, 'body', 'BINARY', None, ),  # 3
     (4, TType.I64, 'round', None, None, ),  # 4
     (5, TType.LIST, 'voters', (TType.STRUCT, [Voter, None], False), None, ),  # 5
+    (6, TType.LIST, 'evacuations', (TType.STRUCT, [Evacuation, None], False), None, ),  # 6
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
