Quarantine: a served request is cleared after its response is finished

Cause: twisted discards a request's content when its response is finished, and the digest of a served request was computed after that. Change: the body that an attempt reads is kept with the call until it ends. The tests use the real call in place of a fake.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -175,8 +175,7 @@
     if call.streaming and call.events.last_id is not None:
         headers.setRawHeaders(own.last_event_id, [b"%d" % call.events.last_id])
     request = call.request
-    request.content.seek(0)
-    return pool.Message(request.method, request.uri, headers, request.content.read())
+    return pool.Message(request.method, request.uri, headers, call.read_body())
 
 
 @defer.inlineCallbacks
--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -95,10 +95,9 @@
     """Return the digest of *call*'s request."""
     if call.digest is None:
         request = call.request
-        request.content.seek(0)
         caller = call.workspace.name.encode() if call.workspace is not None else b""
         call.digest = digest.of_request(
-            request.method, request.uri, caller, request.content.read()
+            request.method, request.uri, caller, call.read_body()
         )
     return call.digest
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -250,6 +250,7 @@
     - ``admission_draw``: random number (0 to 1) compared with the admitted share.
     - ``is_isolated``: whether it runs as the only execution of a suspect.
     - ``last_failure``: head and body of the last 5xx response of an endpoint.
+    - ``body``: the request's body, once an attempt has read it.
     - ``last_event_ms``: time of the last event, or of the arrival.
     - ``first_ms``: time from the arrival to the first event.
     - ``in_flight_at_endpoint``: requests of this entry at the endpoint when it was
@@ -278,6 +279,7 @@
     digest: bytes | None = None
     is_isolated: bool = False
     last_failure: tuple | None = None
+    body: bytes | None = None
     arrived_ms: int = 0
     last_event_ms: int = 0
     first_ms: int | None = None
@@ -285,6 +287,16 @@
     waited: bool = False
     queue_key: tuple | None = None
 
+    def read_body(self):
+        """Return the request's body, also after the response has been finished.
+
+        The HTTP library discards the content of a request with the end of its response.
+        """
+        if self.body is None:
+            self.request.content.seek(0)
+            self.body = self.request.content.read()
+        return self.body
+
     def stop(self):
         """Abort the attempt in progress."""
         if self.connection is not None:
--- a/dunlinpoint/forward/tests/test_quarantine.py
+++ b/dunlinpoint/forward/tests/test_quarantine.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from dunlinpoint import clock, metrics
-from dunlinpoint.forward import quarantine
+from dunlinpoint.forward import quarantine, state
 from dunlinpoint.suspects import registry
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -25,13 +25,9 @@
     content: io.BytesIO = attrs.field(factory=lambda: io.BytesIO(b"body"))
 
 
-@attrs.define
-class Call:
-    request: Request = attrs.field(factory=Request)
-    service: str = "s"
-    workspace: object = None
-    digest: bytes | None = None
-    is_isolated: bool = False
+def make_call():
+    """One request at the entry, without a route."""
+    return state.Call(Request(), None, "s", None, 0, None, None, streaming=False)
 
 
 @attrs.define
@@ -90,7 +86,7 @@
     """Crash one endpoint after the other under the same request."""
     for endpoint_id in endpoint_ids:
         forwarder.pool.closed.add(endpoint_id)
-        quarantine.connection_ended(forwarder, Call(), member(endpoint_id))
+        quarantine.connection_ended(forwarder, make_call(), member(endpoint_id))
         reactor.advance(1)
 
 
@@ -99,9 +95,9 @@
     # crashes an endpoint at each attempt, and no record of it is kept.
     reactor, forwarder, refused = entry
     crash_endpoints(reactor, forwarder, "ab")
-    assert quarantine.enter(forwarder, Call())
+    assert quarantine.enter(forwarder, make_call())
     crash_endpoints(reactor, forwarder, "c")
-    assert not quarantine.enter(forwarder, Call())
+    assert not quarantine.enter(forwarder, make_call())
     assert refused == [(503, "convicted", registry.EXPIRY_MS)]
     assert [
         report.incarnation for report in forwarder.quarantine.sharing.published
@@ -117,7 +113,7 @@
     # interrupted, or the end of a network partition reset connections.
     reactor, forwarder, _ = entry
     for endpoint_id in "abc":
-        quarantine.connection_ended(forwarder, Call(), member(endpoint_id))
+        quarantine.connection_ended(forwarder, make_call(), member(endpoint_id))
         reactor.pump([1, quarantine.RESTART_WINDOW_MS / 1000])
     assert forwarder.quarantine.sharing.published == []
     assert forwarder.quarantine.pending_by_incarnation == {}
@@ -130,7 +126,7 @@
 def test_a_new_incarnation_confirms_a_crash(entry, now_there):
     # The endpoint has restarted and listens again before the check.
     reactor, forwarder, _ = entry
-    quarantine.connection_ended(forwarder, Call(), member("a"))
+    quarantine.connection_ended(forwarder, make_call(), member("a"))
     reactor.advance(0.5)
     forwarder.view.members = [now_there]
     quarantine.detect_restarts(forwarder)
@@ -150,7 +146,7 @@
 )
 def test_unrelated_members_confirm_no_crash(entry, now_there):
     reactor, forwarder, _ = entry
-    quarantine.connection_ended(forwarder, Call(), member("a"))
+    quarantine.connection_ended(forwarder, make_call(), member("a"))
     reactor.advance(0.5)
     forwarder.view.members = [now_there]
     quarantine.detect_restarts(forwarder)
@@ -160,27 +156,44 @@
 def test_a_suspect_runs_alone(entry):
     reactor, forwarder, refused = entry
     crash_endpoints(reactor, forwarder, "ab")
-    first, second = Call(), Call()
+    first, second = make_call(), make_call()
     assert quarantine.enter(forwarder, first)
     assert not quarantine.enter(forwarder, second)
     assert refused == [(503, "suspect_at_work", quarantine.SUSPECT_RETRY_AFTER_MS)]
     quarantine.leave(forwarder, first)
-    assert quarantine.enter(forwarder, Call())
+    assert quarantine.enter(forwarder, make_call())
 
 
 def test_a_suspect_that_is_served_is_cleared_everywhere(entry):
     reactor, forwarder, _ = entry
     crash_endpoints(reactor, forwarder, "ab")
-    quarantine.request_served(forwarder, Call())
+    quarantine.request_served(forwarder, make_call())
     assert forwarder.quarantine.sharing.published[-1].incarnation == ""
-    assert quarantine.suspect_status(forwarder, Call()) is registry.SuspectStatus.CLEAR
+    assert (
+        quarantine.suspect_status(forwarder, make_call())
+        is registry.SuspectStatus.CLEAR
+    )
 
 
 def test_a_request_served_during_the_check_did_not_cause_the_crash(entry):
     reactor, forwarder, _ = entry
     forwarder.pool.closed.add("a")
-    quarantine.connection_ended(forwarder, Call(), member("a"))
-    quarantine.request_served(forwarder, Call())
+    quarantine.connection_ended(forwarder, make_call(), member("a"))
+    quarantine.request_served(forwarder, make_call())
+    reactor.advance(1)
+    assert forwarder.quarantine.sharing.published == []
+
+
+def test_a_request_is_cleared_after_its_response_is_finished(entry):
+    # Guards against a request that is served and still reported as the cause of a
+    # crash: the HTTP library has discarded its body by then.
+    reactor, forwarder, _ = entry
+    forwarder.pool.closed.add("a")
+    quarantine.connection_ended(forwarder, make_call(), member("a"))
+    call = make_call()
+    call.read_body()
+    call.request.content = None
+    quarantine.request_served(forwarder, call)
     reactor.advance(1)
     assert forwarder.quarantine.sharing.published == []
 
@@ -188,14 +201,14 @@
 def test_reports_of_other_entries_count(entry):
     # The caller retries at another entry each time.
     _, forwarder, refused = entry
-    name = quarantine.digest_of(Call())
+    name = quarantine.digest_of(make_call())
     reports = [
         ttypes.CrashReport(name, endpoint_id, 1000 * n)
         for n, endpoint_id in enumerate("abc")
     ]
     entry_quarantine = forwarder.quarantine
     entry_quarantine.receive_reports(forwarder, reports)
-    assert not quarantine.enter(forwarder, Call())
+    assert not quarantine.enter(forwarder, make_call())
     assert refused[0][1] == "convicted"
     assert entry_quarantine.sharing.published == []
 
@@ -203,7 +216,7 @@
 def test_no_digest_is_computed_without_suspects(entry):
     # Guards against the cost of hashing each request while no endpoint has crashed.
     _, forwarder, _ = entry
-    call = Call()
+    call = make_call()
     assert quarantine.enter(forwarder, call)
     quarantine.request_served(forwarder, call)
     assert call.digest is None
