A returning leader plans from current demand and a known step duration

Cause: the first reading of a leader that starts again holds the choices that the other ranks accumulated since the kill, nearly all from before a shift of demand, and the default step duration of 200 ms makes any change look large and urgent. The useless change delayed the map for current demand by about a second.

Change: a rank's agent reports no growth of its counters over more than 1 s, so the first reading after a start or a silence is a baseline. The leader plans no map before it has timed two steps over 150 ms, restarts this measurement when an idle group begins to make steps, and keeps the step duration of the epoch before while a group is broken.

--- a/dunlinpoint/experts/leader.py
+++ b/dunlinpoint/experts/leader.py
@@ -56,8 +56,12 @@
 MIN_BODY_INTERVAL_MS = 2000
 # Upper limit of the estimated step duration, because an idle group makes no steps.
 MAX_STEP_MS = 200
-# Minimum interval over which steps are counted: one iteration covers one or two.
+# Minimum interval over which steps are counted: one iteration covers one or two. While
+# the step duration is unknown, no map is planned, so it is first taken from a shorter
+# interval with a minimum number of steps.
 STEP_RATE_INTERVAL_MS = 400
+FIRST_RATE_INTERVAL_MS = 150
+FIRST_RATE_STEPS = 2
 # Minimum number of choices of a set that a map is planned by.
 MIN_CHOICES = 2000
 # Largest random gap between map versions. It prevents a command of an earlier leader
@@ -118,7 +122,6 @@
     def reset(self):
         """Reset what is known of the group: it broke, or another agent leads it."""
         self.epoch = self.mapping = self.map_version = self.last_step = None
-        self.steps_per_s = 0.0
         self.idle = False
 
     def update_step_rate(self, step):
@@ -126,7 +129,14 @@
         now = self.clock.now()
         if self.last_step is not None:
             then, before = self.last_step
-            if now - then < STEP_RATE_INTERVAL_MS:
+            if self.idle and step > before:
+                # The steps began at an unknown time since the last iteration.
+                self.idle, self.last_step = False, (now, step)
+                return
+            interval_ms = STEP_RATE_INTERVAL_MS
+            if self.steps_per_s <= 0 and step - before >= FIRST_RATE_STEPS:
+                interval_ms = FIRST_RATE_INTERVAL_MS
+            if now - then < interval_ms:
                 return
             if step >= before:
                 self.steps_per_s = (step - before) * 1000 / (now - then)
@@ -256,6 +266,9 @@
     shape = leader.shape
     if shape is None or any(s.armed for s in states.values()):
         return
+    if leader.steps_per_s <= 0:
+        # What a map saves, and whether it is urgent, follows from the step duration.
+        return
     counts = leader.window.by_set(shape.sets)
     if sum(counts[0]) < MIN_CHOICES:
         return
--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -99,7 +99,8 @@
         counts = None
         if query.counts:
             chosen = yield self.engine.counts()
-            counts = window.pack(self.counter.growth(chosen, state.epoch))
+            growth = self.counter.growth(chosen, state.epoch, self.clock.now())
+            counts = window.pack(growth)
         return ttypes.Gathered(
             answers=[ttypes.RankAnswer(state, status)], counts=counts
         )
--- a/dunlinpoint/experts/tests/ranks.py
+++ b/dunlinpoint/experts/tests/ranks.py
@@ -41,6 +41,9 @@
     unreachable: set = attrs.field(factory=set)
     executed: list = attrs.field(factory=list)
     by_rank: list = attrs.field(init=False)
+    demand: list = attrs.field(factory=lambda: [10, 1])
+    counts: list = attrs.field(factory=lambda: [0, 0])
+    mapping_by_version: dict = attrs.field(factory=dict)
     epoch: int = EPOCH
     open: bool = True
 
@@ -74,6 +77,7 @@
         if any(rank.held == next_step for rank in self.by_rank):
             return
         self.step = next_step
+        self.counts = [a + b for a, b in zip(self.counts, self.demand, strict=True)]
         for rank in self.by_rank:
             if rank.armed and rank.armed[1] == next_step:
                 rank.map_version, rank.armed = rank.armed[0], None
@@ -90,6 +94,7 @@
             if command["version"] <= max(rank.prepared, rank.map_version) or rank.armed:
                 return 409
             rank.prepared = command["version"]
+            self.mapping_by_version[rank.prepared] = command.get("mapping")
         elif kind == "arm":
             if rank.prepared != command["version"] or command["step"] <= self.step:
                 return 409
@@ -115,9 +120,10 @@
         self.clock.callLater(delay_ms / 1000, self.execute, number, command)
         return defer.succeed(0)
 
-    def state(self, number):
-        """Return the ``RankState`` of rank *number*."""
+    def state(self, number, experts=False):
+        """Return the ``RankState`` of rank *number*, with its experts if *experts*."""
         rank = self.by_rank[number]
+        mapping = self.mapping_by_version.get(rank.map_version) if experts else None
         return ttypes.RankState(
             group="g",
             epoch=self.epoch,
@@ -129,6 +135,7 @@
             prepared=rank.prepared,
             armed=rank.armed[0] if rank.armed else 0,
             held=rank.held,
+            experts=[by_rank[number] for by_rank in mapping] if mapping else None,
         )
 
     def states(self):
--- a/dunlinpoint/experts/window.py
+++ b/dunlinpoint/experts/window.py
@@ -33,6 +33,9 @@
 # of an agent's link; bytes take 24 KB.
 BYTE_BITS = 8
 ZLIB_LEVEL = 1
+# Maximum span of one reading of a rank's counters. The growth over a longer silence of
+# the leader is mostly demand from before a shift, and outweighs all newer readings.
+MAX_READING_SPAN_MS = 1000
 
 
 def pack(counts):
@@ -58,9 +61,13 @@
 
     last: list | None = None
     epoch: int | None = None
+    read_ms: int | None = None
 
-    def growth(self, counts, epoch=None):
-        """Return the growth since the last call; zeros at first and after a restart.
+    def growth(self, counts, epoch=None, now=0):
+        """Return the growth from the last call to *now* (ms).
+
+        Zeros at first, after a restart, and if the last call is more than
+        :data:`MAX_READING_SPAN_MS` ago.
 
         A restarted rank counts from 0, and its growth would be taken for demand. If
         the rank was not asked until its new counts had passed the old ones, only the
@@ -69,8 +76,11 @@
         last, self.last = self.last, counts
         same_epoch = epoch == self.epoch
         self.epoch = epoch
+        read_ms, self.read_ms = self.read_ms, now
         if last is None or not same_epoch or len(last) != len(counts):
             return [0] * len(counts)
+        if now - read_ms > MAX_READING_SPAN_MS:
+            return [0] * len(counts)
         growth = [after - before for after, before in zip(counts, last, strict=True)]
         return [0] * len(counts) if min(growth, default=0) < 0 else growth
 
