Cold starts in documents, settings and heartbeats

Cause: no component reads for how long an endpoint stays cold after a start. Change: a service's document field cold (requests_per_s, start_ms), translated from coldPerS and coldStartS and left out where there is no limit; an entry's settings DUNLIN_COLD_OVERAGE and DUNLIN_COLD_TOLERANCE; coldLeftMs of a heartbeat is kept and aged by controls and passed on to followers, at once when an endpoint turns cold. Conclusion: entries can know which endpoints are cold; they don't use it yet.

--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -27,9 +27,12 @@
 
 import collections
 import json
+import math
+import typing
 
 import attrs
 import cattrs
+from cattrs import gen
 
 FORMAT = 1
 # Operations that must not be repeated when no document lists any.
@@ -42,6 +45,11 @@
 NO_LIMIT = 1 << 30
 MAX_RANKS = 1024
 MAX_EXPERTS = 4096
+MAX_COLD_REQUESTS_PER_S = 100_000
+MAX_COLD_START_MS = 3_600_000
+
+# A finite JSON number; numbers in strings and booleans are invalid.
+Number = typing.NewType("Number", float)
 
 
 class FieldError(ValueError):
@@ -97,13 +105,29 @@
     copy_ms: float = 0.0
 
 
+@attrs.frozen
+class Cold:
+    """The rate that a service's endpoints tolerate while they are cold.
+
+    A cold endpoint takes *requests_per_s* from all entries together. *start_ms* is how
+    long an endpoint counts as cold that does not report it.
+    """
+
+    requests_per_s: Number
+    start_ms: Number = 3000
+
+
 @attrs.frozen
 class Service:
-    """A service, its operations that must not be repeated, and its experts."""
+    """A service, its operations that must not be repeated, and its experts.
+
+    *cold* is ``None`` if its endpoints tolerate any rate from their start on.
+    """
 
     name: str
     non_idempotent: list[str] = attrs.field(factory=list)
     experts: Experts | None = None
+    cold: Cold | None = None
 
 
 @attrs.frozen
@@ -179,7 +203,25 @@
     origin: str = ""
 
 
+def _structure_number(value, _type):
+    """*value* if it is a finite number; raises ``ValueError``."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is not a number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r} is not finite")
+    return value
+
+
 converter = cattrs.Converter(forbid_extra_keys=True)
+converter.register_structure_hook(Number, _structure_number)
+# Processes of earlier versions refuse a document with a field that they don't know, so
+# the field is left out where it is not used.
+converter.register_unstructure_hook(
+    Service,
+    gen.make_dict_unstructure_fn(
+        Service, converter, cold=gen.override(omit_if_default=True)
+    ),
+)
 
 
 def _check(doc):
@@ -214,7 +256,23 @@
             problems.append(
                 FieldError(f"workspaces[{i}].max_in_flight", "must be at least 1")
             )
-    return problems + _check_routes(doc) + _check_keys(doc)
+    return problems + _check_cold(doc) + _check_routes(doc) + _check_keys(doc)
+
+
+def _check_cold(doc):
+    """Problems of the services' rates and times of cold endpoints."""
+    problems = []
+    for i, service in enumerate(doc.services):
+        if service.cold is None:
+            continue
+        at = f"services[{i}].cold"
+        if not 0 < service.cold.requests_per_s <= MAX_COLD_REQUESTS_PER_S:
+            wanted = f"must be above 0 and at most {MAX_COLD_REQUESTS_PER_S}"
+            problems.append(FieldError(f"{at}.requests_per_s", wanted))
+        if not 0 <= service.cold.start_ms <= MAX_COLD_START_MS:
+            wanted = f"must be 0 to {MAX_COLD_START_MS}"
+            problems.append(FieldError(f"{at}.start_ms", wanted))
+    return problems
 
 
 def _check_routes(doc):
--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -9,6 +9,9 @@
 An endpoint may restart under the same id. Its *incarnation* (Unix ms of its
 start, 0 if it sends none) tells the starts apart: a delayed message of an
 earlier incarnation is older than any message of a later one (:func:`recency`).
+
+A cold endpoint reports for how long it stays cold. One that turns cold again is a
+change; the countdown of the remaining time is not.
 """
 
 import copy
@@ -25,6 +28,9 @@
 # another endpoint.
 DEPARTED_RETENTION_MS = 120_000
 REVISION_BITS = 40
+# An endpoint has turned cold if it stays so for this much longer than it last reported.
+# Below this, its heartbeat was delayed.
+TURNED_COLD_MS = 500
 # Dropped ids kept for incremental updates; a follower that has missed more of them is
 # sent the complete list.
 MAX_DROPPED_IDS = 1000
@@ -32,10 +38,18 @@
 
 @attrs.define
 class Lease:
-    """A member's last heartbeat and the end of its lease (control's clock, ms)."""
+    """A member's last heartbeat and the end of its lease (control's clock, ms).
+
+    ``cold_until_ms`` is until when it is cold, ``None`` if it has not reported it.
+    """
 
     heartbeat: ttypes.Heartbeat
     expires_ms: int
+    cold_until_ms: int | None = None
+
+    def cold_left_ms(self, now):
+        """How much longer (ms) the member stays cold, or ``None`` if unknown."""
+        return None if self.cold_until_ms is None else max(0, self.cold_until_ms - now)
 
 
 def first_revision():
@@ -50,6 +64,24 @@
     return *location, *status, heartbeat.incarnation or 0
 
 
+def cold_until_ms(heartbeat, lease, now):
+    """Until when the sender of *heartbeat* is cold, or ``None`` if unknown.
+
+    A heartbeat without this time changes nothing for the incarnation of *lease*.
+    """
+    if heartbeat.cold_left_ms is not None:
+        return now + heartbeat.cold_left_ms
+    if lease is None or lease.heartbeat.incarnation != heartbeat.incarnation:
+        return None
+    return lease.cold_until_ms
+
+
+def has_turned_cold(before, after, now):
+    """Whether a member with the lease *before* has turned cold in the lease *after*."""
+    left_ms = after.cold_left_ms(now) or 0
+    return left_ms > (before.cold_left_ms(now) or 0) + TURNED_COLD_MS
+
+
 def is_foreign(heartbeat, known):
     """Whether *heartbeat* cannot come from the endpoint that sent *known*.
 
@@ -125,14 +157,21 @@
             ):
                 return False
         keep_ms = DEPARTED_RETENTION_MS if heartbeat.gone else self.lease_ms
-        self.by_id[heartbeat.endpoint_id] = Lease(heartbeat, now + keep_ms)
-        changed = lease is None or routing_fields(lease.heartbeat) != routing_fields(
-            heartbeat
+        renewed = self.by_id[heartbeat.endpoint_id] = Lease(
+            heartbeat, now + keep_ms, cold_until_ms(heartbeat, lease, now)
+        )
+        changed = (
+            lease is None
+            or routing_fields(lease.heartbeat) != routing_fields(heartbeat)
+            or has_turned_cold(lease, renewed, now)
         )
         if changed:
             self._record_change(heartbeat.endpoint_id)
-        elif lease.heartbeat.load != heartbeat.load:
-            # A load figure is sent with the next change that routing depends on.
+        elif (
+            lease.heartbeat.load != heartbeat.load
+            or lease.cold_until_ms != renewed.cold_until_ms
+        ):
+            # These figures are sent with the next change that routing depends on.
             self.changed_by_id[heartbeat.endpoint_id] = self.revision + 1
         return changed
 
@@ -216,6 +255,7 @@
                 epoch=b.epoch,
                 broken=b.broken,
                 incarnation=b.incarnation,
+                cold_left_ms=lease.cold_left_ms(now),
             )
             for lease in leases
             if lease.expires_ms > now
--- a/dunlinpoint/control/tests/test_membership.py
+++ b/dunlinpoint/control/tests/test_membership.py
@@ -95,3 +95,37 @@
     assert only(members, 20).gone
     assert members.renew(heartbeat(1, incarnation=2000), 30)
     assert not only(members, 30).gone
+
+
+def test_the_time_that_an_endpoint_stays_cold_is_aged():
+    # Guards against entries that take an endpoint as cold for longer than it is.
+    members = membership.Membership()
+    members.renew(heartbeat(1, cold_left_ms=3000), 0)
+    assert only(members, 1000).cold_left_ms == 2000
+    members.renew(heartbeat(2), 1500)
+    assert only(members, 1600).cold_left_ms == 1400
+    assert only(members, 3400).cold_left_ms == 0
+    members.renew(heartbeat(1, incarnation=7), 3400)
+    assert only(members, 3400).cold_left_ms is None
+
+
+def test_turning_cold_is_a_change_and_a_countdown_is_none():
+    # Guards against followers that are sent every heartbeat, or learn it too late.
+    members = membership.Membership()
+    members.renew(heartbeat(1), 0)
+    assert members.renew(heartbeat(2, cold_left_ms=3000), 0)
+    assert not members.renew(heartbeat(3, cold_left_ms=1800), 1200)
+    assert not members.renew(heartbeat(4, cold_left_ms=900), 2400)
+    assert not members.renew(heartbeat(5, cold_left_ms=0), 3600)
+    assert members.renew(heartbeat(6, cold_left_ms=3000), 4800)
+    assert not members.renew(heartbeat(5, cold_left_ms=0), 4900)
+    assert only(members, 4900).cold_left_ms == 2900
+
+
+def test_a_control_forwards_that_an_endpoint_turned_cold_with_the_changes():
+    members = membership.Membership()
+    members.renew(heartbeat(1), 0)
+    before = members.revision
+    members.renew(heartbeat(2, cold_left_ms=3000), 0)
+    (member,) = members.changes_since(before, 100).members
+    assert member.cold_left_ms == 2900
--- a/dunlinpoint/platform/addresses.py
+++ b/dunlinpoint/platform/addresses.py
@@ -3,6 +3,8 @@
 Invalid values raise ``checks.SettingError``.
 """
 
+import math
+
 from dunlinpoint.cli import checks
 
 
@@ -21,3 +23,17 @@
     if not str(value).isdigit():
         raise checks.SettingError(f"{name}: {value!r} is not a whole number")
     return int(value)
+
+
+def number(value, name, default, maximum):
+    """A ``float`` from 0 to *maximum* from *value*, or *default* if it is empty."""
+    text = str(value).strip()
+    if not text:
+        return default
+    try:
+        found = float(text)
+    except ValueError:
+        raise checks.SettingError(f"{name}: {value!r} is not a number") from None
+    if not math.isfinite(found) or not 0 <= found <= maximum:
+        raise checks.SettingError(f"{name}: {value!r} is not within 0-{maximum}")
+    return found
--- a/dunlinpoint/platform/commands.py
+++ b/dunlinpoint/platform/commands.py
@@ -27,6 +27,12 @@
     inner_ports: flags.InnerPorts
     revoke_ms: Annotated[str, flags.flag("DUNLIN_REVOKE_MS", "key revocation, ms", "0")]
     grace_s: Annotated[str, flags.flag("DUNLIN_GRACE_S", "SIGTERM to SIGKILL, s", "8")]
+    cold_overage: Annotated[
+        str, flags.flag("DUNLIN_COLD_OVERAGE", "burst factor of a cold rate, or 1", "")
+    ]
+    cold_tolerance: Annotated[
+        str, flags.flag("DUNLIN_COLD_TOLERANCE", "requests above a cold rate, or 0", "")
+    ]
     metrics: flags.Metrics
 
 
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -5,14 +5,17 @@
 """
 
 import json
+import math
 
-from dunlinpoint import clock
+from dunlinpoint import clock, logs
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.experts import messages
 from dunlinpoint.platform import fields
 from dunlinpoint.wire.gen.dunlin import ttypes
 
+log = logs.logger("control")
+
 READY = "ready"
 DRAINING = "draining"
 NO_INCARNATION = 0
@@ -51,10 +54,27 @@
     return megabits * clock.MS_PER_SECOND / link_mbps if link_mbps else 0.0
 
 
+def _cold(raw):
+    """The field ``cold`` of a service, left out if its endpoints have no limit.
+
+    Values of a wrong type are passed on, so that the parser reports them.
+    """
+    per_s, start_s = raw.get("coldPerS"), raw.get("coldStartS")
+    if per_s is None or (per_s == 0 and per_s is not False):
+        return {}
+    cold = {"requests_per_s": per_s}
+    if isinstance(start_s, int | float) and not isinstance(start_s, bool):
+        cold["start_ms"] = start_s * clock.MS_PER_SECOND
+    elif start_s is not None:
+        cold["start_ms"] = start_s
+    return {"cold": cold}
+
+
 def _service(raw):
     engine = raw.get("engine") or {}
+    service = {"name": raw["name"]} | _cold(raw)
     if not engine.get("sets"):
-        return {"name": raw["name"]}
+        return service
     experts = {
         "sets": engine["sets"],
         "experts": engine["experts"],
@@ -62,7 +82,7 @@
         "spare": engine["spare"],
         "copy_ms": _copy_ms(engine),
     }
-    return {"name": raw["name"], "experts": experts}
+    return service | {"experts": experts}
 
 
 def _workspace(raw):
@@ -164,9 +184,25 @@
         slots=fields.whole_number(raw.get("slots"), "slots", 1, fields.MAX_I32),
         sequence=fields.whole_number(raw.get("seqNo"), "seqNo"),
         gone=False,
+        cold_left_ms=_cold_left_ms(endpoint_id, raw.get("coldLeftMs")),
     )
 
 
+def _cold_left_ms(endpoint_id, value):
+    """How long the endpoint stays cold (ms), or ``None`` if missing or invalid."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and 0 <= value <= config.MAX_COLD_START_MS:
+        return math.ceil(value)
+    if value is not None:
+        log.warning(
+            "field_ignored",
+            endpoint_id=endpoint_id,
+            field="coldLeftMs",
+            error=repr(value)[:40],
+        )
+    return None
+
+
 def _incarnation(raw):
     """The server's start time in a body (Unix ms), or ``None`` if not given."""
     if "born" not in raw:
