Entries keep to the rate of cold endpoints

Cause: an endpoint crashes well above coldPerS while it is cold, and entries sent it whatever its load permitted. Change: routing/cold.py keeps until when each incarnation is cold and derives this entry's spacing from its position among the entries (rate.bounded_interval_ms); former positions count for a while, and isolated entries have a part of their own. The choice of endpoints passes over a cold endpoint whose part is used up. A call waits if one is soon due and the others are full or avoided, the most urgent first (forward/cold_wait.py), else it is refused (cold).

--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -71,7 +71,8 @@
     """Members by endpoint id, and the document in force.
 
     The callables in ``on_document`` are called with each new document, those in
-    ``on_reports`` with a list of crash reports, those in ``on_change`` without
+    ``on_reports`` with a list of crash reports, those in ``on_members`` with a list of
+    ``Member`` messages and the time of their receipt, those in ``on_change`` without
     arguments after each answer of a control. Times (``_ms``) are of this process's
     clock.
     """
@@ -87,6 +88,7 @@
     on_document: list = attrs.field(factory=list)
     on_change: list = attrs.field(factory=list)
     on_reports: list = attrs.field(factory=list)
+    on_members: list = attrs.field(factory=list)
     wants_reports: bool = False
     wait_ms: int = WAIT_MS
     min_body_interval_ms: int = 0
@@ -138,6 +140,8 @@
             for member in reply.members:
                 followed.member_ids.add(member.endpoint_id)
                 self._update_member(member, now + member.lease_left_ms)
+            for callback in self.on_members:
+                callback(reply.members, now)
         if reply.reports_revision is not None:
             followed.reports_revision = reply.reports_revision
         if reply.reports:
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -3,7 +3,14 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs
-from dunlinpoint.forward import capacity, exchange, quarantine, responses, routes
+from dunlinpoint.forward import (
+    capacity,
+    cold_wait,
+    exchange,
+    quarantine,
+    responses,
+    routes,
+)
 from dunlinpoint.routing import outage, pick
 from dunlinpoint.suspects import registry
 
@@ -22,6 +29,7 @@
         yield run_attempts(forwarder, call)
     finally:
         capacity.leave(forwarder, call)
+        cold_wait.leave(forwarder, call)
         quarantine.leave(forwarder, call)
 
 
@@ -43,13 +51,19 @@
         member = next_member(forwarder, call, by_group, now)
         if member is None:
             members = [m for group_members in by_group.values() for m in group_members]
-            available_ms = forwarder.picker.available_ms(members, now, call.tried)
+            available_ms = forwarder.picker.available_ms(
+                members, now, call.tried, cold_wait.ahead(forwarder, call)
+            )
             if available_ms is not None and available_ms <= capacity.wait_limit_ms(
                 call
             ):
-                yield forwarder.clock.sleep(available_ms - now)
+                cold_wait.enter(forwarder, call)
+                yield forwarder.clock.sleep(available_ms - now or cold_wait.YIELD_MS)
                 continue
-            reason = "no_endpoint" if available_ms is None else "limited"
+            is_cold = forwarder.picker.cold.available_ms_by_key(members, now)
+            reason = "cold" if is_cold else "limited"
+            if available_ms is None:
+                reason = "no_endpoint"
             give_up(forwarder, call, reason, available_retry_after_ms(forwarder, call))
             return
         if call.deadline_ms - now < MIN_REMAINING_MS:
@@ -79,9 +93,15 @@
     for group in own_group + [group for group in by_group if group != call.group]:
         prefer_own_zone = (call.service, group) not in forwarder.uneven_groups
         member = forwarder.picker.pick(
-            by_group[group], now, call.tried, prefer_own_zone
+            by_group[group],
+            now,
+            call.tried,
+            prefer_own_zone,
+            cold_wait.ahead(forwarder, call),
+            capacity.wait_limit_ms(call),
         )
         if member is not None:
+            cold_wait.leave(forwarder, call)
             capacity.assign_group(forwarder, call, group)
             return member
     return None
@@ -94,7 +114,9 @@
     do not all retry at the same moment.
     """
     now = forwarder.clock.now()
-    available_ms = forwarder.picker.available_ms(forwarder.members(call.service), now)
+    available_ms = forwarder.picker.available_ms(
+        forwarder.members(call.service), now, ahead=cold_wait.ahead(forwarder, call)
+    )
     if available_ms is None or available_ms <= now:
         return responses.RETRY_AFTER_MS
     wanted_ms = max(
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -85,6 +85,8 @@
     incarnation = pick.incarnation_key(member)
     forwarder.picker.began(incarnation)
     forwarder.picker.signals.sent(incarnation, forwarder.clock.now())
+    if forwarder.picker.cold.sent(member, call, forwarder.clock.now()):
+        forwarder.counters.incr("endpoint.sent_cold")
     watchdog = None
     try:
         connection = yield forwarder.pool.connect(
@@ -111,6 +113,7 @@
     finally:
         call.connection = None
         forwarder.picker.ended(incarnation)
+        forwarder.picker.cold.answered(member, call, forwarder.clock.now())
         if watchdog is not None:
             watchdog.stop()
     if outcome == DONE:
@@ -194,8 +197,11 @@
         raise close_as_broken(connection, "request id in the response does not match")
     signal = forwarder.read_signal(head.code, head.headers)
     now = forwarder.clock.now()
+    forwarder.picker.cold.answered(member, call, now)
     forwarder.picker.signals.apply(pick.incarnation_key(member), signal, sent_ms, now)
-    if head.headers.hasHeader(own.not_run) or head.code == 421:
+    is_refused = head.headers.hasHeader(own.not_run) or head.code == 421
+    forwarder.picker.cold.record_outcome(member, not is_refused, now)
+    if is_refused:
         yield drain_body(connection, head)
         record_not_run(forwarder, member, head)
         return NOT_RUN
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -89,6 +89,7 @@
         )
         entry_view.on_document.append(forwarder.apply_document)
         entry_view.on_change.append(forwarder.handle_change)
+        entry_view.on_members.append(forwarder.picker.cold.receive)
         entry_view.wants_reports = True
         entry_view.on_reports.append(forwarder.receive_reports)
         return forwarder
@@ -101,6 +102,7 @@
         """Apply a newer document."""
         doc = config.parse(packed.unpack(document.body))
         self.table = routes.Table.from_document(doc, document.version)
+        self.picker.cold.apply_document(doc)
         self.limits = doc.limits
         self.workspace_limiter.limit_by_name = {
             w.name: w.max_in_flight for w in doc.workspaces
@@ -115,8 +117,16 @@
         self.update_members()
         return self.members_by_service.get(service, [])
 
+    def update_cold_position(self):
+        """Update this entry's position and last contact for its part of cold rates."""
+        view = self.view
+        position = (view.entry_index, view.entry_count) if view.entry_count_ms else None
+        answered_ms = view.controls.answered_ms()
+        self.picker.cold.update(position, answered_ms, self.clock.now())
+
     def handle_change(self):
         """Handle a change notification of the view: wake all waiting requests."""
+        self.update_cold_position()
         quarantine.detect_restarts(self)
         if self.changes.waiters:
             self.changes.notify_all()
@@ -136,6 +146,7 @@
         live = self.view.live("service")
         view = self.view
         self.picker.signals.update(view.entry_index, view.entry_count, self.clock.now())
+        self.update_cold_position()
         order_key = view.generation, view.zone_index, view.zone_entries
         if self.member_order_key != order_key:
             self.member_order_key = order_key
@@ -157,6 +168,7 @@
         incarnations = {pick.incarnation_key(m) for m in live}
         self.picker.forget(incarnations)
         self.picker.signals.forget(incarnations, self.clock.now())
+        self.picker.cold.forget(incarnations, self.clock.now())
         self.pool.forget(incarnations)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(messages.KIND)
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -61,6 +61,7 @@
     "streams": "this process's streams in flight at the group",
     "apart_ms": "spacing that an entry keeps between two requests",
     "rest_ms": "how long an endpoint asks this entry to send it nothing",
+    "cold_ms": "how much longer an endpoint counts as cold",
     "limit_per_s": "endpoint's rate limit in requests per second; null if it has none",
     "entries": "number of entries",
     "field": "field that could not be parsed",
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -15,6 +15,7 @@
     ready,
     settings,
 )
+from dunlinpoint.routing import cold
 
 log = logs.logger("entry")
 
@@ -27,6 +28,8 @@
 # Share of the key revocation time for which an entry serves without confirmation of
 # its document; the rest covers the round trip of the last poll.
 KEY_LEASE_SHARE = 0.8
+MAX_COLD_OVERAGE = 100
+MAX_COLD_TOLERANCE = 100_000
 
 
 def deferred_function(coroutine):
@@ -34,6 +37,16 @@
     return lambda: defer.ensureDeferred(coroutine())
 
 
+def cold_bounds(command):
+    """The ``cold.Bounds`` of the settings in *command*."""
+    return cold.Bounds(
+        addresses.number(command.cold_overage, "cold-overage", 1.0, MAX_COLD_OVERAGE),
+        addresses.number(
+            command.cold_tolerance, "cold-tolerance", 0.0, MAX_COLD_TOLERANCE
+        ),
+    )
+
+
 def run(command: commands.PlatformEntry):
     """Run an entry until it is stopped."""
     zone = checks.name(command.zone, "zone")
@@ -56,6 +69,7 @@
         endpoint_signals.from_response,
         lease_ms,
     )
+    forwarder.picker.cold.bounds = cold_bounds(command)
     entry_view.follow(reactor)
     settings.watch(
         reactor,
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -10,17 +10,21 @@
 consecutive failure. This goes by the outcome of requests, because health reports lag
 and some endpoints fail requests while they report that they are healthy.
 
+A cold endpoint (:mod:`cold`) whose part for this entry is used up is passed over, and
+so is a free one that a more urgent call waits for.
+
 The records are kept by an endpoint's incarnation (:func:`incarnation_key`): an
 endpoint that has restarted counts as idle and healthy.
 """
 
 from __future__ import annotations
 
+import enum
 import math
 
 import attrs
 
-from dunlinpoint.routing import endpoint_signals
+from dunlinpoint.routing import cold, endpoint_signals, incarnations
 
 # Handicap, in requests, of endpoints in other zones: the network latency to them is a
 # millisecond or two, the wait in a queue far longer.
@@ -37,16 +41,30 @@
 RESPONSIVE_MS = 200
 
 
-def incarnation_key(member):
-    """The key of one incarnation of an endpoint, which may restart under its id.
+incarnation_key = incarnations.incarnation_key
+
+
+def _nth(times, ahead):
+    """The time of *times* after *ahead* others, or the last one; infinite for none."""
+    return ([*sorted(times)[: ahead + 1]] or [math.inf])[-1]
 
-    With the id alone as the key, requests in flight and failures from before a restart
-    would count against the new incarnation, and a stream that was broken off could not
-    be continued there.
+
+def _withheld(cold_times, now, ahead):
+    """Those of *cold_times* whose endpoints may not get the request now.
+
+    All are withheld from a call if as many more urgent calls wait as can be sent.
     """
-    if not member.incarnation:
-        return member.endpoint_id
-    return f"{member.endpoint_id}@{member.incarnation}"
+    if sum(at <= now for at in cold_times.values()) <= ahead:
+        return cold_times
+    return {key: at for key, at in cold_times.items() if at > now}
+
+
+class Preference(enum.IntEnum):
+    """Which endpoints are preferred: those of a lower value."""
+
+    USABLE = 0
+    FULL = 1
+    AVOIDED = 2
 
 
 @attrs.define
@@ -69,6 +87,7 @@
     zone: str
     record_by_incarnation: dict = attrs.field(factory=dict)
     signals: endpoint_signals.Signals = attrs.field(factory=endpoint_signals.Signals)
+    cold: cold.ColdEndpoints = attrs.field(factory=cold.ColdEndpoints)
 
     def record(self, key):
         """The record of the incarnation *key*, created on first use."""
@@ -83,7 +102,15 @@
             if key not in live and not record.in_flight:
                 del self.record_by_incarnation[key]
 
-    def pick(self, members, now, exclude=(), prefer_own_zone=True):
+    def pick(
+        self,
+        members,
+        now,
+        exclude=(),
+        prefer_own_zone=True,
+        ahead=0,
+        wait_until_ms=0,
+    ):
         """The endpoint of *members* (in the entry's order) to try, or ``None``.
 
         With *prefer_own_zone*, endpoints in other zones have a handicap.
@@ -92,30 +119,61 @@
         already. Avoided ones are picked only when there is no other: an endpoint that
         failed recently may still serve the request. One whose signals allow no request
         now is never picked.
+
+        *ahead* is the number of more urgent calls that wait for a cold endpoint. Rather
+        than an avoided endpoint, or a warm one while these are full, none is picked if
+        a cold one may get a request until *wait_until_ms*.
         """
+        cold_times = self._cold_times(members, now, exclude)
+        withheld = _withheld(cold_times, now, ahead)
+        is_full = bool(cold_times) and self.cold.is_full(members[0].service_name, now)
         best, least = None, None
-        fallback, fallback_until_ms = None, None
         for index, member in enumerate(members):
             key = incarnation_key(member)
-            if key in exclude or self.signals.available_ms(key, now) > now:
+            if key in exclude or key in withheld:
+                continue
+            if self.signals.available_ms(key, now) > now:
                 continue
             record = self.record(key)
             if record.avoid_until_ms > now:
-                if fallback is None or record.avoid_until_ms < fallback_until_ms:
-                    fallback, fallback_until_ms = member, record.avoid_until_ms
+                rank = Preference.AVOIDED, record.avoid_until_ms
+            else:
+                load = self._relative_load(
+                    member, record, index / len(members), prefer_own_zone
+                )
+                is_usable = not is_full or key in cold_times
+                rank = Preference.USABLE if is_usable else Preference.FULL, load
+            if best is None or rank < least:
+                best, least = member, rank
+        is_usable = best is not None and least[0] is Preference.USABLE
+        if not is_usable and _nth(withheld.values(), ahead) <= wait_until_ms:
+            return None
+        return best
+
+    def _cold_times(self, members, now, exclude):
+        """When (ms) each cold endpoint not in *exclude* may get a request, by key."""
+        untried = [m for m in members if incarnation_key(m) not in exclude]
+        return self.cold.available_ms_by_key(untried, now)
+
+    def available_ms(self, members, now, exclude=(), ahead=0):
+        """When (ms) the first of *members* may get a request, ``None`` if none may.
+
+        If some are cold, *ahead* other calls get theirs before, avoided endpoints count
+        as available when they are no longer avoided, and full ones do not count.
+        """
+        untried = [m for m in members if incarnation_key(m) not in exclude]
+        cold_times = self._cold_times(members, now, exclude)
+        is_full = bool(cold_times) and self.cold.is_full(members[0].service_name, now)
+        times = []
+        for key in map(incarnation_key, untried):
+            if is_full and key not in cold_times:
                 continue
-            load = self._relative_load(
-                member, record, index / len(members), prefer_own_zone
-            )
-            if best is None or load < least:
-                best, least = member, load
-        return fallback if best is None else best
-
-    def available_ms(self, members, now, exclude=()):
-        """When (ms) the first of *members* may get a request, ``None`` if none may."""
-        keys = [key for key in map(incarnation_key, members) if key not in exclude]
-        times = [self.signals.available_ms(key, now) for key in keys]
-        return min((at for at in times if at != math.inf), default=None)
+            at = max(self.signals.available_ms(key, now), cold_times.get(key, now))
+            if cold_times:
+                at = max(at, self.record(key).avoid_until_ms)
+            if at != math.inf:
+                times.append(at)
+        return _nth(times, ahead) if times else None
 
     def _relative_load(self, member, record, position, prefer_own_zone):
         requests = max(record.in_flight, member.load or 0)
--- a/dunlinpoint/routing/rate.py
+++ b/dunlinpoint/routing/rate.py
@@ -8,6 +8,9 @@
 
 The other entries send a request now and then, or they would not learn that the limit
 has ended. They do not accumulate the requests that they do not use.
+
+Where an endpoint must not receive more than a number of requests in any second
+(:func:`bounded_interval_ms`), the other entries send none.
 """
 
 import math
@@ -28,6 +31,11 @@
 # Minimum rate (requests a second): an endpoint that gets no request can't lift its
 # limit.
 MIN_PER_S = 0.1
+# Span over which the requests to a bounded endpoint are counted, and what is added to
+# it because requests take differently long to arrive.
+BOUND_SPAN_MS = 1000
+ARRIVAL_JITTER_MS = 50
+CRC_BITS = 32
 
 
 @attrs.frozen
@@ -55,6 +63,35 @@
         )
 
 
+def requests_per_span(per_s):
+    """The requests that all entries send in the span of a bound at the rate *per_s*."""
+    return max(
+        1, math.ceil(per_s * (BOUND_SPAN_MS + ARRIVAL_JITTER_MS) / BOUND_SPAN_MS)
+    )
+
+
+def bounded_interval_ms(per_s, most, incarnation, index, entry_count):
+    """The spacing (ms) of one entry's requests to an endpoint with a bound.
+
+    With it, all entries together send *per_s* requests a second and at most *most* in
+    any second. It is infinite for an entry that may send none.
+
+    The entries that may send are an interval of the order of all, beginning at a
+    fraction of their number that is derived from *incarnation*. So an entry that is
+    added or removed shifts the interval by one at most.
+    """
+    users = min(entry_count, most, requests_per_span(per_s))
+    if users < 1:
+        return math.inf
+    first = zlib.crc32(incarnation.encode()) * entry_count >> CRC_BITS
+    rank = (index - first) % entry_count
+    if rank >= users:
+        return math.inf
+    span_ms = BOUND_SPAN_MS + ARRIVAL_JITTER_MS
+    own_most = most // users + (rank < most % users)
+    return max(users * BOUND_SPAN_MS / per_s, span_ms / own_most)
+
+
 @attrs.define
 class Limiter:
     """When this entry may send requests to one endpoint with a rate limit.
