Soak: backends with cold starts, and a check of their bound

Cause: no run showed that processes keep to the rate of cold endpoints under faults. Change: standins/cold.py emulates cold starts; soak backends report them and soak/cold.py checks the arrivals (--cold).

--- a/dunlinpoint/soak/callers.py
+++ b/dunlinpoint/soak/callers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from dunlinpoint.soak import cluster, servers
+from dunlinpoint.soak import cluster, cold, servers
 
 CALLERS = 6
 THINK_TIME_S = (0.01, 0.15)
@@ -176,7 +176,15 @@
         return {
             "version": version,
             "routes": routes,
-            "services": [{"name": "desk", "healthPath": "/healthz", "maxConns": 99}],
+            "services": [
+                {
+                    "name": "desk",
+                    "healthPath": "/healthz",
+                    "maxConns": 99,
+                    "coldPerS": self.cluster.cold_per_s,
+                    "coldStartS": cold.START_S,
+                }
+            ],
             "tenants": [{"name": "brand", "apiKeys": [cluster.API_KEY]}],
         }
 
--- a/dunlinpoint/soak/cluster.py
+++ b/dunlinpoint/soak/cluster.py
@@ -17,7 +17,7 @@
 import attrs
 
 from dunlinpoint.lab import client, deploy
-from dunlinpoint.soak import servers
+from dunlinpoint.soak import cold, servers
 
 CONTROLS = 3
 ENTRIES = 2
@@ -105,6 +105,7 @@
     port: int = 0
     link_faults_s: list = attrs.field(factory=list)
     link_faults_s_by_id: dict = attrs.field(factory=dict)
+    cold_per_s: float = 0
     stop_event: threading.Event = attrs.field(factory=threading.Event)
 
     @classmethod
@@ -131,6 +132,7 @@
             host = f"{net}.{i + 101}"
             env = common | {"zone": ZONES[i % 2], "listen": f"{host}:{cluster.port}"}
             env |= {"ready": f"{host}:{ready}", "grace_s": GRACE_S, "revoke_ms": 5000}
+            env |= {"cold_overage": cold.OVERAGE, "cold_tolerance": cold.TOLERANCE}
             cluster.add(cluster.entries, f"entry-{i}", host, "entry", env)
         return cluster
 
@@ -195,6 +197,7 @@
     def send_heartbeat(self, backend, port):
         """Send one heartbeat; whether a control acknowledged it."""
         backend.sequence += 1
+        sent_s = time.monotonic()
         heartbeat = {
             "service": backend.service,
             "address": f"127.0.0.1:{port}",
@@ -202,9 +205,13 @@
             "slots": 8,
             "state": "draining" if backend.draining else "ready",
             "seqNo": backend.sequence,
+            "coldLeftMs": backend.cold.left_ms(sent_s),
         }
         path = f"/api/instances/{backend.server_id}/heartbeat"
-        return self.post_to_any_control(path, json.dumps(heartbeat))
+        is_acknowledged = self.post_to_any_control(path, json.dumps(heartbeat))
+        if is_acknowledged:
+            backend.cold.reported(sent_s, time.monotonic())
+        return is_acknowledged
 
     def stop(self):
         """Stop every process and backend that this run started."""
--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from dunlinpoint.soak import callers, checks, faults, signals
+from dunlinpoint.soak import callers, checks, cold, faults, signals
 from dunlinpoint.soak import cluster as clusters
 
 READY_TIMEOUT_S = 20.0
@@ -34,13 +34,15 @@
     folder: str
 
 
-def run_seed(seed, with_signals=False):
+def run_seed(seed, with_signals=False, with_cold_starts=False):
     """Run *seed*; its ``Verdict``.
 
-    If *with_signals* is set, three backends send load signals.
+    If *with_signals* is set, three backends send load signals; if *with_cold_starts* is
+    set, two are cold for a while.
     """
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     cluster = clusters.Cluster.from_seed(folder, seed)
+    cluster.cold_per_s = cold.REQUESTS_PER_S if with_cold_starts else 0
     rng = random.Random(f"callers {seed}")
     operator = callers.Operator(cluster, random.Random(rng.random()))
     results, threads, violations = [], [], []
@@ -56,6 +58,8 @@
             threads[-1].start()
         if with_signals:
             signals.assign_signal_periods(seed, cluster.backends, time.monotonic())
+        if with_cold_starts:
+            cold.assign_periods(seed, cluster.backends, time.monotonic())
         run_schedule(cluster, operator, planned)
         violations += check_recovery(cluster)
     finally:
@@ -65,6 +69,7 @@
         cluster.stop()
     violations += checks.violations(cluster, results, operator)
     violations += signals.violations(cluster, results)
+    violations += cold.violations(cluster, results)
     answered = sum(1 for s in results if s.status == 200 and s.is_complete)
     return Verdict(
         seed,
@@ -197,6 +202,9 @@
     parser.add_argument(
         "--telling", action="store_true", help="backends send load signals"
     )
+    parser.add_argument(
+        "--cold", action="store_true", help="backends are cold for a while"
+    )
     args = parser.parse_args(argv)
     seeds = [int(seed) for seed in args.seeds.split(",") if seed]
     fresh = random.SystemRandom()
@@ -205,7 +213,7 @@
         parser.error(f"give 1 to {MAX_SEEDS} seeds")
     failed = 0
     for seed in seeds:
-        verdict = run_seed(seed, args.telling)
+        verdict = run_seed(seed, args.telling, args.cold)
         failed += bool(verdict.broken)
         print(json.dumps(attrs.asdict(verdict)), flush=True)
     sys.exit(1 if failed else 0)
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -13,6 +13,7 @@
 import attrs
 
 from dunlinpoint.soak import signals
+from dunlinpoint.standins import cold
 
 ATTEMPT_ID_HEADER = "X-Dunlinpoint-Attempt-Id"
 SIGNATURE_HEADER = "X-Dunlinpoint-Server-Signature"
@@ -77,6 +78,7 @@
     sequence: int = 0
     signal_period: signals.SignalPeriod | None = None
     arrivals: list = attrs.field(factory=list)
+    cold: object = attrs.field(factory=cold.ColdStart)
 
     def signal_at(self, now_s):
         """The kind of signal sent at *now_s*, or ``None``."""
--- a/dunlinpoint/soak/tests/test_checks.py
+++ b/dunlinpoint/soak/tests/test_checks.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from dunlinpoint.soak import callers, checks, cluster, servers, signals
+from dunlinpoint.soak import callers, checks, cluster, cold, servers, signals
+from dunlinpoint.standins import cold as cold_starts
 
 ENTRY = "entry-0"
 
@@ -116,3 +117,25 @@
     assert len(signal_violations(kind, VIOLATING[kind])) == 1
     assert signal_violations(kind, VIOLATING[kind], disturbed_s=[10.5]) == []
     assert signal_violations(kind, ALLOWED[kind]) == []
+
+
+def cold_violations(count, disturbed_s=(), link_faults_s=(), reported_s=(10.1,)):
+    """Violations if *count* requests reach a cold backend from 12.0 s on."""
+    finished = finished_cluster(disturbed_s=disturbed_s)
+    period = cold_starts.ColdPeriod(10.0, 14.0)
+    start = cold_starts.ColdStart([period], {period: list(reported_s)})
+    finished.backends = [servers.Backend("i-0", "desk", None, [], cold=start)]
+    finished.link_faults_s_by_id = {"i-0": list(link_faults_s)}
+    finished.arrivals = [
+        signals.Arrival("i-0", "r", 12.0 + i / 20, None) for i in range(count)
+    ]
+    return cold.violations(finished, [result()])
+
+
+def test_too_many_requests_to_a_cold_backend_are_detected():
+    # Guards against a soak test that passes although cold backends would crash.
+    assert len(cold_violations(9)) == 1
+    assert cold_violations(8) == []
+    assert cold_violations(9, disturbed_s=[11.5]) == []
+    assert cold_violations(9, link_faults_s=[11.5]) == []
+    assert cold_violations(9, reported_s=[13.5]) == []
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -7,6 +7,8 @@
 SEEDS = [1]
 # Seeds that are run with back ends that send load signals.
 SIGNALLING_SEEDS = [2]
+# Seeds that are run with back ends that are cold for a while.
+COLD_SEEDS = [1]
 # Cause of the failure by seed; a seed that has failed stays in the list.
 FAILED = {
     21: "SIGHUP ended an entry during start-up, and it was not restarted",
@@ -31,3 +33,11 @@
     verdict = run.run_seed(seed, with_signals=True)
     assert verdict.broken == []
     assert verdict.answered > verdict.requests / 2
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", COLD_SEEDS)
+def test_cold_backends_get_no_more_than_their_rate(seed):
+    verdict = run.run_seed(seed, with_cold_starts=True)
+    assert verdict.broken == []
+    assert verdict.answered > verdict.requests / 2
