--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -152,6 +152,8 @@
 
     def _cold_times(self, members, now, exclude):
         """When (ms) each cold endpoint not in *exclude* may get a request, by key."""
+        if not self.cold.rule_by_service:
+            return {}
         untried = [m for m in members if incarnation_key(m) not in exclude]
         return self.cold.available_ms_by_key(untried, now)
 
