Evacuations of zones in the agreed decision and in the followers' view

Cause: operators could not order that the endpoints of a zone get no requests; there was no state for it, and a follower fetched the document's body again for every round that changed only voters.

Change: a decision holds a record for each zone that was ever evacuated, beside the document and the voters; each kind of change carries the rest over. control/evacuation.py holds the records and what a decision means for an order (copies, superseded orders), evacuation_orders.py carries orders out, stall.py detects orders that waited in a frozen process, zones.py knows which zones exist. Control.evacuate is served. Controls announce the feature; an absent list of evacuations means unknown and keeps the known one. State files without evacuations keep the old format. View has evacuated_zones, evacuated(kind) and on_restored; live(kind) leaves out endpoints of evacuated zones. The view call has a new optional field version: a round with the same version is answered without the body and applied with the one that the follower has.

Test changed: test_a_superseded_document_is_not_confirmed sent the newer round with the same version; that round is now applied without a body, so it sends version 2. The old case has a test of its own.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -153,7 +153,7 @@
     found = []
     for link in links(reactor, controls):
         try:
-            view = yield link.call("view", "", 0, -1, 0, bodies, "", 0, False)
+            view = yield link.call("view", "", 0, -1, 0, bodies, "", 0, False, None)
         except errors.WireError as exc:
             view = exc
         found.append((link.address, view))
--- a/dunlinpoint/control/acceptor.py
+++ b/dunlinpoint/control/acceptor.py
@@ -12,7 +12,7 @@
 
 from dunlinpoint import logs
 from dunlinpoint.config import packed
-from dunlinpoint.control import store, voters
+from dunlinpoint.control import evacuation, store, voters
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 log = logs.logger("control")
@@ -25,10 +25,11 @@
 
 @attrs.frozen
 class Decision:
-    """The decision of one round: a document and the next round's voters.
+    """The decision of one round: a document, evacuations and the next round's voters.
 
-    ``version`` counts documents; a change of voters keeps it. ``body`` is the
-    compressed document, ``voters`` a tuple of ``voters.Voter``.
+    ``version`` counts documents; the other changes keep it. ``body`` is the
+    compressed document, ``voters`` a tuple of ``voters.Voter``, ``evacuations`` a
+    tuple of ``evacuation.Evacuation``.
     """
 
     round: int = 0
@@ -36,10 +37,15 @@
     change_id: str = ""
     body: bytes | None = packed.EMPTY
     voters: tuple = ()
+    evacuations: tuple = ()
 
     @classmethod
-    def from_message(cls, message):
-        """The decision in a ``Document`` message."""
+    def from_message(cls, message, known_evacuations=()):
+        """The decision in a ``Document`` message.
+
+        A build that does not know evacuations sends no list of them;
+        *known_evacuations* are kept then, as such a build cannot change them.
+        """
         voting = tuple(voters.Voter.from_message(v) for v in message.voters or ())
         return cls(
             message.round or 0,
@@ -47,6 +53,7 @@
             message.change_id,
             message.body,
             voting,
+            evacuation.from_messages(message.evacuations, known_evacuations),
         )
 
     @classmethod
@@ -55,6 +62,8 @@
         fields = dict(saved)
         fields["body"] = packed.from_saved(saved["body"])
         fields["voters"] = tuple(voters.Voter(*v) for v in saved["voters"])
+        records = saved.get("evacuations", ())
+        fields["evacuations"] = tuple(evacuation.Evacuation(*e) for e in records)
         return cls(**fields)
 
     def to_message(self, with_body=True):
@@ -65,17 +74,25 @@
             body=self.body if with_body else None,
             round=self.round,
             voters=[v.to_message() for v in self.voters],
+            evacuations=[e.to_message() for e in self.evacuations],
         )
 
     def to_saved(self):
-        """This decision as a dict for the state file."""
-        return {
+        """This decision as a dict for the state file.
+
+        Without evacuations the file has the old format, which builds that do not
+        know them can load.
+        """
+        saved = {
             "round": self.round,
             "version": self.version,
             "change_id": self.change_id,
             "body": packed.to_saved(self.body),
             "voters": [v.to_saved() for v in self.voters],
         }
+        if self.evacuations:
+            saved["evacuations"] = [e.to_saved() for e in self.evacuations]
+        return saved
 
 
 @attrs.define
@@ -172,6 +189,10 @@
         """Whether this acceptor is a voter of the next round."""
         return any(v.node_id == self.node_id for v in self.committed.voters)
 
+    def read_message(self, message):
+        """The ``Decision`` in a ``Document`` message from another instance."""
+        return Decision.from_message(message, self.committed.evacuations)
+
     def _promise(self, ok, known_round):
         """The state as a message, with the committed text if above *known_round*."""
         return ttypes.Promise(
@@ -214,7 +235,7 @@
             return False
         self.promised = ballot
         self.accepted_ballot = ballot
-        self.accepted = Decision.from_message(document)
+        self.accepted = self.read_message(document)
         self.save()
         return True
 
@@ -241,6 +262,7 @@
             round=decision.round,
             version=decision.version,
             voters=[v.node_id for v in decision.voters],
+            evacuated=sorted(evacuation.active_zones(decision.evacuations)),
         )
         for callback in self.on_commit:
             callback()
--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -7,10 +7,11 @@
 partitioned zone, cannot decide anything; it keeps serving the last decision it
 learned.
 
-A decision is a document or a change of the voters (:mod:`voters`). Because
-each round has exactly one set of voters, two partitions of a deployment never
-use two disjoint majorities: an instance that missed a change of voters asks the
-old set, a majority of which took part in the change and returns it.
+A decision changes the document, the voters (:mod:`voters`) or a zone's evacuation
+(:mod:`evacuation`), and carries the rest over. Because each round has exactly one set
+of voters, two partitions of a deployment never use two disjoint majorities: an
+instance that missed a change of voters asks the old set, a majority of which took part
+in the change and returns it.
 
 Operators' changes are compare-and-set: a change names the version it is based
 on and is refused unless that is the version committed here. Two operators
@@ -31,7 +32,7 @@
 from dunlinpoint import logs
 from dunlinpoint.config import packed
 from dunlinpoint.control import acceptor as acceptors
-from dunlinpoint.control import voters
+from dunlinpoint.control import evacuation, voters
 from dunlinpoint.wire import errors
 
 log = logs.logger("control")
@@ -160,7 +161,7 @@
     results = yield defer.DeferredList(calls, consumeErrors=True)
     states = [state for ok, state in results if ok]
     for state in states:
-        local.commit(acceptors.Decision.from_message(state.committed))
+        local.commit(local.read_message(state.committed))
     empty = [s for s in states if not s.committed.round and s.accepted is None]
     if local.unfounded and len(empty) == len(others):
         local.become_founder(own, founders, empty)
@@ -183,7 +184,7 @@
         if not voting or len(valid) < voters.majority(voting):
             return None
         newest = max(valid, key=lambda state: state.committed.round)
-        local.commit(acceptors.Decision.from_message(newest.committed))
+        local.commit(local.read_message(newest.committed))
         if local.committed.round != number:
             # A newer decision was learned from the answers or meanwhile. Its
             # voters may differ, and theirs are the answers that count.
@@ -209,7 +210,7 @@
     promises = yield peers.prepare(voting, number, ballot)
     newest = max(promises, key=lambda p: p.committed.round, default=None)
     if newest is not None and newest.committed.round >= number:
-        local.commit(acceptors.Decision.from_message(newest.committed))
+        local.commit(local.read_message(newest.committed))
         return None
     granted = [p for p in promises if p.ok]
     for promise in promises:
@@ -223,7 +224,7 @@
     )
     chosen = proposal
     if prior is not None:
-        chosen = acceptors.Decision.from_message(prior.accepted)
+        chosen = local.read_message(prior.accepted)
     if chosen is None:
         return None
     count = yield peers.accept(voting, number, ballot, chosen)
@@ -272,3 +273,20 @@
     proposal = attrs.evolve(current, round=current.round + 1, voters=tuple(next_voters))
     chosen = yield decide(peers, proposal.round, proposal)
     return chosen is not None and chosen.voters == proposal.voters
+
+
+@defer.inlineCallbacks
+def change_evacuation(peers, zone, active):
+    """Try to decide that *zone* is evacuated (*active*) or not any more.
+
+    Returns a Deferred of whether it succeeded.
+    """
+    current = peers.local.committed
+    record = evacuation.Evacuation(zone, active, current.round + 1)
+    proposal = attrs.evolve(
+        current,
+        round=record.round,
+        evacuations=evacuation.with_record(current.evacuations, record),
+    )
+    chosen = yield decide(peers, proposal.round, proposal)
+    return chosen is not None and record in chosen.evacuations
--- a/dunlinpoint/control/discovery.py
+++ b/dunlinpoint/control/discovery.py
@@ -4,18 +4,21 @@
 seeds, the voters, the instances that announced themselves here, and those in
 other instances' member lists. So one seed that answers is enough, and the known
 instances remain known when all seeds are lost. An announcement also carries the
-sender's last round, which determines whether it may become a voter.
+sender's last round, which determines whether it may become a voter, and the optional
+features of agreement that it supports.
 """
 
 import zlib
 
 import attrs
 
-from dunlinpoint.control import voters
+from dunlinpoint.control import evacuation, voters
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 KIND = "control"
 ANNOUNCE_MS = 500
+# The optional features of agreement that this build supports, a bit set.
+FEATURES = evacuation.FEATURE
 # How long an instance listed by another one is called without having announced
 # itself here.
 LISTED_TIMEOUT_MS = 5000
@@ -34,6 +37,7 @@
     voter: voters.Voter
     round: int
     received_ms: int
+    features: int = 0
 
 
 @attrs.define
@@ -59,7 +63,7 @@
             heartbeat.endpoint_id, heartbeat.host, heartbeat.port, heartbeat.zone
         )
         self.announcement_by_id[voter.node_id] = Announcement(
-            voter, heartbeat.round or 0, now
+            voter, heartbeat.round or 0, now, heartbeat.features or 0
         )
 
     def record_listed(self, members, now):
@@ -107,6 +111,23 @@
             and a.round >= min_round
         ]
 
+    def without_feature(self, feature, voting, now):
+        """Ids of live instances that do not announce *feature* (one bit).
+
+        A voter that has not announced itself since the start of this instance counts
+        as one of them until it is unresponsive.
+        """
+        lacking = [
+            a.voter.node_id
+            for a in self.recent(now)
+            if now - a.received_ms <= voters.UNRESPONSIVE_MS
+            and not a.features & feature
+        ]
+        known = {self.own.node_id, *self.announcement_by_id}
+        if now - self.started_ms <= voters.UNRESPONSIVE_MS:
+            lacking += [v.node_id for v in voting if v.node_id not in known]
+        return lacking
+
     def to_heartbeat(self, committed):
         """This instance's announcement, a ``Heartbeat`` message."""
         return ttypes.Heartbeat(
@@ -121,4 +142,5 @@
             incarnation=0,
             group="",
             round=committed.round,
+            features=FEATURES,
         )
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -4,6 +4,7 @@
   here if the endpoint's version is older.
 - ``view`` returns this instance's live members and its document.
 - ``apply`` validates an operator's document and runs one agreement round.
+- ``evacuate`` begins or ends the evacuation of a zone.
 - ``prepare``, ``accept``, ``learn`` are the acceptor's side of agreement.
 
 Every ``discovery.ANNOUNCE_MS`` the instance announces itself to the others,
@@ -21,7 +22,16 @@
 from dunlinpoint import clock, logs, metrics
 from dunlinpoint.config import document as config
 from dunlinpoint.control import acceptor as acceptors
-from dunlinpoint.control import agreement, discovery, followers, membership, voters
+from dunlinpoint.control import (
+    agreement,
+    discovery,
+    evacuation_orders,
+    followers,
+    membership,
+    stall,
+    voters,
+    zones,
+)
 from dunlinpoint.suspects import registry
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Control, ttypes
@@ -40,7 +50,8 @@
 
     *seeds* are the (host, port) of the instances that found the deployment, *data*
     the folder of the durable state (``None``: memory only). With *bootstrap*, an
-    empty folder means a first start.
+    empty folder means a first start. *zones* are the names of the deployment's zones
+    (empty: those of known members and controls).
     """
 
     control_id: str
@@ -51,6 +62,7 @@
     seeds: list
     lease_ms: int = membership.LEASE_MS
     bootstrap: bool = False
+    zones: frozenset = frozenset()
 
     @property
     def founders(self):
@@ -79,6 +91,7 @@
     controls: discovery.Controls
     links: rpc.Links
     membership: membership.Membership
+    orders: evacuation_orders.Orders
     waiting_polls: list = attrs.field(factory=list)
     followers: followers.Followers = attrs.field(factory=followers.Followers)
     peer_revision_by_address: dict = attrs.field(factory=dict)
@@ -101,14 +114,23 @@
         def known_addresses():
             return known.addresses(local.committed.voters, ms_clock.now())
 
+        peers = agreement.Peers(local, links.to, known_addresses)
         state = cls(
             settings,
             ms_clock,
             counters,
-            agreement.Peers(local, links.to, known_addresses),
+            peers,
             known,
             links,
             membership.Membership(lease_ms=settings.lease_ms),
+            evacuation_orders.Orders(
+                ms_clock,
+                counters,
+                peers,
+                known,
+                zones.Zones(settings.zones, ms_clock.now(), {settings.zone}),
+                stall.StallDetector(ms_clock.now()),
+            ),
         )
         local.on_commit.append(state.answer_polls)
         return state
@@ -124,6 +146,7 @@
         """Process one heartbeat of an endpoint or another control."""
         self.counters.incr("heartbeats")
         now = self.clock.now()
+        self.orders.zones.record([heartbeat.zone])
         if heartbeat.kind == discovery.KIND:
             self.controls.record(heartbeat, now)
         if self.membership.renew(heartbeat, now):
@@ -160,12 +183,14 @@
         follower="",
         reports_known=None,
         changes_only=False,
+        version=None,
     ):
         """This instance's ``View`` for a follower at *revision* and round *number*.
 
         It contains the crash reports after *reports_known* unless that is ``None``,
         and with *changes_only* only the members that changed since *revision*. A
-        newer document has its text only with *bodies*.
+        newer document has its text only with *bodies*, and if the follower does not
+        have that of the same *version*.
         """
         now = self.clock.now()
         position = self.followers.position_of(zone, follower, now)
@@ -180,7 +205,9 @@
             members = [] if unchanged else self.membership.members(now)
         document = None
         if local.committed.round > number:
-            document = local.committed.to_message(bodies)
+            document = local.committed.to_message(
+                bodies and local.committed.version != version
+            )
         reports = reports_revision = None
         if reports_known is not None:
             reports = self.suspects.reports(reports_known, now)
@@ -248,6 +275,7 @@
         follower="",
         reports_known=None,
         changes_only=False,
+        version=None,
     ):
         state = self.state
         query = (
@@ -258,6 +286,7 @@
             follower,
             reports_known,
             changes_only,
+            version,
         )
         reply = state.make_view(*query)
         has_changes = not reply.unchanged or reply.document is not None or reply.reports
@@ -300,6 +329,13 @@
             state.counters.incr("applied")
         return ttypes.ApplyResult(outcome.accepted, outcome.version, outcome.reason)
 
+    @defer.inlineCallbacks
+    def evacuate(self, zone, active):
+        outcome = yield self.state.orders.carry_out(zone, active)
+        if not outcome.accepted and outcome.reason != evacuation_orders.UNKNOWN_ZONE:
+            raise ttypes.Refused(outcome.reason, NO_QUORUM_RETRY_MS)
+        return ttypes.ApplyResult(outcome.accepted, outcome.version, outcome.reason)
+
     def prepare(self, number, ballot, node_id):
         return self.state.peers.local.prepare(number, ballot, node_id)
 
@@ -336,6 +372,7 @@
             NO_FOLLOWER,
             None,
             False,
+            None,
         )
         for address in addresses
     ]
@@ -351,9 +388,11 @@
     """Process *reply*, the ``View`` of the control at *address*."""
     state.peer_revision_by_address[address] = reply.revision
     state.controls.record_listed(reply.members, state.clock.now())
+    state.orders.zones.record([reply.zone, *(m.zone for m in reply.members)])
     if reply.document is None:
         return
-    if state.peers.local.commit(acceptors.Decision.from_message(reply.document)):
+    local = state.peers.local
+    if local.commit(local.read_message(reply.document)):
         state.counters.incr("caught_up")
 
 
@@ -418,6 +457,11 @@
         state.answer_polls()
 
 
+def tick(state):
+    """Record that the event loop runs."""
+    state.orders.stalls.tick(state.clock.now())
+
+
 def run_every(reactor, interval_ms, func, *args):
     """Run *func* every *interval_ms* until the reactor stops.
 
@@ -446,6 +490,7 @@
     run_every(reactor, discovery.ANNOUNCE_MS, catch_up, state)
     run_every(reactor, discovery.ANNOUNCE_MS, mend_voters, state)
     run_every(reactor, EXPIRE_INTERVAL_MS, expire, state)
+    run_every(reactor, stall.TICK_MS, tick, state)
     local = state.peers.local
     log.info(
         "started",
--- a/dunlinpoint/control/tests/cluster.py
+++ b/dunlinpoint/control/tests/cluster.py
@@ -81,6 +81,10 @@
         next_voters = [self.voter(host) for host in hosts]
         return result(agreement.change_voters(self.peers(at), next_voters))
 
+    def change_evacuation(self, at, zone, active):
+        """Propose at *at* that *zone* is evacuated or not; whether it succeeded."""
+        return result(agreement.change_evacuation(self.peers(at), zone, active))
+
     def catch_up(self, host):
         """Learn at *host* the newest decision of the instances it can reach."""
         found = result(
--- a/dunlinpoint/control/tests/test_agreement_model.py
+++ b/dunlinpoint/control/tests/test_agreement_model.py
@@ -3,8 +3,9 @@
 Failure: two acceptors commit different decisions for one round, or an
 acceptor's committed round decreases. The model mixes operators' changes to the
 version they last saw (also stale ones and retries), links cut and healed,
-acceptors restarted from disk, lost disks, and changes of the voters to any set of
-instances. Possible causes are a proposer that does not adopt an accepted value,
+acceptors restarted from disk, lost disks, evacuations of zones, and changes of the
+voters to any set of instances. A decision must change only one of these and carry the
+rest over. Possible causes are a proposer that does not adopt an accepted value,
 an answer sent before its state is saved, an instance with an empty disk that
 votes as its former voter, or two sets of voters for one round.
 """
@@ -17,6 +18,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from dunlinpoint.control import evacuation
 from dunlinpoint.control.tests import cluster
 
 HOSTS = [f"c{i}" for i in range(5)]
@@ -35,6 +37,7 @@
         self.highest = dict.fromkeys(HOSTS, 0)
         self.chosen = {}
         self.by_round = {}
+        self.acknowledged = []
         self.changes = 0
 
     @rule(at=AT, stale=st.booleans(), resend=st.booleans())
@@ -52,6 +55,12 @@
     def change_voters(self, at, hosts):
         self.net.change_voters(at, sorted(hosts))
 
+    @rule(at=AT, zone=st.sampled_from(["z1", "z2"]), active=st.booleans())
+    def change_evacuation(self, at, zone, active):
+        if self.net.change_evacuation(at, zone, active):
+            evacuations = self.net.by_host[at].committed.evacuations
+            self.acknowledged.append(evacuation.record_of(evacuations, zone))
+
     @rule(one=AT, other=AT)
     def cut(self, one, other):
         self.net.cut(one, None if one == other else other)
@@ -90,6 +99,25 @@
                 if found.version in self.chosen:
                     assert self.chosen[found.version] == {found.change_id}
 
+    @invariant()
+    def a_decision_changes_one_thing(self):
+        for number, found in self.by_round.items():
+            before = self.by_round.get(number - 1)
+            if before is not None:
+                fields = ("version", "voters", "evacuations")
+                changed = [f for f in fields if getattr(before, f) != getattr(found, f)]
+                assert len(changed) <= 1, (before, found)
+                assert (before.body == found.body) or changed == ["version"]
+
+    @invariant()
+    def acknowledged_orders_stay(self):
+        for node in self.net.by_host.values():
+            for record in self.acknowledged:
+                if node.committed.round >= record.round:
+                    evacuations = node.committed.evacuations
+                    found = evacuation.record_of(evacuations, record.zone)
+                    assert found == record or found.round > record.round
+
     @invariant()
     def committed_never_goes_back(self):
         for host, node in self.net.by_host.items():
--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -61,11 +61,100 @@
     # current one.
     _, entry_view, by_name = follower()
     entry_view.merge(by_name["a"], reply_from("a", document(1)), 10)
-    entry_view.merge(by_name["b"], reply_from("b", document(2, body=None)), 30)
+    entry_view.merge(by_name["b"], reply_from("b", document(2, 2, body=None)), 30)
     assert entry_view.confirmed_ms is None
     assert by_name["b"].requests_bodies
 
 
+def test_the_body_of_a_document_is_not_needed_for_a_round_with_its_version():
+    # Guards against a document that is sent again for each change of voters or of an
+    # evacuation, and against a follower that does not confirm such a round.
+    _, entry_view, by_name = follower()
+    applied = []
+    entry_view.on_document.append(applied.append)
+    entry_view.merge(by_name["a"], reply_from("a", document(1)), 10)
+    entry_view.merge(by_name["b"], reply_from("b", document(2, body=None)), 30)
+    assert (entry_view.document.round, entry_view.document.body) == (2, packed.EMPTY)
+    assert entry_view.confirmed_ms == 10 and len(applied) == 1
+
+
+def evacuated(number, *records, version=1, body=packed.EMPTY):
+    """A decision with the evacuation *records* ``(zone, active, round)``."""
+    found = document(number, version, body)
+    found.evacuations = [ttypes.Evacuation(*record) for record in records]
+    return found
+
+
+def reply_with_members(name, document):
+    """A reply that lists a rank's engine and agent and a control in zones z1, z2."""
+    reply = reply_from(name, document)
+    reply.members = [
+        ttypes.Member(
+            endpoint_id=f"{kind}-{zone}", host="h", port=1, kind=kind, zone=zone,
+            lease_left_ms=900,
+        )
+        for kind in ("service", "engine", "rank", "control")
+        for zone in ("z1", "z2")
+    ]  # fmt: skip
+    return reply
+
+
+def live_ids(entry_view, kind):
+    return [m.endpoint_id for m in entry_view.live(kind)]
+
+
+def test_endpoints_of_evacuated_zones_are_left_out():
+    # Guards against requests to an evacuated zone, and against a group that loses its
+    # ranks' agents, or entries that lose their controls, by an evacuation.
+    _, entry_view, by_name = follower()
+    began = evacuated(2, ("z2", True, 2))
+    entry_view.merge(by_name["a"], reply_with_members("a", evacuated(1)), 10)
+    generation = entry_view.generation
+    assert live_ids(entry_view, "service") == ["service-z1", "service-z2"]
+    entry_view.merge(by_name["a"], reply_with_members("a", began), 20)
+    assert entry_view.generation > generation
+    assert live_ids(entry_view, "service") == ["service-z1"]
+    assert live_ids(entry_view, "engine") == ["engine-z1"]
+    assert [m.zone for m in entry_view.evacuated("service")] == ["z2"]
+    assert live_ids(entry_view, "rank") == ["rank-z1", "rank-z2"]
+    assert live_ids(entry_view, "control") == ["control-z1", "control-z2"]
+    ended = evacuated(3, ("z2", False, 3), body=None)
+    entry_view.merge(by_name["b"], reply_from("b", ended), 30)
+    assert live_ids(entry_view, "service") == ["service-z1", "service-z2"]
+
+
+def test_a_starting_entry_knows_the_evacuated_zones_from_its_first_answer():
+    # Guards against requests to an evacuated zone until the document is fetched, or
+    # from a document of a control that does not know evacuations.
+    _, entry_view, by_name = follower()
+    restored = []
+    entry_view.on_restored.append(restored.append)
+    known = evacuated(5, ("z1", False, 3), ("z2", True, 4), body=None)
+    entry_view.merge(by_name["a"], reply_with_members("a", known), 10)
+    assert entry_view.evacuated_zones == {"z2"}
+    assert live_ids(entry_view, "service") == ["service-z1"]
+    entry_view.merge(by_name["b"], reply_from("b", document(6)), 20)
+    entry_view.merge(by_name["c"], reply_from("c", evacuated(2, version=0)), 30)
+    assert entry_view.evacuated_zones == {"z2"} and restored == []
+
+
+def test_callbacks_are_called_with_restored_zones():
+    # Guards against endpoints that are not known to be cold after an evacuation that
+    # ended, also one that ended before this process had heard of its beginning.
+    _, entry_view, by_name = follower()
+    restored = []
+    entry_view.on_restored.append(restored.append)
+    for found in (
+        evacuated(1),
+        evacuated(2, ("z1", True, 2)),
+        evacuated(3, ("z1", False, 3)),
+        evacuated(4, ("z1", False, 3), version=2),
+        evacuated(7, ("z1", True, 5), ("z2", False, 7), version=2),
+    ):
+        entry_view.merge(by_name["a"], reply_from("a", found), 10)
+    assert restored == [{"z1"}, {"z2"}]
+
+
 def test_a_change_of_voters_is_applied_without_a_new_document():
     _, entry_view, by_name = follower()
     applied = []
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -8,6 +8,8 @@
   last known members, and requests to them show which ones can be reached.
 - The document is that of the highest round received from any control, so an
   isolated control with an older one cannot revert it.
+- Endpoints of evacuated zones get no requests. The evacuations are those of the highest
+  round received, also before that round's document has been fetched.
 - ``confirmed_ms`` is the last time at which a majority of the voters are known to
   have held no newer document. Every accepted document is held by a majority of
   them before it is acknowledged to its operator, so one of those polled would
@@ -22,7 +24,8 @@
 
 from dunlinpoint import clock, logs
 from dunlinpoint.config import packed
-from dunlinpoint.control import discovery, membership, voters
+from dunlinpoint.control import discovery, evacuation, membership, voters
+from dunlinpoint.experts import messages
 from dunlinpoint.follow import controls
 from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
@@ -38,6 +41,9 @@
 RETRY_MS = 300
 # The revision of no list: a control polled with it returns all members.
 NO_REVISION = 0
+# Kinds of members that get no callers' requests, so evacuations do not concern them.
+# Ranks of an evacuated zone continue to compute for their group.
+SYSTEM_KINDS = frozenset((discovery.KIND, messages.KIND))
 # The interval between checks for expired leases.
 EXPIRE_INTERVAL_MS = 50
 # The interval between updates of the set of polled controls.
@@ -71,9 +77,11 @@
     """Members by endpoint id, and the document in force.
 
     The callables in ``on_document`` are called with each new document, those in
-    ``on_reports`` with a list of crash reports, those in ``on_change`` without
-    arguments after each answer of a control. Times (``_ms``) are of this process's
-    clock.
+    ``on_reports`` with a list of crash reports, those in ``on_restored`` with a
+    ``frozenset`` of the zones whose evacuation has ended, those in ``on_change``
+    without arguments after each answer of a control. Times (``_ms``) are of this
+    process's clock. ``evacuations`` are the records of round ``evacuations_round``
+    (``None``: of no round yet).
     """
 
     clock: clock.Clock
@@ -87,6 +95,10 @@
     on_document: list = attrs.field(factory=list)
     on_change: list = attrs.field(factory=list)
     on_reports: list = attrs.field(factory=list)
+    on_restored: list = attrs.field(factory=list)
+    evacuations: tuple = ()
+    evacuations_round: int | None = None
+    evacuated_zones: frozenset = frozenset()
     wants_reports: bool = False
     wait_ms: int = WAIT_MS
     min_body_interval_ms: int = 0
@@ -101,6 +113,7 @@
     generation: int = 0
     last_expiry_ms: int = 0
     live_by_kind: dict = attrs.field(factory=dict)
+    evacuated_by_kind: dict = attrs.field(factory=dict)
 
     @classmethod
     def from_config(cls, reactor, zone, seeds):
@@ -144,8 +157,15 @@
             for callback in self.on_reports:
                 callback(reply.reports)
         document = reply.document
+        if document is not None:
+            self._apply_evacuations(document)
         if document is None or document.round <= self.document.round:
             followed.requests_bodies = followed.zone == self.zone
+        elif document.body is None and document.version == self.document.version:
+            # The round changed only voters or evacuations.
+            document.body = self.document.body
+            followed.requests_bodies = followed.zone == self.zone
+            self._apply_document(document)
         elif document.body is None:
             # This control holds a newer document than the one in force here, so
             # ``confirmed_ms`` must not advance.
@@ -217,6 +237,35 @@
         for callback in self.on_document:
             callback(document)
 
+    def _apply_evacuations(self, document):
+        """Apply the evacuations of a newer *document*.
+
+        A zone whose evacuation began and ended between two answers counts as restored
+        as well. In the first decision after the start nothing does, as it is unknown
+        how long ago an evacuation ended.
+        """
+        known_round = self.evacuations_round
+        if document.evacuations is None or document.round <= (known_round or 0):
+            return
+        self.evacuations_round = document.round
+        self.evacuations = evacuation.from_messages(document.evacuations, ())
+        before = self.evacuated_zones
+        self.evacuated_zones = evacuation.active_zones(self.evacuations)
+        if known_round is None:
+            changed = [e for e in self.evacuations if e.active]
+        else:
+            changed = [e for e in self.evacuations if e.round > known_round]
+        for record in changed:
+            log.info(
+                "evacuation", zone=record.zone, on=record.active, round=record.round
+            )
+        if self.evacuated_zones != before:
+            self._record_change()
+        restored = frozenset(e.zone for e in changed if not e.active)
+        if restored:
+            for callback in self.on_restored:
+                callback(restored)
+
     def _update_member(self, member, expires_ms):
         known = self.by_id.get(member.endpoint_id)
         if known is None:
@@ -240,23 +289,32 @@
     def _record_change(self):
         self.generation += 1
         self.live_by_kind = {}
+        self.evacuated_by_kind = {}
 
     def live(self, kind):
-        """Members of *kind* that accept new requests (not draining, not gone)."""
+        """Members of *kind* that get new requests: not draining, gone or evacuated."""
         now = self.clock.now()
         if now - self.last_expiry_ms >= EXPIRE_INTERVAL_MS:
             self.last_expiry_ms = now
             self._drop_expired(now)
-        live = self.live_by_kind.get(kind)
-        if live is None:
-            live = self.live_by_kind[kind] = [
-                known.member
-                for known in self.by_id.values()
-                if not known.member.draining
-                and not known.member.gone
-                and known.member.kind == kind
-            ]
-        return live
+        if kind not in self.live_by_kind:
+            self._divide_members(kind)
+        return self.live_by_kind[kind]
+
+    def evacuated(self, kind):
+        """Members of *kind* that get no new requests only because of an evacuation."""
+        self.live(kind)
+        return self.evacuated_by_kind[kind]
+
+    def _divide_members(self, kind):
+        zones = frozenset() if kind in SYSTEM_KINDS else self.evacuated_zones
+        live, evacuated = [], []
+        for known in self.by_id.values():
+            member = known.member
+            if member.kind != kind or member.draining or member.gone:
+                continue
+            (evacuated if member.zone in zones else live).append(member)
+        self.live_by_kind[kind], self.evacuated_by_kind[kind] = live, evacuated
 
     def set_seeds(self, seeds):
         """Replace the seeds by *seeds*, a sequence of (host, port)."""
@@ -288,6 +346,7 @@
                 self.follower,
                 followed.reports_revision if self.wants_reports else None,
                 True,
+                self.document.version,
                 timeout_ms=self.wait_ms + controls.CONTROL_TIMEOUT_MS,
             )
         except errors.WireError:
@@ -298,8 +357,8 @@
         # An answer without changes is valid as of its arrival, an immediate one as
         # of the request. The time of the request holds in both cases.
         self.merge(followed, reply, requested_ms)
-        body_omitted = reply.document is not None and reply.document.body is None
-        if not body_omitted:
+        document = reply.document
+        if document is None or document.round <= self.document.round:
             return POLL_INTERVAL_MS
         return OTHER_ZONE_POLL_MS if self.wants_body() else DELAYED_BODY_POLL_MS
 
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -67,6 +67,7 @@
     "let_in": "share of requests admitted, given the group's step time",
     "round": "round of agreement",
     "version": "version of a document or a map",
+    "evacuated": "zones whose endpoints get no requests",
     "before": "value before the change",
     "after": "value after the change",
     "vouched_ms": "time since a majority of controls last confirmed the state",
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -171,7 +171,8 @@
   20: i64 cold_left_ms,
   // The slowdown of a rank's engine, as in RankState.
   21: i32 pace,
-  // Bit set of the optional agreement features that a control instance supports.
+  // Bit set of the optional agreement features that a control instance supports: 1 for
+  // evacuations.
   22: i32 features,
 }
 
@@ -219,8 +220,10 @@
 }
 
 // The decision of one agreement round: the configuration document in force, the zones'
-// evacuations and the voters of the next round. version counts documents, round counts decisions. body is
-// the compressed text; it is absent where the receiver has it or did not request it.
+// evacuations and the voters of the next round. version counts documents, round counts
+// decisions. body is the compressed text; it is absent where the receiver has it or did
+// not request it. evacuations is absent only in messages of builds that do not know it;
+// the receiver then keeps the evacuations that it knows.
 struct Document {
   1: i64 version,
   2: string change_id,
@@ -302,8 +305,9 @@
   // is returned without its body.
   // follower is the id of an entry that requests its index among the entries.
   // reports_known is the last reports_revision that it received; absent, no reports are
-  // returned.
-  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known, 8: bool changes_only),
+  // returned. version is that of the document whose body the asker has: a decision with
+  // the same version is returned without its body.
+  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known, 8: bool changes_only, 9: i64 version),
   // Publishes an entry's observations of requests that endpoints crashed under.
   void report(1: list<CrashReport> reports),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -30,7 +30,7 @@
         """
         pass
 
-    def view(zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only):
+    def view(zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version):
         """
         Parameters:
          - zone
@@ -41,6 +41,7 @@
          - follower
          - reports_known
          - changes_only
+         - version
 
         """
         pass
@@ -171,7 +172,7 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "heartbeat failed: unknown result"))
 
-    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only):
+    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version):
         """
         Parameters:
          - zone
@@ -182,12 +183,13 @@
          - follower
          - reports_known
          - changes_only
+         - version
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only)
+        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version)
         d.addCallbacks(
             callback=self.cb_send_view,
             callbackArgs=(seqid,),
@@ -203,7 +205,7 @@
         d.errback(f)
         return d
 
-    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only):
+    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('view', TMessageType.CALL, self._seqid)
         args = view_args()
@@ -215,6 +217,7 @@
         args.follower = follower
         args.reports_known = reports_known
         args.changes_only = changes_only
+        args.version = version
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -668,7 +671,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = view_result()
-        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known, args.changes_only)
+        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known, args.changes_only, args.version)
         d.addCallback(self.write_results_success_view, result, seqid, oprot)
         d.addErrback(self.write_results_exception_view, result, seqid, oprot)
         return d
@@ -1104,11 +1107,12 @@
      - follower
      - reports_known
      - changes_only
+     - version
 
     """
 
 
-    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None, changes_only=None,):
+    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None, changes_only=None, version=None,):
         self.zone = zone
         self.revision = revision
         self.round = round
@@ -1117,6 +1121,7 @@
         self.follower = follower
         self.reports_known = reports_known
         self.changes_only = changes_only
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1167,6 +1172,11 @@
                     self.changes_only = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1209,6 +1219,10 @@
             oprot.writeFieldBegin('changes_only', TType.BOOL, 8)
             oprot.writeBool(self.changes_only)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 9)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1236,6 +1250,7 @@
     (6, TType.STRING, 'follower', 'UTF8', None, ),  # 6
     (7, TType.I64, 'reports_known', None, None, ),  # 7
     (8, TType.BOOL, 'changes_only', None, None, ),  # 8
+    (9, TType.I64, 'version', None, None, ),  # 9
 )
 
 
