Evacuations at entries, on the platform's admin API and in dunlinctl

Cause: evacuation orders got 404, and entries had nothing that made them leave out a zone.

Change: POST /api/evacuations/ZONE/begin and /finish (platform/, translation only), known zones from DUNLIN_ZONES, dunlinctl evacuate, restore, show, members. Entries refuse at once with 503 "evacuated" and the longest Retry-After that the caller obeys when all zones of a service are evacuated, also just after their start. Groups: each entry's portion of the slots is that of all slots among all entries while a zone is evacuated; a group whose endpoints are all left out keeps its admission controller until its streams have ended (its number of streams became negative). Idempotency keys: an evacuated agent that is first in a key's order is the backup of the new owner, so that a call which ran in the zone is not run again.

Test scaffolding: platform_lab takes the servers' zones, can restart the control, and goes on sending heartbeats meanwhile (it stopped at the first refused connection).

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -5,10 +5,13 @@
   document as the version after ``N``. A change id (``--change-id``, by
   default a hash of the document and ``N``) makes it safe to resend after a
   lost reply: control recognises the id and doesn't apply the change twice.
-- ``dunlinctl show --controls ...`` prints each control's version in force.
+- ``dunlinctl show --controls ...`` prints each control's version in force and the
+  evacuated zones.
 - ``dunlinctl members --controls ...`` lists the endpoints each control knows.
 - ``dunlinctl drain ENDPOINT --controls ...`` adds the endpoint to the
   document's ``leaving`` list (``--back`` removes it).
+- ``dunlinctl evacuate ZONE --controls ...`` ends requests to the endpoints of a zone;
+  ``dunlinctl restore ZONE --controls ...`` lets them get requests again.
 - ``dunlinctl outcome KEY --controls ...`` prints the outcome of a
   non-idempotent call, from the agents that hold its key.
 - ``dunlinctl suspects --controls ...`` lists the requests during which
@@ -23,6 +26,7 @@
 import hashlib
 import json
 import sys
+import time
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -30,16 +34,22 @@
 import cappa
 from twisted.internet import defer, task
 
+from dunlinpoint import clock
 from dunlinpoint.cli import checks, explain
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
-from dunlinpoint.control import discovery
+from dunlinpoint.control import discovery, evacuation
 from dunlinpoint.routing import owners
 from dunlinpoint.suspects import registry
 from dunlinpoint.wire import errors, rpc
 from dunlinpoint.wire.gen.dunlin import Agent, Control, ttypes
 
 TIMEOUT_MS = 5000
+# An order to evacuate a zone goes to another control after the first time, and is given
+# up after the second.
+ORDER_TIMEOUT_MS = 1000
+ORDER_GIVE_UP_MS = 5000
+ORDER_INTERVAL_MS = 100
 # Number of agents that hold an idempotency key: its owner and the backup.
 KEY_REPLICAS = 2
 
@@ -160,6 +170,11 @@
     return found
 
 
+def evacuated_zones(view):
+    """The evacuated zones that the control of *view*, a ``View``, knows of."""
+    return evacuation.active_zones(view.document.evacuations or ())
+
+
 def endpoints(view):
     """The members of *view*, a ``View``, that are endpoints."""
     return [m for m in view.members if m.kind != discovery.KIND]
@@ -184,13 +199,14 @@
             line["version"] = view.document.version
             line["settled"] = view.settled
             line["members"] = len(endpoints(view))
+            line["evacuated"] = sorted(evacuated_zones(view))
             print(json.dumps(line))
         return 0
 
 
 @dataclass
 class Members:
-    """List the endpoints each control knows."""
+    """List the endpoints each control knows, and whether their zone is evacuated."""
 
     controls: Annotated[str, controls_flag()]
 
@@ -202,10 +218,12 @@
         for address, view in (yield views(reactor, self.controls)):
             if isinstance(view, Exception):
                 continue
+            zones = evacuated_zones(view)
             for member in endpoints(view):
                 line = {"control": address, "endpoint_id": member.endpoint_id}
                 line.update(zone=member.zone, kind=member.kind)
                 line.update(draining=member.draining, version=member.config_version)
+                line.update(evacuated=member.zone in zones)
                 print(json.dumps(line))
         return 0
 
@@ -243,6 +261,63 @@
         return (yield propose(control_links, newest.version, change_id, body))
 
 
+@defer.inlineCallbacks
+def order_evacuation(reactor, controls, zone, active):
+    """Send an order to the controls in turn until one decides it; the exit code.
+
+    A copy of an order that has been decided changes nothing, so it may be sent again
+    after a lost answer. Prints the result as a line of JSON.
+    """
+    deadline_s = time.monotonic() + clock.seconds(ORDER_GIVE_UP_MS)
+    control_links = links(reactor, controls)
+    answer = {"zone": zone, "evacuated": active, "accepted": False}
+    reason_by_control = {}
+    while time.monotonic() < deadline_s:
+        for link in control_links:
+            try:
+                result = yield link.call(
+                    "evacuate", zone, active, timeout_ms=ORDER_TIMEOUT_MS
+                )
+            except ttypes.Refused as refused:
+                reason_by_control[link.address] = refused.reason
+                continue
+            except errors.WireError as exc:
+                reason_by_control[link.address] = str(exc)
+                continue
+            answer.update(accepted=result.accepted, reason=result.reason)
+            print(json.dumps(answer))
+            return 0 if result.accepted else 1
+        yield task.deferLater(reactor, clock.seconds(ORDER_INTERVAL_MS))
+    print(json.dumps(answer | {"reasons": reason_by_control}))
+    return 1
+
+
+@dataclass
+class Evacuate:
+    """Stop new requests from being sent to the endpoints of a zone."""
+
+    zone: str
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        run_on_reactor(
+            lambda reactor: order_evacuation(reactor, self.controls, self.zone, True)
+        )
+
+
+@dataclass
+class Restore:
+    """End the evacuation of a zone: its endpoints get requests again."""
+
+    zone: str
+    controls: Annotated[str, controls_flag()]
+
+    def __call__(self):
+        run_on_reactor(
+            lambda reactor: order_evacuation(reactor, self.controls, self.zone, False)
+        )
+
+
 @dataclass
 class Outcome:
     """Print the outcome of a non-idempotent call, by its idempotency key."""
@@ -365,7 +440,17 @@
     """dunlinctl: operate dunlinpoint through its configuration document."""
 
     command: cappa.Subcommands[
-        Validate | Apply | Show | Members | Drain | Outcome | Suspects | Lift | Explain
+        Validate
+        | Apply
+        | Show
+        | Members
+        | Drain
+        | Evacuate
+        | Restore
+        | Outcome
+        | Suspects
+        | Lift
+        | Explain
     ]
 
 
--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -272,17 +272,23 @@
 
     Returns ``(status, response dict, Retry-After in seconds or None)``.
 
-    A non-idempotent call is sent only to the owner of its key. If the agent of an
+    A non-idempotent call is sent only to the owner of its key. An agent of an evacuated
+    zone gets no call, but may be the backup that holds the key. If the agent of an
     idempotent call cannot answer, the next agent in the rendezvous order of the key
     is tried: repeating the call is safe, and a caller should not receive "unknown"
     for a lookup that another agent can serve.
     """
     key = order.idempotency_key or order.request_id
-    ranked = owners.owners(entry.view.live("service"), key)
+    live = entry.view.live("service")
     if order.operation in config.NON_IDEMPOTENT:
-        for backup in ranked[1:2]:
+        owner, backup = owners.owner_and_backup(
+            live, entry.view.evacuated("service"), key
+        )
+        ranked = [] if owner is None else [owner]
+        if backup is not None:
             order.backup_host, order.backup_port = backup.host, backup.port
-        ranked = ranked[:1]
+    else:
+        ranked = owners.owners(live, key)
     answer = 503, {"outcome": "not_run"}, RETRY_AFTER_S
     if not ranked:
         entry.counters.refused("no_service")
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -41,6 +41,11 @@
             capacity.refuse(forwarder, call, result)
             return
         member = next_member(forwarder, call, by_group, now)
+        if member is None and not by_group and forwarder.is_evacuated(call.service):
+            give_up(
+                forwarder, call, "evacuated", evacuated_retry_after_ms(forwarder, call)
+            )
+            return
         if member is None:
             members = [m for group_members in by_group.values() for m in group_members]
             available_ms = forwarder.picker.available_ms(members, now, call.tried)
@@ -155,6 +160,17 @@
     )
 
 
+def evacuated_retry_after_ms(forwarder, call):
+    """Return the ``Retry-After`` (ms) of *call* while all its zones are evacuated.
+
+    The end of an evacuation cannot be foreseen, so the caller is asked to wait for as
+    long as it obeys.
+    """
+    longest_ms = outage.max_retry_after_ms(call.deadline_ms - forwarder.clock.now())
+    jitter = outage.RETRY_AFTER_JITTER * forwarder.rng.random()
+    return longest_ms * (1 - jitter)
+
+
 def give_up(forwarder, call, reason, retry_after_ms=responses.RETRY_AFTER_MS):
     """Send the final response of a request that no endpoint answered."""
     request = call.request
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -58,6 +58,7 @@
     groups_by_service: dict = attrs.field(factory=dict)
     members_by_service: dict = attrs.field(factory=dict)
     group_members_by_service: dict = attrs.field(factory=dict)
+    evacuated_services: set = attrs.field(factory=set)
     uneven_groups: set = attrs.field(factory=set)
     overloaded_groups: set = attrs.field(factory=set)
     member_order_key: tuple | None = None
@@ -125,7 +126,13 @@
         """Whether the document and, if given, endpoints of *service* are known."""
         if not self.table.version or self.view.confirmed_ms is None:
             return False
-        return service is None or bool(self.members(service))
+        return (
+            service is None or bool(self.members(service)) or self.is_evacuated(service)
+        )
+
+    def is_evacuated(self, service):
+        """Whether all endpoints of *service* are in evacuated zones."""
+        return not self.members(service) and service in self.evacuated_services
 
     def is_starting(self):
         """Whether the entry may not know all members yet because it just started."""
@@ -137,12 +144,16 @@
         view = self.view
         self.picker.signals.update(view.entry_index, view.entry_count, self.clock.now())
         order_key = view.generation, view.zone_index, view.zone_entries
+        if view.evacuated_zones:
+            order_key += (view.entry_count,)
         if self.member_order_key != order_key:
             self.member_order_key = order_key
             self._order_members(live)
 
     def _order_members(self, live):
         by_service = {}
+        evacuated = self.view.evacuated("service")
+        self.evacuated_services = {m.service_name for m in evacuated}
         for member in sorted(live, key=lambda m: m.endpoint_id):
             by_service.setdefault(member.service_name, []).append(member)
         zone_index, zone_entries = self.view.zone_index, self.view.zone_entries
@@ -158,7 +169,9 @@
         self.picker.forget(incarnations)
         self.picker.signals.forget(incarnations, self.clock.now())
         self.pool.forget(incarnations)
-        addresses = {outage.address_of(m) for m in live}
+        # Ranks of an evacuated zone finish their requests, which show how their group
+        # is doing.
+        addresses = {outage.address_of(m) for m in [*live, *evacuated]}
         ranks = self.view.live(messages.KIND)
         for group in self.outages.update(ranks, addresses, self.clock.now()):
             log.info("group_open", group=group)
@@ -199,7 +212,10 @@
             for group, members in by_group.items()
         }
         members = self.members_by_service.get(service, [])
-        slots = latency.entry_slots(members, self.view.zone, self.view.zone_entries)
+        if self.view.evacuated_zones:
+            slots = latency.even_slots(members, self.view.entry_count)
+        else:
+            slots = latency.entry_slots(members, self.view.zone, self.view.zone_entries)
         service_groups.update(sizes, own_zone_sizes, slots)
 
     def groups(self, call):
--- a/dunlinpoint/platform/addresses.py
+++ b/dunlinpoint/platform/addresses.py
@@ -3,6 +3,8 @@
 Invalid values raise ``checks.SettingError``.
 """
 
+import json
+
 from dunlinpoint.cli import checks
 
 
@@ -21,3 +23,19 @@
     if not str(value).isdigit():
         raise checks.SettingError(f"{name}: {value!r} is not a whole number")
     return int(value)
+
+
+def zone_names(value):
+    """The zones (``frozenset``) in a JSON object of regions by zone.
+
+    An empty *value* gives no zones.
+    """
+    if not value.strip():
+        return frozenset()
+    try:
+        region_by_zone = json.loads(value)
+    except (ValueError, RecursionError):
+        region_by_zone = None
+    if not isinstance(region_by_zone, dict):
+        raise checks.SettingError(f"zones: {value!r} is not a JSON object")
+    return frozenset(region_by_zone)
--- a/dunlinpoint/platform/admin.py
+++ b/dunlinpoint/platform/admin.py
@@ -4,10 +4,11 @@
 
 from klein import Klein
 from twisted.internet import defer
+from twisted.web import http, server
 
 from dunlinpoint import logs
 from dunlinpoint.config import document as config
-from dunlinpoint.control import agreement, operators
+from dunlinpoint.control import agreement, evacuation_orders, operators
 from dunlinpoint.platform import documents, fields, protocol
 
 log = logs.logger("control")
@@ -15,6 +16,27 @@
 JSON = b"application/json"
 
 
+class Channel(http.HTTPChannel):
+    """A connection to the admin API; ``accepted_ms`` is when it was accepted."""
+
+    accepted_ms = None
+
+    def connectionMade(self):
+        self.accepted_ms = self.factory.clock.now()
+        super().connectionMade()
+
+
+class Site(server.Site):
+    """The site of the admin API, which knows when each connection was accepted."""
+
+    protocol = Channel
+    noisy = False
+
+    def __init__(self, resource, ms_clock):
+        super().__init__(resource)
+        self.clock = ms_clock
+
+
 def reply(request, status, body):
     """A JSON response with *status*; returns its body (``bytes``)."""
     request.setResponseCode(status)
@@ -90,4 +112,24 @@
         request.setHeader(b"content-type", JSON)
         return documents.origin(decision).encode()
 
+    @defer.inlineCallbacks
+    def evacuate(request, zone, active):
+        accepted_ms = getattr(request.channel, "accepted_ms", None)
+        outcome = yield state.orders.carry_out(zone, active, accepted_ms)
+        if outcome.accepted:
+            return reply(request, 200, {})
+        if outcome.reason == evacuation_orders.WAITED:
+            # All further orders on this connection would be refused as well.
+            request.setHeader(b"connection", b"close")
+        unknown = outcome.reason == evacuation_orders.UNKNOWN_ZONE
+        return reply(request, 404 if unknown else 503, {"error": outcome.reason})
+
+    @web.route(protocol.EVACUATION_BEGIN_PATH, methods=["POST"])
+    def begin_evacuation(request, zone):
+        return evacuate(request, zone, True)
+
+    @web.route(protocol.EVACUATION_FINISH_PATH, methods=["POST"])
+    def finish_evacuation(request, zone):
+        return evacuate(request, zone, False)
+
     return web
--- a/dunlinpoint/platform/commands.py
+++ b/dunlinpoint/platform/commands.py
@@ -43,6 +43,7 @@
     data: Annotated[str, flags.flag("DUNLIN_DATA", "data folder")]
     beat_ms: flags.HeartbeatMs
     bootstrap: Annotated[str, flags.flag("DUNLIN_BOOTSTRAP", "first start", "false")]
+    zones: Annotated[str, flags.flag("DUNLIN_ZONES", "zones, a JSON object", "")]
     metrics: flags.Metrics
 
 
--- a/dunlinpoint/platform/control.py
+++ b/dunlinpoint/platform/control.py
@@ -1,7 +1,6 @@
 """A control instance on the platform, with its admin calls."""
 
 from twisted.internet import reactor
-from twisted.web import server
 
 from dunlinpoint import logs
 from dunlinpoint.cli import checks, flags
@@ -26,6 +25,7 @@
         lease_ms=addresses.whole_number(command.beat_ms, "beat-ms")
         * MEMBER_LEASE_HEARTBEATS,
         bootstrap=command.bootstrap == "true",
+        zones=addresses.zone_names(command.zones),
     )
     logs.setup()
     running = control_server.run(
@@ -35,6 +35,6 @@
         reactor,
         lambda seeds: running.controls.set_seeds(addresses.with_port(seeds, own_port)),
     )
-    web = server.Site(admin.make_app(reactor, running).resource())
+    web = admin.Site(admin.make_app(reactor, running).resource(), running.clock)
     reactor.listenTCP(port, web, interface=host)
     reactor.run()
--- a/dunlinpoint/routing/groups.py
+++ b/dunlinpoint/routing/groups.py
@@ -101,10 +101,11 @@
             self.share_by_group,
             self.own_zone_share_by_group,
             self.mean_gap_by_group,
-            self.controller_by_group,
         ):
             for group in [g for g in by_group if g not in sizes]:
                 del by_group[group]
+        for group in list(self.controller_by_group):
+            self._drop_idle_controller(group)
         self._normalise()
 
     def not_overloaded(self, usable, now, is_retry, draw):
@@ -142,12 +143,20 @@
     def stream_ended(self, group):
         """Record that a stream of *group* has ended.
 
-        The group may have been removed in the meantime. Counted in a new
-        ``AdmissionController``, its streams would make the number in flight negative,
-        and too many streams would be admitted once the group is back.
+        The group may have been removed in the meantime; its ``AdmissionController`` is
+        kept until its streams have ended. Counted in a new one, they would make the
+        number in flight negative, and too many streams would be admitted once the
+        group is back.
         """
         if group in self.controller_by_group:
             self.controller_by_group[group].ended()
+            self._drop_idle_controller(group)
+
+    def _drop_idle_controller(self, group):
+        """Drop the controller of a removed *group* that has no streams any more."""
+        idle = not self.controller_by_group[group].in_flight
+        if idle and group not in self.share_by_group:
+            del self.controller_by_group[group]
 
     def record_gap(self, group, gap_ms, now):
         """Record an event of a stream of *group*, *gap_ms* after the one before."""
--- a/dunlinpoint/routing/latency.py
+++ b/dunlinpoint/routing/latency.py
@@ -38,6 +38,16 @@
     return slots / (max(1, entry_count) * max(1, zones))
 
 
+def even_slots(members, entry_count):
+    """The portion of *members*' slots for each of the *entry_count* entries.
+
+    For the time of an evacuation: the entries of an evacuated zone use the slots of
+    the other zones, so a portion by zone would count these slots twice.
+    """
+    slots = sum(m.slots or pick.DEFAULT_SLOTS for m in members)
+    return slots / max(1, entry_count)
+
+
 @attrs.define
 class Queue:
     """Queue of callers past their latency target, ordered by *key*.
--- a/dunlinpoint/routing/owners.py
+++ b/dunlinpoint/routing/owners.py
@@ -8,6 +8,8 @@
   agent, whose key table ensures that the call runs at most once. The owner is not
   chosen within the entry's zone, because the platform's balancer may send a retry
   to another zone's entry, whose zone-local owner would run the call a second time.
+  While a zone is evacuated, an agent of
+  another zone takes over the keys of its agents (:func:`owner_and_backup`).
   While a network partition makes the owner unreachable, the call is refused as not
   run: at-most-once takes precedence over availability. Idempotent calls may go on
   to the next agent in the same order.
@@ -40,3 +42,16 @@
 def owners(members, key):
     """Service agents in rendezvous order for *key*: the owner first."""
     return sorted(members, key=lambda m: -score(key, m.endpoint_id))
+
+
+def owner_and_backup(live, evacuated, key):
+    """The agent that runs a call with *key*, and the other one that holds the key.
+
+    Agents of *evacuated* zones run no calls, but they keep the records of earlier ones.
+    While the first agent in the key's order is among them, it is the backup: the
+    owner claims the key there, so a call that has run is not run again. Either may be
+    ``None``.
+    """
+    owner = next(iter(owners(live, key)), None)
+    others = [m for m in owners([*live, *evacuated], key) if m is not owner]
+    return owner, next(iter(others), None)
--- a/dunlinpoint/routing/tests/test_groups.py
+++ b/dunlinpoint/routing/tests/test_groups.py
@@ -80,3 +80,21 @@
     found.stream_ended("g1")
     found.update({"g1": 24}, {"g1": 24}, SLOTS)
     assert found.controller("g1").in_flight == 0
+
+
+def test_streams_of_a_group_that_is_away_for_a_while_are_counted():
+    # Guards against too many streams at a group whose endpoints were all evacuated:
+    # those that ran on gave it a new controller, and their ends made its number of
+    # streams negative.
+    found = groups.Groups(120)
+    found.update({"g1": 24}, {"g1": 24}, SLOTS)
+    for _ in range(2):
+        found.controller("g1").began()
+    found.update({}, {}, SLOTS)
+    found.record_gap("g1", 50, 1000)
+    found.stream_ended("g1")
+    found.update({"g1": 24}, {"g1": 24}, SLOTS)
+    assert found.controller("g1").in_flight == 1
+    found.update({}, {}, SLOTS)
+    found.stream_ended("g1")
+    assert found.controller_by_group == {}
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -34,7 +34,8 @@
     """Request handler of one simulated server.
 
     Its state is kept in attributes of the HTTP server: ``runs`` lists the executed
-    requests as (server id, request id), ``arrivals`` the monotonic times (s) of all
+    requests as (server id, request id), ``zone`` the zone that is announced,
+    ``arrivals`` the monotonic times (s) of all
     requests, ``extra_headers`` the headers added to every answer. While ``retry_after``
     is set, every request is refused with it as Retry-After (s).
     """
@@ -127,6 +128,15 @@
     runs: list
     folder: object
     metrics_port: int
+    inner_port: int
+    control_settings: dict
+
+    def restart_control(self):
+        """Kill the control and start it again on its disk."""
+        self.control.kill()
+        self.control.wait(10)
+        self.control = start(self.folder, "control", **self.control_settings)
+        wait_for(lambda: deploy.listening(self.admin_port))
 
     def admin(self, method, path, body=None):
         status, _, text = ask(self.admin_port, method, path, body)
@@ -185,21 +195,22 @@
     }
 
 
-def run(folder):
-    """Yield one running ``Platform`` whose logs are under *folder*."""
+def run(folder, server_zones=("z1", "z1")):
+    """Yield one running ``Platform`` whose logs are under *folder*.
+
+    It has one server in each of *server_zones*.
+    """
     ports = [deploy.free_port() for _ in range(5)]
     entry_port, ready_port, admin_port, inner, metrics_port = ports
     seeds = f"127.0.0.1:{admin_port}"
     common = {"zone": "z1", "seeds": seeds, "inner_ports": inner}
-    control = start(
-        folder,
-        "control",
-        ip="127.0.0.1",
-        listen=seeds,
-        data=folder / "control",
-        bootstrap="true",
-        **common,
-    )
+    control_settings = common | {
+        "ip": "127.0.0.1",
+        "listen": seeds,
+        "data": folder / "control",
+        "zones": json.dumps(dict.fromkeys(server_zones, "region")),
+    }
+    control = start(folder, "control", bootstrap="true", **control_settings)
     entry = start(
         folder,
         "entry",
@@ -211,9 +222,9 @@
     )
     runs, servers = [], []
     stopped = threading.Event()
-    for number in range(2):
+    for number, zone in enumerate(server_zones):
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
-        server.id, server.runs = f"i-{number}", runs
+        server.id, server.runs, server.zone = f"i-{number}", runs, zone
         server.extra_headers, server.arrivals, server.retry_after = {}, [], None
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
@@ -227,6 +238,8 @@
         runs,
         folder,
         metrics_port,
+        inner,
+        control_settings,
     )
     try:
         wait_for(lambda: deploy.listening(admin_port) and deploy.listening(ready_port))
@@ -242,7 +255,7 @@
         yield running
     finally:
         stopped.set()
-        for process in (entry, control):
+        for process in (running.entry, running.control):
             process.kill()
             process.wait(10)
         for server in servers:
@@ -264,7 +277,7 @@
             body = {
                 "service": "desk",
                 "address": f"127.0.0.1:{server.server_address[1]}",
-                "zone": "z1",
+                "zone": server.zone,
                 "slots": 4,
                 "state": "ready",
                 "seqNo": sequence,
@@ -272,5 +285,6 @@
             path = f"/api/instances/{server.id}/heartbeat"
             try:
                 running.admin("POST", path, json.dumps(body))
-            except OSError:
-                return
+            except (OSError, http.client.HTTPException):
+                # The control is being restarted.
+                continue
