Soak: a zone is evacuated and restored in each run

Cause: nothing showed that evacuations hold beside frozen, killed and cut off processes.

One backend of four is in the second zone now; all were in the first. Unit tests of calls of our own interface; dunlinctl uses the clock type.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -26,7 +26,6 @@
 import hashlib
 import json
 import sys
-import time
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -268,11 +267,12 @@
     A copy of an order that has been decided changes nothing, so it may be sent again
     after a lost answer. Prints the result as a line of JSON.
     """
-    deadline_s = time.monotonic() + clock.seconds(ORDER_GIVE_UP_MS)
+    ms_clock = clock.Clock(reactor)
+    deadline_ms = ms_clock.now() + ORDER_GIVE_UP_MS
     control_links = links(reactor, controls)
     answer = {"zone": zone, "evacuated": active, "accepted": False}
     reason_by_control = {}
-    while time.monotonic() < deadline_s:
+    while ms_clock.now() < deadline_ms:
         for link in control_links:
             try:
                 result = yield link.call(
@@ -287,7 +287,7 @@
             answer.update(accepted=result.accepted, reason=result.reason)
             print(json.dumps(answer))
             return 0 if result.accepted else 1
-        yield task.deferLater(reactor, clock.seconds(ORDER_INTERVAL_MS))
+        yield ms_clock.sleep(ORDER_INTERVAL_MS)
     print(json.dumps(answer | {"reasons": reason_by_control}))
     return 1
 
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -331,7 +331,7 @@
 
     @defer.inlineCallbacks
     def evacuate(self, zone, active):
-        outcome = yield self.state.orders.carry_out(zone, active)
+        outcome = yield self.state.orders.carry_out(zone, bool(active))
         if not outcome.accepted and outcome.reason != evacuation_orders.UNKNOWN_ZONE:
             raise ttypes.Refused(outcome.reason, NO_QUORUM_RETRY_MS)
         return ttypes.ApplyResult(outcome.accepted, outcome.version, outcome.reason)
--- a/dunlinpoint/soak/callers.py
+++ b/dunlinpoint/soak/callers.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from dunlinpoint.soak import cluster, servers
+from dunlinpoint.soak import cluster, evacuations, servers
 
 CALLERS = 6
 THINK_TIME_S = (0.01, 0.15)
@@ -145,7 +145,7 @@
 
 @attrs.define(eq=False)
 class Operator:
-    """Replaces the document with increasing versions, and reads it back."""
+    """Replaces the document with increasing versions, and evacuates a zone."""
 
     cluster: cluster.Cluster
     rng: random.Random
@@ -153,6 +153,11 @@
     acknowledged: list = attrs.field(factory=list)
     reads: list = attrs.field(factory=list)
     drained: list = attrs.field(factory=list)
+    evacuator: evacuations.Evacuator = attrs.field(
+        default=attrs.Factory(
+            lambda own: evacuations.Evacuator(own.cluster), takes_self=True
+        )
+    )
 
     def document(self, version):
         """The configuration document of *version*, as a dict."""
--- a/dunlinpoint/soak/cluster.py
+++ b/dunlinpoint/soak/cluster.py
@@ -23,6 +23,8 @@
 ENTRIES = 2
 BACKENDS = 4
 ZONES = ("z1", "z2")
+# The zone of the last backend; all others are in the other zone.
+SMALL_ZONE = "z2"
 HOST = "soak.example"
 API_KEY = "key-1"
 GRACE_S = 4
@@ -125,6 +127,7 @@
             host = f"{net}.{i + 1}"
             env = common | {"zone": ZONES[i % 2], "ip": host, "bootstrap": "true"}
             env |= {"listen": f"{host}:{cluster.admin_port}"}
+            env |= {"zones": json.dumps(dict.fromkeys(ZONES, "region"))}
             env |= {"data": os.path.join(folder, f"data-{i}")}
             cluster.add(cluster.controls, f"control-{i}", host, "control", env)
         for i in range(ENTRIES):
@@ -163,6 +166,10 @@
         self.backends.append(backend)
         self.proxies.append((proxy, listen_port, fault_port))
 
+    def zone_of(self, server_id):
+        """The zone of a backend."""
+        return SMALL_ZONE if server_id == f"i-{BACKENDS - 1}" else ZONES[0]
+
     def set_link_fault(self, index, mode, direction="both", delay_ms=0):
         """Set the fault on the link to backend *index*."""
         now_s, server_id = time.monotonic(), self.backends[index].server_id
@@ -198,7 +205,7 @@
         heartbeat = {
             "service": backend.service,
             "address": f"127.0.0.1:{port}",
-            "zone": ZONES[0],
+            "zone": self.zone_of(backend.server_id),
             "slots": 8,
             "state": "draining" if backend.draining else "ready",
             "seqNo": backend.sequence,
--- a/dunlinpoint/soak/faults.py
+++ b/dunlinpoint/soak/faults.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from dunlinpoint.soak import evacuations
+
 SCHEDULE_LENGTH_S = 12.0
 FAULT_INTERVAL_S = (0.2, 1.6)
 FAULT_DURATION_S = (0.3, 2.5)
@@ -51,8 +53,11 @@
     duration_s: float
 
 
-def schedule(seed):
-    """The faults of *seed*, ordered by start time."""
+def schedule(seed, with_evacuation=True):
+    """The faults of *seed*, ordered by start time.
+
+    The evacuation of a zone, if any, leaves the other faults as they are without it.
+    """
     rng = random.Random(f"faults {seed}")
     faults, at_s, next_disk_fault_s = [], 1.0, 0.0
     while at_s < SCHEDULE_LENGTH_S:
@@ -66,7 +71,10 @@
                 next_disk_fault_s = at_s + duration_s + 4.0
         faults.append(Fault(at_s, kind, rng.randrange(64), duration_s))
         at_s += rng.uniform(*FAULT_INTERVAL_S)
-    return faults
+    if with_evacuation:
+        at_s, duration_s = evacuations.plan(seed)
+        faults.append(Fault(at_s, evacuations.KIND, 0, duration_s))
+    return sorted(faults, key=lambda fault: fault.at_s)
 
 
 def inject(cluster, operator, fault):
@@ -81,6 +89,8 @@
         entry.signal(signal.SIGHUP)
         control.signal(signal.SIGHUP)
         return None
+    if kind == evacuations.KIND:
+        return operator.evacuator.begin()
     if kind == "drain":
         operator.drain(index)
         return None
--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from dunlinpoint.soak import callers, checks, faults, signals
+from dunlinpoint.soak import callers, checks, evacuations, faults, signals
 from dunlinpoint.soak import cluster as clusters
 
 READY_TIMEOUT_S = 20.0
@@ -37,14 +37,15 @@
 def run_seed(seed, with_signals=False):
     """Run *seed*; its ``Verdict``.
 
-    If *with_signals* is set, three backends send load signals.
+    If *with_signals* is set, three backends send load signals. No zone is evacuated
+    then, which would leave too few backends.
     """
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     cluster = clusters.Cluster.from_seed(folder, seed)
     rng = random.Random(f"callers {seed}")
     operator = callers.Operator(cluster, random.Random(rng.random()))
     results, threads, violations = [], [], []
-    planned = faults.schedule(seed)
+    planned = faults.schedule(seed, not with_signals)
     try:
         cluster.start()
         wait_ready(cluster, operator)
@@ -65,6 +66,9 @@
         cluster.stop()
     violations += checks.violations(cluster, results, operator)
     violations += signals.violations(cluster, results)
+    violations += evacuations.violations(
+        cluster, results, operator.evacuator.acknowledged
+    )
     answered = sum(1 for s in results if s.status == 200 and s.is_complete)
     return Verdict(
         seed,
@@ -182,6 +186,8 @@
         return "entry", fault.index % clusters.ENTRIES
     if fault.kind in ("cut", "freeze_link", "one_way", "delay"):
         return "link", fault.index % clusters.BACKENDS
+    if fault.kind == evacuations.KIND:
+        return "zone", 0
     if fault.kind in ("hup", "drain", "change", "race"):
         return None
     return "control", fault.index % clusters.CONTROLS
--- a/dunlinpoint/soak/signals.py
+++ b/dunlinpoint/soak/signals.py
@@ -72,7 +72,7 @@
             arrivals_by_path.setdefault((arrival.server_id, entry), []).append(arrival)
     found, informed_arrivals_s = [], {}
     for (server_id, entry), arrivals in arrivals_by_path.items():
-        is_undisturbed = _undisturbed_check(cluster, server_id, entry)
+        is_undisturbed = undisturbed_check(cluster, server_id, entry)
         found += _check_backoff(server_id, entry, arrivals, is_undisturbed)
         found += _check_draining(server_id, entry, arrivals, is_undisturbed)
         informed_arrivals_s.setdefault(server_id, []).extend(
@@ -83,7 +83,8 @@
     return found
 
 
-def _undisturbed_check(cluster, server_id, entry):
+def undisturbed_check(cluster, server_id, entry):
+    """A function that tells whether no fault touched an entry or its link."""
     node = next(n for n in cluster.entries if n.name == entry)
     link_faults_s = cluster.link_faults_s_by_id.get(server_id, [])
 
--- a/dunlinpoint/soak/tests/test_checks.py
+++ b/dunlinpoint/soak/tests/test_checks.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from dunlinpoint.soak import callers, checks, cluster, servers, signals
+from dunlinpoint.soak import (
+    callers,
+    checks,
+    cluster,
+    evacuations,
+    faults,
+    servers,
+    signals,
+)
 
 ENTRY = "entry-0"
 
@@ -116,3 +124,31 @@
     assert len(signal_violations(kind, VIOLATING[kind])) == 1
     assert signal_violations(kind, VIOLATING[kind], disturbed_s=[10.5]) == []
     assert signal_violations(kind, ALLOWED[kind]) == []
+
+
+def evacuation_violations(at_s, server_id="i-3", revoked_s=30.0, disturbed_s=()):
+    """Violations if a request arrives at *at_s*; acknowledged at 10.0."""
+    finished = finished_cluster(disturbed_s=disturbed_s)
+    finished.controls = [cluster.Node("control-0", "h", "r", {}, "")]
+    finished.arrivals = [signals.Arrival(server_id, "r", at_s, None)]
+    began = evacuations.AcknowledgedEvacuation(cluster.SMALL_ZONE, 10.0, revoked_s)
+    return evacuations.violations(finished, [result()], [began])
+
+
+def test_requests_at_an_evacuated_zone_are_detected():
+    # Guards against a soak test that passes although entries ignore an evacuation.
+    late_s = 10.0 + evacuations.IN_FORCE_BOUND_S + 1
+    assert len(evacuation_violations(late_s)) == 1
+    assert len(evacuation_violations(late_s, revoked_s=None)) == 1
+    assert evacuation_violations(late_s, "i-0") == []
+    assert evacuation_violations(late_s, revoked_s=late_s - 0.5) == []
+    assert evacuation_violations(late_s, disturbed_s=[late_s - 1]) == []
+    assert evacuation_violations(late_s - 2) == []
+
+
+def test_an_evacuation_leaves_the_other_faults_of_a_seed_as_they_are():
+    # Guards against seeds that failed once and no longer play their faults.
+    planned = faults.schedule(11)
+    assert [f.kind for f in planned].count(evacuations.KIND) == 1
+    others = [f for f in planned if f.kind != evacuations.KIND]
+    assert others == faults.schedule(11, with_evacuation=False)
