Evacuation orders are not proposed after their time, also within a round

Cause: a control that was frozen between the two phases of a round proposed an order long after its operator had given it up.

Docs in line.

--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -196,11 +196,13 @@
 
 
 @defer.inlineCallbacks
-def decide(peers, number, proposal):
+def decide(peers, number, proposal, is_wanted=lambda: True):
     """Run round *number*; a Deferred of the ``Decision`` it chose, or ``None``.
 
     Proposes *proposal* unless another decision was already accepted; with
     *proposal* ``None`` it only completes a round that another proposer began.
+    *proposal* is dropped if ``is_wanted()`` is false once it may be proposed: this
+    process may have been frozen meanwhile.
     """
     local = peers.local
     voting = peers.voters
@@ -225,7 +227,7 @@
     chosen = proposal
     if prior is not None:
         chosen = local.read_message(prior.accepted)
-    if chosen is None:
+    if chosen is None or (chosen is proposal and not is_wanted()):
         return None
     count = yield peers.accept(voting, number, ballot, chosen)
     if count < voters.majority(voting):
@@ -276,10 +278,10 @@
 
 
 @defer.inlineCallbacks
-def change_evacuation(peers, zone, active):
+def change_evacuation(peers, zone, active, is_wanted=lambda: True):
     """Try to decide that *zone* is evacuated (*active*) or not any more.
 
-    Returns a Deferred of whether it succeeded.
+    Returns a Deferred of whether it succeeded; for ``is_wanted()`` see :func:`decide`.
     """
     current = peers.local.committed
     record = evacuation.Evacuation(zone, active, current.round + 1)
@@ -288,5 +290,5 @@
         round=record.round,
         evacuations=evacuation.with_record(current.evacuations, record),
     )
-    chosen = yield decide(peers, proposal.round, proposal)
+    chosen = yield decide(peers, proposal.round, proposal, is_wanted)
     return chosen is not None and record in chosen.evacuations
--- a/dunlinpoint/control/evacuation_orders.py
+++ b/dunlinpoint/control/evacuation_orders.py
@@ -112,8 +112,12 @@
     def _decide(self, zone, active, arrived_round, arrived_ms):
         """Propose the order until it is decided, superseded or too late."""
         local = self.peers.local
+
+        def is_in_time():
+            return self.clock.now() - arrived_ms < ORDER_TIMEOUT_MS
+
         for _ in range(MAX_ATTEMPTS):
-            if self.clock.now() - arrived_ms >= ORDER_TIMEOUT_MS:
+            if not is_in_time():
                 return self._refusal(TOO_LATE)
             standing = yield self._standing(zone, active, arrived_round)
             if standing is evacuation.Standing.SUPERSEDED:
@@ -123,7 +127,7 @@
             if standing is evacuation.Standing.DONE:
                 return agreement.Outcome(True, local.committed.version)
             if standing is evacuation.Standing.OPEN and (
-                yield agreement.change_evacuation(self.peers, zone, active)
+                yield agreement.change_evacuation(self.peers, zone, active, is_in_time)
             ):
                 return agreement.Outcome(True, local.committed.version)
             yield self.clock.sleep(random.uniform(*RETRY_DELAY_MS))
--- a/dunlinpoint/control/tests/test_evacuation.py
+++ b/dunlinpoint/control/tests/test_evacuation.py
@@ -66,6 +66,17 @@
         return outcomes[0]
 
 
+@attrs.define
+class FrozenPeers:
+    """The ``Peers`` of an instance that freezes before it has the voters' promises."""
+
+    peers: agreement.Peers
+    prepare: object
+
+    def __getattr__(self, name):
+        return getattr(self.peers, name)
+
+
 @pytest.fixture
 def operator(tmp_path):
     return Operator(cluster.make(tmp_path))
@@ -160,6 +171,21 @@
     assert evacuated(operator) == set()
 
 
+def test_an_order_whose_control_freezes_during_its_round_is_dropped(operator):
+    # Failure: as above, by a control that was frozen between the two phases of a round.
+    peers = operator.orders_by_host["c0"].peers
+    prepare = peers.prepare
+
+    def freeze(*args):
+        operator.reactor.advance(evacuation_orders.ORDER_TIMEOUT_MS / 1000)
+        return prepare(*args)
+
+    operator.orders_by_host["c0"].peers = FrozenPeers(peers, freeze)
+    assert operator.order("c0", "z1", True).reason == "order_too_late"
+    assert operator.net.by_host["c1"].accepted is None
+    assert evacuated(operator) == set()
+
+
 def test_an_order_of_a_control_killed_before_it_announced_the_result(operator):
     # Failure: an acknowledged evacuation is lost. c0 and c1 accept it; c0 is killed
     # before it announces the result, and c2 proposes a document.
