Slow ranks get fewer streams

Cause: an engine's pace was read by no one, and one rank that is 1.6 times slower determines the step of its whole group. Change: agents send the pace with their heartbeats, a change of a tenth at once; controls pass it on; entries count the load of a slow rank as many times as its pace, including their own mean load per rank. The pace belongs to an incarnation and is forgotten when the rank is normal again, restarts or leaves. Invalid values are ignored with a log line.

--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -19,6 +19,7 @@
 
 import attrs
 
+from dunlinpoint.experts import messages
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 LEASE_MS = 2000
@@ -164,11 +165,13 @@
             lease is None
             or routing_fields(lease.heartbeat) != routing_fields(heartbeat)
             or has_turned_cold(lease, renewed, now)
+            or messages.has_pace_changed(lease.heartbeat.pace, heartbeat.pace)
         )
         if changed:
             self._record_change(heartbeat.endpoint_id)
         elif (
             lease.heartbeat.load != heartbeat.load
+            or lease.heartbeat.pace != heartbeat.pace
             or lease.cold_until_ms != renewed.cold_until_ms
         ):
             # These figures are sent with the next change that routing depends on.
@@ -256,6 +259,7 @@
                 broken=b.broken,
                 incarnation=b.incarnation,
                 cold_left_ms=lease.cold_left_ms(now),
+                pace=b.pace,
             )
             for lease in leases
             if lease.expires_ms > now
--- a/dunlinpoint/control/tests/test_membership.py
+++ b/dunlinpoint/control/tests/test_membership.py
@@ -129,3 +129,15 @@
     members.renew(heartbeat(2, cold_left_ms=3000), 0)
     (member,) = members.changes_since(before, 100).members
     assert member.cold_left_ms == 2900
+
+
+def test_a_pace_that_changes_by_a_tenth_is_a_change():
+    # Guards against entries that learn of a slow rank only with another change.
+    members = membership.Membership()
+    members.renew(heartbeat(), 0)
+    assert not members.renew(heartbeat(pace=1050), 10)
+    assert members.renew(heartbeat(pace=1600), 20)
+    assert not members.renew(heartbeat(pace=1650), 30)
+    assert only(members, 30).pace == 1650
+    assert members.renew(heartbeat(), 40)
+    assert only(members, 40).pace is None
--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -26,7 +26,8 @@
     """Thrift methods of the ``Rank`` service.
 
     ``last_query_ms`` is the time of the last query from a leader. While *fenced*,
-    queries from leaders are refused, because the standby leader has taken over.
+    queries from leaders are refused, because the standby leader has taken over. The
+    callables in *on_state* are called with each state that is read for a query.
     """
 
     engine: engines.Engine
@@ -37,6 +38,7 @@
     fenced: bool = False
     counter: window.Counter = attrs.field(factory=window.Counter)
     texts: commands.TextCache = attrs.field(factory=commands.TextCache)
+    on_state: list = attrs.field(factory=list)
 
     @classmethod
     def from_config(cls, reactor, engine):
@@ -96,6 +98,8 @@
         if query.command is not None:
             status = yield self.dispatcher.dispatch(query.command)
         state = yield self.engine.state(query.experts)
+        for listener in self.on_state:
+            listener(state)
         counts = None
         if query.counts:
             chosen = yield self.engine.counts()
@@ -148,10 +152,28 @@
         engine=engine.address,
         epoch=state.epoch,
         broken=not state.open,
+        pace=state.pace,
     )
     return announcer.send_heartbeat(heartbeat)
 
 
+def announce_pace_changes(handler, announcer, address):
+    """Announce the rank of *handler* at once when the pace of its engine changes.
+
+    It is read for each query of the group's leader, several times a second.
+    """
+    announced = None
+
+    def on_state(state):
+        nonlocal announced
+        if messages.has_pace_changed(announced, state.pace):
+            log.info("engine_pace", before=announced, after=state.pace)
+            announced = state.pace
+            announce_state(handler.engine, announcer, address, state)
+
+    handler.on_state.append(on_state)
+
+
 def announce(reactor, engine, announcer, address, interval_ms):
     """Announce the rank every *interval_ms* until the reactor stops."""
     loop = task.LoopingCall(announce_once, engine, announcer, address)
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -63,7 +63,8 @@
 
 def selection_fields(member):
     """The fields of a member that the choice among members depends on."""
-    return *membership.routing_fields(member), member.load, member.group, member.engine
+    engine = member.group, member.engine, member.pace
+    return *membership.routing_fields(member), member.load, *engine
 
 
 @attrs.define
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -172,6 +172,8 @@
         self.pool.forget(incarnations)
         addresses = {outage.address_of(m) for m in live}
         ranks = self.view.live(messages.KIND)
+        for _ in self.picker.paces.update(ranks, live):
+            self.counters.incr("endpoint.slow")
         for group in self.outages.update(ranks, addresses, self.clock.now()):
             log.info("group_open", group=group)
             for member in live:
--- a/dunlinpoint/platform/agent.py
+++ b/dunlinpoint/platform/agent.py
@@ -23,9 +23,10 @@
         reactor, f"{host}:{app_port}", engines.EnginePaths(), documents.to_rank_state
     )
     address = rank.Address(zone, command.ip, port)
+    handler = rank.serve(reactor, engine, address)
     group_leader = leader.Leader.from_config(
         reactor,
-        rank.serve(reactor, engine, address),
+        handler,
         view.View.from_config(reactor, zone, controls),
         counters,
         checks.name(command.service, "service"),
@@ -38,6 +39,7 @@
         address,
         addresses.whole_number(command.beat_ms, "beat"),
     )
+    rank.announce_pace_changes(handler, announcer, address)
     group_leader.on_group_state.append(
         lambda found: rank.announce_state(engine, announcer, address, found)
     )
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -4,6 +4,7 @@
 an invalid body is refused with a list of all its problems.
 """
 
+import functools
 import json
 import math
 
@@ -14,13 +15,16 @@
 from dunlinpoint.platform import fields
 from dunlinpoint.wire.gen.dunlin import ttypes
 
-log = logs.logger("control")
+log = logs.logger("platform")
 
 READY = "ready"
 DRAINING = "draining"
 NO_INCARNATION = 0
 OPEN = "open"
 BITS_PER_BYTE = 8
+# Valid paces of an engine, and their unit on the wire.
+MIN_PACE, MAX_PACE = 0.1, 100
+THOUSANDTHS = 1000
 
 
 def _route(raw):
@@ -152,11 +156,29 @@
             "prepared": report["preloaded"] or 0,
             "armed": (report["armed"] or {}).get("version", 0),
             "held": report["held"] or 0,
+            "pace": _pace(report.get("pace")),
         },
         lists["mapping"]["experts"] if lists else None,
     )
 
 
+def _pace(value):
+    """The *value* of an engine's pace in thousandths, or ``None`` if it is unknown."""
+    if value is None:
+        return None
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and MIN_PACE <= value <= MAX_PACE:
+        return round(value * THOUSANDTHS)
+    _log_ignored_pace(repr(value)[:40])
+    return None
+
+
+@functools.lru_cache(maxsize=64)
+def _log_ignored_pace(text):
+    """Log an invalid pace once: an engine's report is read several times a second."""
+    log.warning("field_ignored", field="pace", error=text)
+
+
 def to_heartbeat(endpoint_id, body):
     """The ``Heartbeat`` of a server's heartbeat *body*.
 
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -3,8 +3,9 @@
 The least loaded endpoint is picked. Its load is the number of this entry's requests
 in flight there, or the load that the endpoint last reported if that is more, divided
 by its slots. An endpoint in another zone counts as if it had
-:data:`OTHER_ZONE_REQUESTS` more. Of two with the same load, the first in the entry's
-own order (:mod:`endpoint_order`) is picked.
+:data:`OTHER_ZONE_REQUESTS` more. The load of a slow rank counts as many times as its
+pace (:mod:`pace`). Of two with the same load, the first in the entry's own order
+(:mod:`endpoint_order`) is picked.
 
 An endpoint that failed a request is avoided for a time that doubles with each
 consecutive failure. This goes by the outcome of requests, because health reports lag
@@ -24,7 +25,7 @@
 
 import attrs
 
-from dunlinpoint.routing import cold, endpoint_signals, incarnations
+from dunlinpoint.routing import cold, endpoint_signals, incarnations, pace
 
 # Handicap, in requests, of endpoints in other zones: the network latency to them is a
 # millisecond or two, the wait in a queue far longer.
@@ -88,6 +89,7 @@
     record_by_incarnation: dict = attrs.field(factory=dict)
     signals: endpoint_signals.Signals = attrs.field(factory=endpoint_signals.Signals)
     cold: cold.ColdEndpoints = attrs.field(factory=cold.ColdEndpoints)
+    paces: pace.Paces = attrs.field(factory=pace.Paces)
 
     def record(self, key):
         """The record of the incarnation *key*, created on first use."""
@@ -141,6 +143,7 @@
                 load = self._relative_load(
                     member, record, index / len(members), prefer_own_zone
                 )
+                load = self._count_pace(key, member, load, members)
                 is_usable = not is_full or key in cold_times
                 rank = Preference.USABLE if is_usable else Preference.FULL, load
             if best is None or rank < least:
@@ -183,6 +186,19 @@
             requests += OTHER_ZONE_REQUESTS
         return (requests + ORDER_REQUESTS * position) / (member.slots or DEFAULT_SLOTS)
 
+    def _count_pace(self, key, member, load, members):
+        """The *load* of *member*, counted as many times as its pace if it is slow.
+
+        An entry with few requests has none at most ranks. So requests of other entries
+        count as well, taken as this entry's mean for each of *members*.
+        """
+        times = self.paces.of(key)
+        if times == 1.0:
+            return load
+        in_flight = sum(self.record(incarnation_key(m)).in_flight for m in members)
+        mean_load = in_flight / len(members) / (member.slots or DEFAULT_SLOTS)
+        return (load + mean_load) * times - mean_load
+
     def began(self, key):
         """Count one more request in flight at the endpoint."""
         self.record(key).in_flight += 1
