A call waits for a cold endpoint only if that accepts it in time

Cause: a call waited for, or was refused because of, a cold endpoint that was itself avoided or draining, although a full or avoided warm one could have been tried. Change: the choice of an endpoint uses the same time as the wait does. Conclusion: no call is refused for a place that it would not get.

--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -190,3 +190,14 @@
     assert count("b", 5, 7) == (5, 7)
     clock.advance(view.ENTRY_COUNT_HOLD_MS / 1000 + 1)
     assert count("a", 2, 3) == (2, 3)
+
+
+def test_members_are_passed_on_with_the_time_of_their_receipt():
+    # Guards against an entry that counts the time an endpoint stays cold from later on.
+    clock, entry_view, by_name = follower()
+    received = []
+    entry_view.on_members.append(lambda members, now: received.append((members, now)))
+    reply = reply_from("a")
+    reply.members = [ttypes.Member(endpoint_id="i-1", lease_left_ms=9, cold_left_ms=7)]
+    entry_view.merge(by_name["a"], reply, 10)
+    assert received == [(reply.members, 100_000)]
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -45,11 +45,6 @@
 incarnation_key = incarnations.incarnation_key
 
 
-def _nth(times, ahead):
-    """The time of *times* after *ahead* others, or the last one; infinite for none."""
-    return ([*sorted(times)[: ahead + 1]] or [math.inf])[-1]
-
-
 def _withheld(cold_times, now, ahead):
     """Those of *cold_times* whose endpoints may not get the request now.
 
@@ -149,8 +144,10 @@
             if best is None or rank < least:
                 best, least = member, rank
         is_usable = best is not None and least[0] is Preference.USABLE
-        if not is_usable and _nth(withheld.values(), ahead) <= wait_until_ms:
-            return None
+        if withheld and not is_usable:
+            available_ms = self.available_ms(members, now, exclude, ahead)
+            if available_ms is not None and available_ms <= wait_until_ms:
+                return None
         return best
 
     def _cold_times(self, members, now, exclude):
@@ -178,7 +175,7 @@
                 at = max(at, self.record(key).avoid_until_ms)
             if at != math.inf:
                 times.append(at)
-        return _nth(times, ahead) if times else None
+        return sorted(times)[min(ahead, len(times) - 1)] if times else None
 
     def _relative_load(self, member, record, position, prefer_own_zone):
         requests = max(record.in_flight, member.load or 0)
--- a/dunlinpoint/routing/tests/test_cold.py
+++ b/dunlinpoint/routing/tests/test_cold.py
@@ -5,7 +5,7 @@
 import pytest
 
 from dunlinpoint.config import document as config
-from dunlinpoint.routing import cold, pick
+from dunlinpoint.routing import cold, endpoint_signals, pick
 from dunlinpoint.routing.tests import cold_entries
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -199,6 +199,8 @@
     assert picker.pick([warm, cold_one], 10_001, wait_until_ms=10_050) is warm
     assert picker.pick([warm, cold_one], 10_001, wait_until_ms=10_100) is None
     assert 10_060 < picker.available_ms([warm, cold_one], 10_001) < 10_100
+    picker.failed("i-1", 10_000)
+    assert picker.pick([warm, cold_one], 10_001, wait_until_ms=10_100) is warm
     later_ms = 10_000 + pick.AVOID_MS
     assert picker.pick([warm], later_ms, wait_until_ms=later_ms + 100) is warm
 
@@ -212,3 +214,17 @@
     assert picker.pick(members, 10_000, ahead=1) is None
     assert picker.available_ms(members, 10_000, ahead=1) > 10_000
     assert picker.pick(members, 10_000) is members[1]
+
+
+def test_a_cold_endpoint_that_is_draining_is_not_waited_for(known):
+    # Guards against calls that fail when the only cold endpoint gets no more requests.
+    picker = pick.Picker("z", cold=known)
+    warm, cold_one = member("warm", cold_left_ms=0), member(cold_left_ms=60_000)
+    known.receive([warm, cold_one], 10_000)
+    known.sent(cold_one, "call", 10_000)
+    draining = endpoint_signals.Signal(is_draining=True)
+    picker.signals.apply("i-1", draining, 10_000, 10_000)
+    for _ in range(cold.FULL_REFUSALS):
+        known.record_outcome(warm, False, 10_000)
+    assert picker.pick([warm, cold_one], 10_001, wait_until_ms=10_100) is warm
+    assert picker.available_ms([warm, cold_one], 10_001) is None
