The mean load per rank is computed once per choice of an endpoint

Cause: with many slow ranks each of them summed this entry's requests at all ranks. Change: the sum is made once, and only if some rank is slow.

--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -124,6 +124,7 @@
         cold_times = self._cold_times(members, now, exclude)
         withheld = _withheld(cold_times, now, ahead)
         is_full = bool(cold_times) and self.cold.is_full(members[0].service_name, now)
+        mean_requests = self._mean_requests(members)
         best, least = None, None
         for index, member in enumerate(members):
             key = incarnation_key(member)
@@ -138,7 +139,7 @@
                 load = self._relative_load(
                     member, record, index / len(members), prefer_own_zone
                 )
-                load = self._count_pace(key, member, load, members)
+                load = self._count_pace(key, member, load, mean_requests)
                 is_usable = not is_full or key in cold_times
                 rank = Preference.USABLE if is_usable else Preference.FULL, load
             if best is None or rank < least:
@@ -183,18 +184,22 @@
             requests += OTHER_ZONE_REQUESTS
         return (requests + ORDER_REQUESTS * position) / (member.slots or DEFAULT_SLOTS)
 
-    def _count_pace(self, key, member, load, members):
+    def _mean_requests(self, members):
+        """This entry's mean requests in flight at *members*, if some rank is slow."""
+        if not self.paces.pace_by_incarnation or not members:
+            return 0.0
+        records = [self.record(incarnation_key(member)) for member in members]
+        return sum(record.in_flight for record in records) / len(members)
+
+    def _count_pace(self, key, member, load, mean_requests):
         """The *load* of *member*, counted as many times as its pace if it is slow.
 
         An entry with few requests has none at most ranks. So requests of other entries
-        count as well, taken as this entry's mean for each of *members*.
+        count as well, taken as this entry's *mean_requests* per rank.
         """
         times = self.paces.of(key)
-        if times == 1.0:
-            return load
-        in_flight = sum(self.record(incarnation_key(m)).in_flight for m in members)
-        mean_load = in_flight / len(members) / (member.slots or DEFAULT_SLOTS)
-        return (load + mean_load) * times - mean_load
+        mean_load = mean_requests / (member.slots or DEFAULT_SLOTS)
+        return load if times == 1.0 else (load + mean_load) * times - mean_load
 
     def began(self, key):
         """Count one more request in flight at the endpoint."""
