--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -193,6 +193,8 @@
         # is doing.
         addresses = {outage.address_of(m) for m in [*live, *evacuated]}
         ranks = self.view.live(messages.KIND)
+        for _ in self.picker.paces.update(ranks, live):
+            self.counters.incr("endpoint.slow")
         for group in self.outages.update(ranks, addresses, self.clock.now()):
             log.info("group_open", group=group)
             for member in live:
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -3,8 +3,9 @@
 The least loaded endpoint is picked. Its load is the number of this entry's requests
 in flight there, or the load that the endpoint last reported if that is more, divided
 by its slots. An endpoint in another zone counts as if it had
-:data:`OTHER_ZONE_REQUESTS` more. Of two with the same load, the first in the entry's
-own order (:mod:`endpoint_order`) is picked.
+:data:`OTHER_ZONE_REQUESTS` more. The load of a slow rank counts as many times as its
+pace (:mod:`pace`). Of two with the same load, the first in the entry's own order
+(:mod:`endpoint_order`) is picked.
 
 An endpoint that failed a request is avoided for a time that doubles with each
 consecutive failure. This goes by the outcome of requests, because health reports lag
@@ -24,7 +25,7 @@
 
 import attrs
 
-from dunlinpoint.routing import cold, endpoint_signals, incarnations
+from dunlinpoint.routing import cold, endpoint_signals, incarnations, pace
 
 # Handicap, in requests, of endpoints in other zones: the network latency to them is a
 # millisecond or two, the wait in a queue far longer.
@@ -44,11 +45,6 @@
 incarnation_key = incarnations.incarnation_key
 
 
-def _nth(times, ahead):
-    """The time of *times* after *ahead* others, or the last one; infinite for none."""
-    return ([*sorted(times)[: ahead + 1]] or [math.inf])[-1]
-
-
 def _withheld(cold_times, now, ahead):
     """Those of *cold_times* whose endpoints may not get the request now.
 
@@ -88,6 +84,7 @@
     record_by_incarnation: dict = attrs.field(factory=dict)
     signals: endpoint_signals.Signals = attrs.field(factory=endpoint_signals.Signals)
     cold: cold.ColdEndpoints = attrs.field(factory=cold.ColdEndpoints)
+    paces: pace.Paces = attrs.field(factory=pace.Paces)
 
     def record(self, key):
         """The record of the incarnation *key*, created on first use."""
@@ -127,6 +124,7 @@
         cold_times = self._cold_times(members, now, exclude)
         withheld = _withheld(cold_times, now, ahead)
         is_full = bool(cold_times) and self.cold.is_full(members[0].service_name, now)
+        mean_requests = self._mean_requests(members)
         best, least = None, None
         for index, member in enumerate(members):
             key = incarnation_key(member)
@@ -141,13 +139,16 @@
                 load = self._relative_load(
                     member, record, index / len(members), prefer_own_zone
                 )
+                load = self._count_pace(key, member, load, mean_requests)
                 is_usable = not is_full or key in cold_times
                 rank = Preference.USABLE if is_usable else Preference.FULL, load
             if best is None or rank < least:
                 best, least = member, rank
         is_usable = best is not None and least[0] is Preference.USABLE
-        if not is_usable and _nth(withheld.values(), ahead) <= wait_until_ms:
-            return None
+        if withheld and not is_usable:
+            available_ms = self.available_ms(members, now, exclude, ahead)
+            if available_ms is not None and available_ms <= wait_until_ms:
+                return None
         return best
 
     def _cold_times(self, members, now, exclude):
@@ -175,7 +176,7 @@
                 at = max(at, self.record(key).avoid_until_ms)
             if at != math.inf:
                 times.append(at)
-        return _nth(times, ahead) if times else None
+        return sorted(times)[min(ahead, len(times) - 1)] if times else None
 
     def _relative_load(self, member, record, position, prefer_own_zone):
         requests = max(record.in_flight, member.load or 0)
@@ -183,6 +184,23 @@
             requests += OTHER_ZONE_REQUESTS
         return (requests + ORDER_REQUESTS * position) / (member.slots or DEFAULT_SLOTS)
 
+    def _mean_requests(self, members):
+        """This entry's mean requests in flight at *members*, if some rank is slow."""
+        if not self.paces.pace_by_incarnation or not members:
+            return 0.0
+        records = [self.record(incarnation_key(member)) for member in members]
+        return sum(record.in_flight for record in records) / len(members)
+
+    def _count_pace(self, key, member, load, mean_requests):
+        """The *load* of *member*, counted as many times as its pace if it is slow.
+
+        An entry with few requests has none at most ranks. So requests of other entries
+        count as well, taken as this entry's *mean_requests* per rank.
+        """
+        times = self.paces.of(key)
+        mean_load = mean_requests / (member.slots or DEFAULT_SLOTS)
+        return load if times == 1.0 else (load + mean_load) * times - mean_load
+
     def began(self, key):
         """Count one more request in flight at the endpoint."""
         self.record(key).in_flight += 1
