Competing callers: who is admitted, waits or is refused, by urgency

Cause: where capacity is short for seconds, entries admitted callers at random, so the most urgent were served worst.

The load model has kinds of callers and workspaces.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -3,6 +3,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs
+from dunlinpoint.admission import decision
 from dunlinpoint.forward import capacity, exchange, quarantine, responses, routes
 from dunlinpoint.routing import outage, pick
 from dunlinpoint.suspects import registry
@@ -34,10 +35,10 @@
         now = forwarder.clock.now()
         by_group = forwarder.available_groups(call.service, now)
         result = capacity.find_group(forwarder, call, by_group, now)
-        if result is capacity.JoinResult.FULL and now < capacity.wait_limit_ms(call):
+        if result is decision.JoinResult.FULL and now < capacity.wait_limit_ms(call):
             yield forwarder.clock.sleep(capacity.poll_interval_ms(call))
             continue
-        if result is not capacity.JoinResult.JOINED:
+        if result is not decision.JoinResult.JOINED:
             capacity.refuse(forwarder, call, result)
             return
         member = next_member(forwarder, call, by_group, now)
@@ -184,6 +185,7 @@
             reason,
             retry_after_ms,
             **exchange.log_fields(forwarder, call),
+            **capacity.record_refused(forwarder, call, reason),
         )
     else:
         status = 504 if call.expired else 502
--- a/dunlinpoint/forward/capacity.py
+++ b/dunlinpoint/forward/capacity.py
@@ -1,13 +1,14 @@
 """Capacity of rank groups: which group a stream joins, and who waits or is refused."""
 
-import enum
-
 from dunlinpoint import logs
+from dunlinpoint.admission import by_urgency, decision, retry_after, uniform, urgency
 from dunlinpoint.forward import responses
-from dunlinpoint.routing import admission_control, latency, outage
+from dunlinpoint.routing import outage
 
 log = logs.logger("entry")
 
+JoinResult = decision.JoinResult
+
 # Range of Retry-After when the wait for capacity timed out. Streams last a second or
 # two, so enough of them end in that time.
 RETRY_AFTER_RANGE_MS = (500, 1500)
@@ -24,18 +25,6 @@
 QUEUED_POLL_INTERVAL_MS = 50
 
 
-class JoinResult(enum.Enum):
-    """Result of the search for a group.
-
-    ``JOINED``: the request was assigned to a group. ``FULL``: no group has capacity
-    at the moment. ``OVERLOADED``: decode steps are too long over a long window.
-    """
-
-    JOINED = "joined"
-    FULL = "no_room"
-    OVERLOADED = "overloaded"
-
-
 def assign_group(forwarder, call, group):
     """Assign *call* to the rank group *group* (``None`` for no group).
 
@@ -48,20 +37,14 @@
         groups.stream_ended(call.group)
     if group is not None:
         groups.controller(group).began()
+        if call.group is None and groups.competition is not None:
+            by_urgency.joined(groups.competition, call, forwarder.clock.now())
     call.group = group
     if call.queue_key is not None:
         groups.queue.leave(call.queue_key)
         call.queue_key = None
 
 
-def is_past_latency_target(call, now):
-    """Whether *call* is past the latency target of its first event."""
-    route = call.route
-    return latency.is_past_latency_target(
-        call.deadline_ms - now, route.timeout_ms, route.aim_ms
-    )
-
-
 def disconnect_limit_ms(call):
     """Return until when (ms) *call* may wait and still receive a complete response.
 
@@ -100,62 +83,32 @@
     groups = forwarder.groups(call)
     if groups is None or call.group in by_group or not by_group:
         return JoinResult.JOINED
-    left_ms = call.deadline_ms - now
-    is_retry = admission_control.is_caller_retry(left_ms, call.route.timeout_ms)
     if call.group is not None:
+        is_retry = decision.is_retry(call, now)
         group = groups.choose(by_group, now, is_retry, forwarder.rng)
         assign_group(forwarder, call, group or next(iter(by_group)))
         return JoinResult.JOINED
-    if call.admission_draw is None:
-        # Drawn only once per request: with a new draw at each poll, an admitted share
-        # of a tenth admitted two of three callers.
-        call.admission_draw = forwarder.rng.random()
-    # After an outage the first decode steps are long however many requests are refused,
-    # and callers past their latency target are queued there, so groups that opened
-    # recently are not checked for overload.
-    stable = [g for g in by_group if not forwarder.outages.opened_recently(g, now)]
-    usable = groups.not_overloaded(stable, now, is_retry, call.admission_draw)
-    usable += [group for group in by_group if group not in stable]
-    log_overload(forwarder, call.service, groups, stable, now)
-    if not usable:
-        return JoinResult.OVERLOADED
-    if is_past_latency_target(call, now):
-        usable = groups_past_target(forwarder, call, usable, now)
-        if not usable:
-            return JoinResult.FULL
-    group = groups.choose(usable, now, is_retry, forwarder.rng)
-    if group is None:
-        return JoinResult.FULL
-    assign_group(forwarder, call, group)
-    return JoinResult.JOINED
-
-
-def groups_past_target(forwarder, call, usable, now):
-    """Return the groups of *usable* that *call* may join past its latency target.
-
-    For a group that opened recently, the call is queued for a slot.
-    """
-    stable = [g for g in usable if not forwarder.outages.opened_recently(g, now)]
-    if stable:
-        return stable
-    groups = forwarder.groups(call)
-    if call.queue_key is None:
-        left_ms = call.deadline_ms - call.arrived_ms
-        is_retry = admission_control.is_caller_retry(left_ms, call.route.timeout_ms)
-        call.queue_key = not is_retry, disconnect_limit_ms(call), id(call)
-        groups.queue.enter(call.queue_key)
-    if call.deadline_ms - now < outage.TYPICAL_ANSWER_MS:
-        return []
-    spare = groups.free_slots(usable)
-    is_next = groups.queue.ahead_of(call.queue_key) < sum(spare.values())
-    return list(spare) if is_next else []
+    outages = forwarder.outages
+    opened = frozenset(g for g in by_group if outages.opened_recently(g, now))
+    seen = decision.Situation(groups, list(by_group), opened, now, forwarder.rng)
+    log_overload(forwarder, call.service, groups, seen.stable, now)
+    decide = uniform if groups.competition is None else by_urgency
+    result, group = decide.find_group(seen, call, disconnect_limit_ms(call))
+    if result is JoinResult.JOINED:
+        assign_group(forwarder, call, group)
+    return result
 
 
 def leave(forwarder, call):
-    """Remove *call*, which has ended, from its group and from the queue."""
+    """Remove *call*, which has ended, from its group and from all queues."""
     assign_group(forwarder, call, None)
+    groups = forwarder.groups(call)
+    if groups is None:
+        return
     if call.queue_key is not None:
-        forwarder.groups(call).queue.leave(call.queue_key)
+        groups.queue.leave(call.queue_key)
+    if groups.competition is not None and call.competitor is not None:
+        groups.competition.leave(call.competitor, forwarder.clock.now())
 
 
 def log_overload(forwarder, service, groups, by_group, now):
@@ -187,20 +140,51 @@
     """
     groups, now = forwarder.groups(call), forwarder.clock.now()
     controllers = [groups.controller(group) for group in groups.share_by_group]
+    left_ms = call.deadline_ms - now
     is_overload = result is JoinResult.OVERLOADED
-    retry_after_ms = forwarder.rng.uniform(
-        *(OVERLOAD_RETRY_AFTER_RANGE_MS if is_overload else RETRY_AFTER_RANGE_MS)
-    )
+    if groups.competition is None:
+        cause = result.value
+        retry_after_ms = forwarder.rng.uniform(
+            *(OVERLOAD_RETRY_AFTER_RANGE_MS if is_overload else RETRY_AFTER_RANGE_MS)
+        )
+    else:
+        cause = call.competitor.cause(is_overload)
+        retry_after_ms = retry_after.after_refusal_ms(
+            is_overload, left_ms, call.route.timeout_ms, forwarder.rng
+        )
     responses.respond(
         forwarder,
         call.request,
         503,
         result.value,
-        min(retry_after_ms, outage.max_retry_after_ms(call.deadline_ms - now)),
+        min(retry_after_ms, outage.max_retry_after_ms(left_ms)),
         service=call.service,
         pause_ms=[controller.median_gap_ms for controller in controllers],
         lasting_ms=[
             round(controller.long_window.value, 1) for controller in controllers
         ],
         let_in=[round(controller.admitted_share(now), 2) for controller in controllers],
+        **record_refused(forwarder, call, cause),
     )
+
+
+def record_refused(forwarder, call, cause):
+    """Count the refusal of a competing caller; return its log fields.
+
+    They tell why this caller was refused rather than another. There are none for a
+    service whose callers do not compete.
+    """
+    groups = forwarder.groups(call)
+    if groups is None or groups.competition is None:
+        return {}
+    caller = call.competitor
+    level = urgency.text(urgency.of(call.route, call.workspace))
+    workspace = "" if call.workspace is None else call.workspace.name
+    forwarder.counters.refused(f"urgency.{level}.{cause}")
+    fields = {"urgency": level, "workspace": workspace, "cause": cause}
+    if caller is not None:
+        if caller.is_reduced():
+            forwarder.counters.refused(f"workspace.{workspace}.{cause}")
+        fields["returned"] = caller.is_retry
+        fields["share"], fields["draw"] = round(caller.share, 3), round(caller.draw, 3)
+    return fields
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -19,7 +19,8 @@
 from twisted.web import http_headers
 
 from dunlinpoint import logs
-from dunlinpoint.forward import capacity, pool, quarantine, responses, routes
+from dunlinpoint.admission import decision, urgency
+from dunlinpoint.forward import pool, quarantine, responses, routes
 from dunlinpoint.forward import watchdog as watchdogs
 from dunlinpoint.routing import pick
 
@@ -142,12 +143,19 @@
     )
 
 
-def priority_of(call, now):
-    """Return the priority of *call* at *now*, 0 (most urgent) to 9."""
+def priority_of(call, now, urgencies=None):
+    """Return the priority of *call* at *now*, 0 (most urgent) to 9.
+
+    *urgencies* are those of its service if callers compete there.
+    """
+    is_past_target = call.streaming and decision.is_past_latency_target(call, now)
+    if urgencies is not None:
+        own = urgency.of(call.route, call.workspace)
+        return urgencies.header_priority(own, is_past_target)
     priority = call.route.priority
     if call.workspace is not None and call.workspace.priority is not None:
         priority = call.workspace.priority
-    if call.streaming and capacity.is_past_latency_target(call, now):
+    if is_past_target:
         priority += PAST_TARGET_PRIORITY_PENALTY
     return min(max(priority, 0), LOWEST_PRIORITY)
 
@@ -171,7 +179,8 @@
     headers.removeHeader(own.workspace)
     if call.workspace is not None:
         headers.setRawHeaders(own.workspace, [call.workspace.name.encode()])
-    headers.setRawHeaders(own.priority, [b"%d" % priority_of(call, now)])
+    urgencies = forwarder.urgencies_by_service.get(call.service)
+    headers.setRawHeaders(own.priority, [b"%d" % priority_of(call, now, urgencies)])
     if call.streaming and call.events.last_id is not None:
         headers.setRawHeaders(own.last_event_id, [b"%d" % call.events.last_id])
     request = call.request
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -7,6 +7,7 @@
 import attrs
 
 from dunlinpoint import clock, lifecycle, logs, metrics
+from dunlinpoint.admission import competition, urgency
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits as workspace_limits
@@ -56,6 +57,7 @@
     lifecycle: lifecycle.Lifecycle = attrs.field(factory=lifecycle.begin)
     outages: outage.Outages = attrs.field(factory=outage.Outages)
     groups_by_service: dict = attrs.field(factory=dict)
+    urgencies_by_service: dict = attrs.field(factory=dict)
     members_by_service: dict = attrs.field(factory=dict)
     group_members_by_service: dict = attrs.field(factory=dict)
     uneven_groups: set = attrs.field(factory=set)
@@ -102,6 +104,9 @@
         doc = config.parse(packed.unpack(document.body))
         self.table = routes.Table.from_document(doc, document.version)
         self.limits = doc.limits
+        self.urgencies_by_service = urgency.competing(doc)
+        for service, service_groups in self.groups_by_service.items():
+            self._update_competition(service, service_groups)
         self.workspace_limiter.limit_by_name = {
             w.name: w.max_in_flight for w in doc.workspaces
         }
@@ -214,8 +219,16 @@
             service_groups = groups.Groups(call.route.pause_ms)
             self.groups_by_service[call.service] = service_groups
             self._update_group_sizes(call.service, service_groups)
+            self._update_competition(call.service, service_groups)
         return service_groups
 
+    def _update_competition(self, service, service_groups):
+        """Let the callers of *service* compete or not, as the document says."""
+        if service not in self.urgencies_by_service:
+            service_groups.competition = None
+        elif service_groups.competition is None:
+            service_groups.competition = competition.Competition()
+
     def group_of(self, member):
         """Return the rank group of *member*, or ``""`` if none is known."""
         return self.outages.group_by_address.get(outage.address_of(member), "")
@@ -256,6 +269,7 @@
       chosen.
     - ``waited``: whether it has waited for a stalled group.
     - ``queue_key``: its key in the queue of callers past their latency target.
+    - ``competitor``: itself among the competing callers of its service.
     """
 
     request: object
@@ -284,6 +298,7 @@
     in_flight_at_endpoint: int = 0
     waited: bool = False
     queue_key: tuple | None = None
+    competitor: competition.Caller | None = None
 
     def stop(self):
         """Abort the attempt in progress."""
--- a/dunlinpoint/routing/groups.py
+++ b/dunlinpoint/routing/groups.py
@@ -54,7 +54,8 @@
     """Shares, inter-event gaps and admission of one service's groups of ranks.
 
     ``max_gap_ms`` is the longest allowed inter-event gap, and ``slots`` this entry's
-    portion of the slots of all groups.
+    portion of the slots of all groups. ``competition`` is the service's
+    ``Competition``, or ``None`` if its callers do not compete.
     """
 
     max_gap_ms: int
@@ -65,6 +66,7 @@
     slots: float = 0.0
     queue: latency.Queue = attrs.field(factory=latency.Queue)
     adjusted_ms: int = 0
+    competition: object = None
 
     def controller(self, group):
         """The ``AdmissionController`` of *group*, created on first use."""
--- a/dunlinpoint/routing/tests/overload.py
+++ b/dunlinpoint/routing/tests/overload.py
@@ -15,10 +15,18 @@
 
 import attrs
 
+from dunlinpoint.admission import competition, retry_after
 from dunlinpoint.forward import capacity
 from dunlinpoint.routing import admission_control, latency, outage
 from dunlinpoint.routing.tests import decode_steps
 
+# The attempts of a caller that does not obey its Retry-After: it retries at once, and
+# three times more.
+INSISTENT_ATTEMPTS = 5
+# Time between a refusal and such a caller's next attempt.
+RETRY_AT_ONCE_MS = 12
+# The priority of the workspaces of competing callers.
+WORKSPACE_PRIORITY = 1
 # The round trip to the engine, and the load of the busiest rank over the mean.
 ROUND_TRIP_MS = 8
 BUSIEST_LOAD = 1.2
@@ -79,6 +87,9 @@
     latency_target_ms=406,
     max_gap_ms=120,
 )
+# For one group of 72 ranks in three zones. At 127 streams a second all are in time, at
+# 150 a jump of demand makes steps longer than allowed.
+COMPETING = attrs.evolve(THREE_ZONES, stream_ms=1.3, events=26)
 # For groups of 64 ranks with few slots and long steps.
 LARGE = Engine(
     step_ms=5.85,
@@ -93,6 +104,22 @@
 )
 
 
+@attrs.frozen
+class Kind:
+    """Callers of one priority: *per_s* arrivals a second as a function of the time.
+
+    ``workspaces(now)`` returns the weights of the workspaces that send them, by name.
+    Callers of *insistent* workspaces retry at once, and up to ``INSISTENT_ATTEMPTS``
+    times in all.
+    """
+
+    priority: int
+    per_s: object
+    latency_target_ms: int
+    workspaces: object
+    insistent: frozenset = frozenset()
+
+
 @attrs.define
 class Load:
     """A run: arrivals a second, skew of experts, and slowdown of the slowest rank.
@@ -115,6 +142,8 @@
     refuses_first_attempts: bool = False
     late_slots_fraction: float = latency.PAST_TARGET_SLOTS_FRACTION
     late_served_last: bool = True
+    kinds: tuple = ()
+    is_competing: bool = False
 
     def is_stalled(self, now):
         """Whether the group is stalled at *now*."""
@@ -136,10 +165,23 @@
     by_window: dict = attrs.field(
         factory=lambda: collections.defaultdict(collections.Counter)
     )
+    stream_ms: float = 0.0
+    callers_ended: list = attrs.field(factory=list)
+    attempts: dict = attrs.field(
+        factory=lambda: collections.defaultdict(collections.Counter)
+    )
 
     def count(self, caller, kind):
         """Count the outcome of a caller: ``in_time``, ``late`` or ``lost``."""
         self.by_window[int(caller.first_attempt_ms // WINDOW_MS)][kind] += 1
+        self.callers_ended.append((caller, kind))
+
+    def count_attempt(self, caller, at, is_admitted):
+        """Record whether an attempt that ended at *at* was admitted."""
+        if caller.kind is not None and not is_insistent(caller):
+            key = caller.kind.priority, int(at // 1000)
+            kind = "newcomer" if caller.attempts == 1 else "returning"
+            self.attempts[key][kind, is_admitted] += 1
 
     def total(self, kind):
         """The number of callers with the outcome *kind*."""
@@ -179,10 +221,18 @@
     attempt_ms: float = 0.0
     queue_key: tuple | None = None
     is_queued: bool = False
+    kind: Kind | None = None
+    workspace: str = ""
+    attempts: int = 1
+    caller: competition.Caller | None = None
 
     def __attrs_post_init__(self):
         self.attempt_ms = self.first_attempt_ms
 
+    def latency_target_ms(self, engine):
+        """Its latency target: that of its kind, or the engine's."""
+        return self.kind.latency_target_ms if self.kind else engine.latency_target_ms
+
     def end(self, now):
         """The outcome of the caller of a stream that is complete at *now*."""
         if now - self.first_attempt_ms > TIMEOUT_MS:
@@ -192,19 +242,20 @@
     def cannot_meet_target(self, engine, now):
         """Whether its first event can't come within the latency target any more."""
         return latency.is_past_latency_target(
-            self.first_attempt_ms - now, 0, engine.latency_target_ms
+            self.first_attempt_ms - now, 0, self.latency_target_ms(engine)
         )
 
     def wait_until(self, engine):
         """When its caller stops waiting here for capacity, as in :mod:`capacity`."""
         if not self.is_queued:
-            return self.attempt_ms + capacity.WAIT_SHARE * engine.latency_target_ms
+            wait_ms = capacity.WAIT_SHARE * self.latency_target_ms(engine)
+            return self.attempt_ms + min(wait_ms, capacity.MAX_WAIT_MS)
         return self.gives_up_ms(engine)
 
     def gives_up_ms(self, engine):
         """When its caller would give up without a first event."""
         event_timeout_ms = outage.event_timeout_ms(
-            engine.latency_target_ms, engine.max_gap_ms
+            self.latency_target_ms(engine), engine.max_gap_ms
         )
         until_ms = self.attempt_ms + event_timeout_ms - outage.FIRST_EVENT_RESERVE_MS
         return min(
@@ -243,12 +294,66 @@
             <= entry_slots - self.controller.in_flight
         )
 
-    def leave(self, stream):
+    def leave(self, stream, now, is_admitted):
         """Remove *stream* from the queue."""
         if stream.queue_key is not None:
             self.queue.leave(stream.queue_key)
             stream.queue_key = None
 
+    def retry_after_ms(self, rng, stream, left_ms, is_overload):
+        """The Retry-After of a refusal, before it is cut to what callers obey."""
+        return rng.uniform(
+            *(
+                capacity.OVERLOAD_RETRY_AFTER_RANGE_MS
+                if is_overload
+                else capacity.RETRY_AFTER_RANGE_MS
+            )
+        )
+
+
+@attrs.define
+class CompetingEntry(Entry):
+    """An entry that decides which of the competing callers it admits."""
+
+    decisions: competition.Competition = attrs.field(factory=competition.Competition)
+
+    def accepts(self, load, stream, now):
+        if stream.caller is None:
+            stream.caller = competition.Caller(
+                (WORKSPACE_PRIORITY, stream.kind.priority),
+                stream.workspace,
+                admission_control.is_caller_retry(
+                    stream.first_attempt_ms + TIMEOUT_MS - stream.attempt_ms, TIMEOUT_MS
+                ),
+                stream.draw,
+            )
+            elapsed_ms = stream.attempt_ms - stream.first_attempt_ms
+            self.decisions.arrive(stream.caller, elapsed_ms, now)
+        if load.opened_recently(now) or stream.caller.group is not None:
+            return True
+        share = self.controller.long_window_admitted_share(now)
+        return not self.decisions.is_shed(stream.caller, "g", share, now)
+
+    def admits(self, stream, now, rng, engine, entry_slots):
+        caller = stream.caller
+        if stream.is_queued:
+            free_slots = int(entry_slots - self.controller.in_flight)
+            is_next = self.decisions.is_next_after_outage(
+                caller, stream.gives_up_ms(engine), free_slots, now
+            )
+            return is_next and self.controller.admits(now, rng, caller.is_retry)
+        is_admitted = self.controller.admits(now, rng, caller.is_retry)
+        return self.decisions.take(caller, "g" if is_admitted else None, now) == "g"
+
+    def leave(self, stream, now, is_admitted):
+        if is_admitted:
+            self.decisions.joined(stream.caller, now)
+        elif stream.caller is not None:
+            self.decisions.leave(stream.caller, now)
+
+    def retry_after_ms(self, rng, stream, left_ms, is_overload):
+        return retry_after.after_refusal_ms(is_overload, left_ms, TIMEOUT_MS, rng)
+
 
 def waits(load, stream, now):
     """Whether the caller of *stream* waits here while its group is stalled."""
@@ -262,7 +367,10 @@
     engine = load.engine
     rng = random.Random(load.seed)
     weights = [rng.uniform(0.5, 1.5) for _ in range(load.entries)]
-    entries = [Entry(make_controller(engine.max_gap_ms)) for _ in range(load.entries)]
+    entry_type = CompetingEntry if load.is_competing else Entry
+    entries = [
+        entry_type(make_controller(engine.max_gap_ms)) for _ in range(load.entries)
+    ]
     entry_slots = load.late_slots_fraction * engine.slots * load.ranks / load.entries
     result, now = Result(), 0.0
     running, queued, coming = [], [], []
@@ -273,7 +381,9 @@
             running, queued, took = [], [], TICK_MS
         else:
             if load.late_served_last:
-                queued.sort(key=lambda stream: stream.is_past_latency_target)
+                queued.sort(
+                    key=served_order if load.is_competing else is_past_latency_target
+                )
             began, queued = split(queued, engine.slots * load.ranks - len(running))
             running += began
             read = sum(s.prompt for s in began)
@@ -281,8 +391,11 @@
             took = engine.step_length_ms(len(running), read, skew, slow, load.ranks)
         for _ in range(decode_steps.arrivals(rng, load.per_s(now) * took / 1000)):
             caller = first_attempt(rng, load, weights, now + rng.random() * took)
+            if load.kinds:
+                assign_kind(rng, load, caller, now)
             heapq.heappush(coming, (caller.first_attempt_ms, rng.random(), caller))
         now += took
+        result.stream_ms += took * len(running)
         for stream in running:
             step(engine, stream, now, entries[stream.entry].controller, result)
         running = [s for s in running if s.events > 0]
@@ -305,20 +418,51 @@
                     coming, (at + capacity.POLL_INTERVAL_MS, rng.random(), caller)
                 )
                 continue
-            entry.leave(caller)
+            entry.leave(caller, now, is_admitted)
+            result.count_attempt(caller, at, is_admitted)
             if is_admitted:
                 entry.controller.began()
                 caller.is_past_latency_target = caller.cannot_meet_target(engine, now)
                 queued.append(caller)
                 continue
-            if caller.is_retry:
+            if not may_retry(caller, at):
                 result.count(caller, "lost")
                 continue
-            retry_at_ms = refuse(rng, load, caller, at, weights, not accepted)
+            retry_at_ms = refuse(rng, load, caller, at, weights, entry, not accepted)
             heapq.heappush(coming, (retry_at_ms, rng.random(), caller))
     return result
 
 
+def is_past_latency_target(stream):
+    return stream.is_past_latency_target
+
+
+def served_order(stream):
+    """The order in which endpoints serve competing callers: their priority header."""
+    return stream.is_past_latency_target, stream.kind.priority
+
+
+def assign_kind(rng, load, caller, now):
+    """Draw the kind and the workspace of *caller*, by the arrivals at *now*."""
+    rates = [kind.per_s(now) for kind in load.kinds]
+    caller.kind = rng.choices(load.kinds, rates)[0]
+    weight_by_name = caller.kind.workspaces(now)
+    names = list(weight_by_name)
+    caller.workspace = rng.choices(names, [weight_by_name[n] for n in names])[0]
+
+
+def may_retry(caller, at):
+    """Whether *caller* makes another attempt after a refusal at *at*."""
+    if is_insistent(caller):
+        return caller.attempts < INSISTENT_ATTEMPTS
+    return not caller.is_retry
+
+
+def is_insistent(caller):
+    """Whether *caller* retries at once, whatever its Retry-After."""
+    return caller.kind is not None and caller.workspace in caller.kind.insistent
+
+
 def count_lost(streams, entries, result):
     """Count *streams* as lost: the group broke, and their callers have given up."""
     for stream in streams:
@@ -326,22 +470,23 @@
         result.count(stream, "lost")
 
 
-def refuse(rng, load, caller, at, weights, is_overload):
+def refuse(rng, load, caller, at, weights, entry, is_overload):
     """Refuse *caller* at *at*; return when it retries, at an entry drawn anew."""
     caller.is_retry = True
+    caller.attempts += 1
     caller.entry = rng.choices(range(len(weights)), weights)[0]
     caller.draw = rng.random()
     left_ms = caller.first_attempt_ms + TIMEOUT_MS - at
+    if is_insistent(caller):
+        caller.attempt_ms = at + RETRY_AT_ONCE_MS
+        caller.caller = None
+        caller.is_retry = admission_control.is_caller_retry(left_ms, TIMEOUT_MS)
+        return caller.attempt_ms
     if load.is_stalled(at):
         wait_ms = outage.outage_retry_after_ms(load.stalled_ms[0], at, left_ms, rng)
     else:
-        wait_ms = rng.uniform(
-            *(
-                capacity.OVERLOAD_RETRY_AFTER_RANGE_MS
-                if is_overload
-                else capacity.RETRY_AFTER_RANGE_MS
-            )
-        )
+        wait_ms = entry.retry_after_ms(rng, caller, left_ms, is_overload)
+    caller.caller = None
     caller.attempt_ms = at + min(wait_ms, outage.max_retry_after_ms(left_ms))
     return caller.attempt_ms
 
@@ -350,7 +495,8 @@
     """Give *stream* one event at *now*."""
     if stream.last_ms is None:
         stream.is_past_latency_target |= (
-            now + ROUND_TRIP_MS - stream.first_attempt_ms > engine.latency_target_ms
+            now + ROUND_TRIP_MS - stream.first_attempt_ms
+            > stream.latency_target_ms(engine)
         )
     else:
         gap_ms = now - stream.last_ms
