Competing callers: retries at once compared with others, counters by urgency

Cause: first attempts whose time left differs by some milliseconds could be taken for retries at once; a caller given a place in a group that then stalls joined it.

Change: a workspace is reduced only if its callers retry at once more than twice as often as all others; a place in a stalled group is dropped; counters have names of their own, so that sums over refused.* do not count a refusal twice.

--- a/dunlinpoint/admission/by_urgency.py
+++ b/dunlinpoint/admission/by_urgency.py
@@ -17,6 +17,8 @@
     caller = call.competitor
     if caller.group in seen.usable:
         return JoinResult.JOINED, caller.group
+    # The group that it was given has stalled in the meantime.
+    caller.group = None
     usable = [group for group in seen.stable if not _is_shed(seen, caller, group)]
     usable += [group for group in seen.usable if group in seen.opened]
     if not usable:
--- a/dunlinpoint/admission/tests/test_decisions.py
+++ b/dunlinpoint/admission/tests/test_decisions.py
@@ -197,6 +197,15 @@
     assert found.reduction(1, "insistent", 6000).cause == workspaces.RETRIES_AT_ONCE
 
 
+def test_no_workspace_is_reduced_if_first_attempts_of_all_come_late():
+    # Guards against callers whose time left differs by some ms from call to call.
+    found = workspaces.Workspaces()
+    for start_ms in range(0, 6000, 1000):
+        play(found, {"a": 2, "b": 2}, start_ms, start_ms + 500)
+        play(found, {"a": 2, "b": 2}, start_ms + 500, start_ms + 1000, elapsed_ms=15)
+    assert {found.reduction(1, name, 6000).cause for name in "ab"} == {None}
+
+
 @pytest.mark.parametrize("left_ms", [8000, 7800, 2400])
 def test_a_retry_that_obeys_is_recognised(left_ms):
     # Guards against a returning caller that counts as a newcomer, or as insistent.
--- a/dunlinpoint/admission/workspaces.py
+++ b/dunlinpoint/admission/workspaces.py
@@ -24,10 +24,11 @@
 # Fewer requests (decayed sum) of other workspaces than this tell nothing of the usual
 # part.
 MIN_USUAL = 10.0
-# A workspace's callers retry at once from this many such retries (decayed sum) on, and
-# this fraction of its requests.
+# A workspace's callers retry at once from this many such retries (decayed sum) on, this
+# fraction of its requests, and this many times the fraction of all others.
 MIN_EARLY_RETRIES = 2.0
 EARLY_RETRY_FRACTION = 0.25
+EARLY_RETRY_RATIO = 2.0
 # Shortest time that a retry has spent of its timeout, compared with first attempts
 # of its workspace.
 MIN_RETRY_ELAPSED_MS = 4
@@ -93,7 +94,8 @@
         self._forget(now)
         activity = self.activity_by_key.setdefault((priority, workspace), Activity())
         activity.arrived(now)
-        self.activity_by_priority.setdefault(priority, Activity()).arrived(now)
+        total = self.activity_by_priority.setdefault(priority, Activity())
+        total.arrived(now)
         if activity.offset_ms is None or elapsed_ms < activity.offset_ms:
             activity.offset_ms = elapsed_ms
         is_early = (
@@ -101,6 +103,7 @@
         )
         if is_early:
             activity.early_retries.add(1, now)
+            total.early_retries.add(1, now)
         return is_early
 
     def reduction(self, priority, workspace, now):
@@ -108,12 +111,13 @@
         activity = self.activity_by_key.get((priority, workspace))
         if activity is None:
             return Reduction()
-        recent, early = activity.recent.read(now), activity.early_retries.read(now)
-        if early > max(MIN_EARLY_RETRIES, EARLY_RETRY_FRACTION * recent):
+        total = self.activity_by_priority[priority]
+        if _retries_at_once(activity, total, now):
             return Reduction(MIN_FACTOR, RETRIES_AT_ONCE)
-        expected = self._expected(activity, self.activity_by_priority[priority], now)
+        expected = self._expected(activity, total, now)
         if expected is None:
             return Reduction()
+        recent = activity.recent.read(now)
         margin = ABOVE_DEVIATIONS * math.sqrt(max(1.0, expected))
         if recent > ABOVE_FACTOR * expected + margin:
             return Reduction(max(MIN_FACTOR, expected / recent), ABOVE_PART)
@@ -134,3 +138,13 @@
         for key, activity in list(self.activity_by_key.items()):
             if activity.usual.read(now) < FORGET_BELOW:
                 del self.activity_by_key[key]
+
+
+def _retries_at_once(activity, total, now):
+    """Whether a workspace's callers retry at once more often than all others."""
+    recent, early = activity.recent.read(now), activity.early_retries.read(now)
+    if early <= max(MIN_EARLY_RETRIES, EARLY_RETRY_FRACTION * recent):
+        return False
+    others = total.recent.read(now) - recent
+    others_early = total.early_retries.read(now) - early
+    return early * others > EARLY_RETRY_RATIO * others_early * recent
--- a/dunlinpoint/forward/capacity.py
+++ b/dunlinpoint/forward/capacity.py
@@ -1,5 +1,7 @@
 """Capacity of rank groups: which group a stream joins, and who waits or is refused."""
 
+import re
+
 from dunlinpoint import logs
 from dunlinpoint.admission import by_urgency, decision, retry_after, uniform, urgency
 from dunlinpoint.forward import responses
@@ -180,11 +182,12 @@
     caller = call.competitor
     level = urgency.text(urgency.of(call.route, call.workspace))
     workspace = "" if call.workspace is None else call.workspace.name
-    forwarder.counters.refused(f"urgency.{level}.{cause}")
+    forwarder.counters.incr(f"refused_by_urgency.{level}.{cause}")
     fields = {"urgency": level, "workspace": workspace, "cause": cause}
     if caller is not None:
         if caller.is_reduced():
-            forwarder.counters.refused(f"workspace.{workspace}.{cause}")
+            name = re.sub(r"\W", "_", workspace)
+            forwarder.counters.incr(f"refused_by_workspace.{name}.{cause}")
         fields["returned"] = caller.is_retry
         fields["share"], fields["draw"] = round(caller.share, 3), round(caller.draw, 3)
     return fields
--- a/dunlinpoint/forward/tests/test_competing.py
+++ b/dunlinpoint/forward/tests/test_competing.py
@@ -73,7 +73,7 @@
     assert refusal["reason"] == "overloaded" and refusal["cause"] == "share"
     assert (refusal["urgency"], refusal["workspace"]) == ("1-2", "w")
     assert refusal["draw"] >= refusal["share"] and not refusal["returned"]
-    assert forwarder.counters.by_name["refused.urgency.1-2.share"] == len(refusals)
+    assert forwarder.counters.by_name["refused_by_urgency.1-2.share"] == len(refusals)
 
 
 def test_the_most_urgent_that_waits_is_sent_first(competing):
