Competing callers: the outage case of returning callers is asserted and red

Cause: the test of returning callers left out the outage, in which they are refused more often than newcomers of their priority.

Conclusion: open; two rules of this part are in conflict while a shortage outlasts the Retry-After.

--- a/dunlinpoint/admission/tests/test_load.py
+++ b/dunlinpoint/admission/tests/test_load.py
@@ -180,7 +180,7 @@
     assert found.streams <= 1.05 * before.streams, (found.streams, before.streams)
 
 
-@pytest.mark.parametrize("name", [name for name in CASES if name != "outage"])
+@pytest.mark.parametrize("name", CASES)
 def test_returning_callers_are_refused_no_more_often_than_newcomers(name):
     # Guards against callers that obeyed their Retry-After and are refused once more.
     found = figures(name)
