--- a/dunlinpoint/follow/controls.py
+++ b/dunlinpoint/follow/controls.py
@@ -24,7 +24,8 @@
     """The polling state of one control instance.
 
     *confirmed_ms* is the last time at which it held no newer document than this
-    process; *reports_revision* is that of the last crash reports received from it.
+    process; *reports_revision* is that of the last crash reports received from it, and
+    *notified_round* the last round of which it sent no body.
     """
 
     link: rpc.Link
@@ -35,6 +36,7 @@
     node_id: str = ""
     zone: str | None = None
     requests_bodies: bool = False
+    notified_round: int = 0
     reports_revision: int = 0
     is_active: bool = True
 
--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -1,6 +1,7 @@
 """A follower's view of its controls: documents, voters, members, confirmation."""
 
-from twisted.internet import task
+import attrs
+from twisted.internet import defer, task
 
 from dunlinpoint.config import packed
 from dunlinpoint.control import voters
@@ -264,6 +265,33 @@
     assert entry_view.document.round == 3
 
 
+@attrs.define
+class Link:
+    """A link that records whether each poll requests bodies, and never answers."""
+
+    bodies: list = attrs.field(factory=list)
+
+    def call(self, _method, _zone, _revision, _round, _wait_ms, bodies, *_, **_kwargs):
+        self.bodies.append(bodies)
+        return defer.Deferred()
+
+
+def test_another_zones_control_sends_no_body_that_the_own_zone_has_sent():
+    # Guards against a poll that waits at another zone's control with a request for
+    # bodies: the next document then reaches every entry from each zone.
+    _, entry_view, by_name = follower()
+    own, other = by_name["a"], by_name["b"]
+    other.link = Link()
+    entry_view.merge(own, reply_from("a", document(1)), 10)
+    notification = reply_from("b", document(2, 2, body=None))
+    notification.zone = "z2"
+    entry_view.merge(other, notification, 30)
+    entry_view.poll(other)
+    entry_view.merge(own, reply_from("a", document(2, 2)), 40)
+    entry_view.poll(other)
+    assert other.link.bodies == [True, False]
+
+
 def test_a_control_that_knows_few_entries_does_not_reduce_the_count():
     # Guards against entries that each use a whole rate limit after controls restarted.
     clock, entry_view, by_name = follower()
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -175,6 +175,7 @@
             # This control holds a newer document than the one in force here, so
             # ``confirmed_ms`` must not advance.
             followed.requests_bodies = self.wants_body()
+            followed.notified_round = document.round
             return
         else:
             self.body_received_ms = now
@@ -340,6 +341,14 @@
         """Poll one control; a Deferred of the delay before its next poll, in ms."""
         requested_ms = self.clock.now()
         followed.requests_bodies = followed.requests_bodies and self.wants_body()
+        if (
+            followed.zone != self.zone
+            and followed.notified_round <= self.document.round
+        ):
+            # Its own zone's control has sent that body in the meantime. A poll that
+            # still requested bodies would wait and return the next document with its
+            # body, which every entry would then receive from each zone.
+            followed.requests_bodies = False
         try:
             reply = yield followed.link.call(
                 "view",
