--- a/dunlinpoint/experts/switch.py
+++ b/dunlinpoint/experts/switch.py
@@ -6,25 +6,34 @@
 harmless:
 
 1. *Prepare* the new map at every rank and wait until each holds it.
-2. *Hold* the group before a step some way ahead, at the rank of the standby leader, and
-   verify the hold in that rank's report. From then on the step does not begin by
-   itself.
-3. *Arm* every rank but the leader's for that step, repeatedly until each one's report
-   shows it; then the leader's own.
+2. *Hold* the group before a step some way ahead, at the rank of another agent, the
+   holder, and verify the hold in that rank's report. From then on the step does not
+   begin by itself.
+3. *Arm* every rank but the planner's own for that step, repeatedly until each one's
+   report shows it; then the planner's own.
 4. *Go*, which lets the step begin with all ranks armed.
 
-If a rank refuses to be armed, all ranks are disarmed and prepare another map in place
-of the new one (:func:`withdraw`). A command to arm that is still in transit, even for
-seconds, then names a map that is not prepared, and is refused. Only then is the hold
-lifted.
-
-A leader can freeze or die at any point, and its rank's report may become unreachable
-with it. Therefore the hold is placed at another rank, whose agent is the standby
-leader, and the leader's own rank is armed last: as long as any other rank is not armed,
-the leader's is not either. The standby first stops answering the leader, which then can
-no longer see all ranks armed, and only then reads the ranks' states (:func:`resolve`).
+If a rank refuses to be armed, all ranks prepare another map in place of the new one,
+and those that are armed are disarmed first (:func:`withdraw`). A command to arm that is
+still in transit, even for seconds, then names a map that is not prepared, and is
+refused. Only then is the hold lifted. A late command to disarm is harmless only if the
+engine ignores it while the rank is armed for another version.
+
+The planner is the leader (rank 0, holder at rank 1) or, while the leader is lost, the
+standby as acting leader (rank 1, holder at rank 2). The rank of a hold thus tells whose
+it is. A planner can freeze or die at any point, and its rank's report may become
+unreachable with it. Therefore the hold is placed at another rank, and the planner's own
+rank is armed last: as long as any other rank is not armed, the planner's is not either.
+The holder's agent first stops answering the planner (it is fenced), which then can no
+longer see all ranks armed, and only then reads the ranks' states (:func:`resolve`).
 Only if all others are armed, a state that lasts milliseconds, must it wait until the
-leader's rank is reachable.
+planner's rank is reachable.
+
+Each planner begins with a reading of all ranks in which no agent refuses its query, and
+abandons its change at the first refusal (:class:`Fenced`). A command to go on that is
+executed late must not lift a later hold. It can do so only if that hold is at the same
+rank and step, so the first hold of a planner, and the first after an abandoned change,
+is two steps ahead.
 
 Commands to prepare, arm and disarm may be forwarded by other ranks' agents, which can
 freeze with them and forward them seconds later (:mod:`aggregation`). For the reason
@@ -69,14 +78,31 @@
 # after which a standby takes over from a silent leader (600 ms), less the transit time
 # of a command.
 MAX_HOLDER_AGE_MS = 400
+# Minimum distance of a planner's first hold. A hold is lifted at the earliest in the
+# step before it, so that no command to lift it names a step this far ahead.
+FIRST_AHEAD_STEPS = 2
+# Versions of planned maps are multiples of the stride, plus the planner's offset.
+VERSION_STRIDE = 16
+VERSION_OFFSET_BY_PLANNER = {0: 0, 1: 8}
+# Maximum duration of a reading by which a change of map is begun or finished. Another
+# agent takes over only after a longer silence.
+MAX_READING_MS = 600
 LEADER = 0
 STANDBY = 1
+# The rank whose agent is the holder for the standby as acting leader.
+WITNESS = 2
+# An acting leader needs a holder at a third rank.
+MIN_ACTING_SIZE = 3
 
 
 class SwitchError(Exception):
     """A change of map was abandoned; the map in force stays."""
 
 
+class Fenced(SwitchError):
+    """An agent refused the query: another one has taken over from this planner."""
+
+
 class EpochEnded(SwitchError):
     """The group broke, so that nothing is prepared, armed or held any more."""
 
@@ -134,6 +160,10 @@
     or ``None`` if it is not known. ``commands_get_lost()`` tells whether commands went
     unanswered recently, ``now()`` is the time in ms, and ``holder_seen_ms`` is when the
     last query that the holder answered was sent.
+
+    *planner* is the rank whose agent sends the commands, and *holder* the one at which
+    it holds the group. ``ask`` fails with ``Fenced`` if an agent refuses the query.
+    *min_ahead_steps* is the minimum distance of a hold.
     """
 
     size: int
@@ -145,11 +175,11 @@
     mapping_of: object = lambda version: None
     holder_seen_ms: int | None = None
     arming_times: ArmingTimes = attrs.field(factory=ArmingTimes)
-
-    @property
-    def holder(self):
-        """The rank at which the group is held: the standby leader's."""
-        return min(STANDBY, self.size - 1)
+    planner: int = LEADER
+    holder: int = attrs.field(
+        default=attrs.Factory(lambda self: min(STANDBY, self.size - 1), takes_self=True)
+    )
+    min_ahead_steps: int = FIRST_AHEAD_STEPS
 
     @property
     def ranks(self):
@@ -158,8 +188,8 @@
 
     @property
     def others(self):
-        """Every rank but the leader's."""
-        return [rank for rank in range(self.size) if rank != LEADER]
+        """Every rank but the planner's."""
+        return [rank for rank in range(self.size) if rank != self.planner]
 
     @defer.inlineCallbacks
     def poll(self, ranks=(), command=None):
@@ -177,8 +207,8 @@
     def check_holder_seen(self):
         """Raise ``SwitchError`` unless the holder answered recently.
 
-        A leader that froze, or waited long for another rank, may have been declared
-        dead. A rank that it arms after that may be armed when the standby leader has
+        A planner that froze, or waited long for another rank, may have been declared
+        dead. A rank that it arms after that may be armed when the holder's agent has
         already seen none armed and is about to lift the hold: the step begins with some
         ranks armed, and mixes two maps.
         """
@@ -189,6 +219,27 @@
             raise SwitchError("the last answer of the holder is too old")
 
 
+@defer.inlineCallbacks
+def confirm(group):
+    """Whether the holder's agent answers a query, without a refusal (``Fenced``).
+
+    A planner whose last such answer is older than ``MAX_HOLDER_AGE_MS`` must get one
+    before it reads the ranks' states. Otherwise a part of the states may be older than
+    the last commands of a planner that took over and died in the meantime.
+    """
+    answers = yield group.poll()
+    return group.holder in answers
+
+
+def is_stale(group, asked_ms):
+    """Whether a reading that was sent at *asked_ms* may hold outdated states.
+
+    A planner that froze during a reading gets some answers from before, and others from
+    after another agent took over.
+    """
+    return group.now() - asked_ms > MAX_READING_MS
+
+
 def states_of(answers, epoch):
     """Return states by rank; raises ``EpochEnded`` unless all are open in *epoch*."""
     states = {rank: answer.state for rank, answer in answers.items()}
@@ -239,6 +290,7 @@
     Raises ``SwitchError``. If the group has reached the step in the meantime, it is
     held as many steps later, because a hold before a step that has begun is refused.
     """
+    steps = max(steps, group.min_ahead_steps)
     holder, held = group.holder, step + steps
     for _ in range(HOLD_ATTEMPTS):
         command = {"operation": commands.HOLD, "step": held, "epoch": plan.epoch}
@@ -268,11 +320,11 @@
         answers = yield group.poll(pending, command)
         states = states_of(answers, epoch)
         if group.holder not in states:
-            # The standby leader may lift the hold at any moment. Ranks that are armed
-            # are disarmed by it, or by this leader once it reaches the holder again.
+            # Its agent may lift the hold at any moment. Ranks that are armed are
+            # disarmed by it, or by this planner once it reaches the holder again.
             raise SwitchError("the holder is unreachable")
         if states[group.holder].held != step:
-            # The standby declared the leader dead and lifted the hold.
+            # The holder's agent declared the planner dead and lifted the hold.
             raise SwitchError("the hold was lifted")
         pending = {r for r in pending if r not in states or states[r].armed != version}
         if any(answers[r].status == dispatcher.REFUSED for r in pending if r in states):
@@ -283,14 +335,20 @@
 
 
 @defer.inlineCallbacks
-def withdraw(group, ranks, states, step, epoch):
+def withdraw(group, ranks, states, step, epoch, held_rank=None):
     """Disarm *ranks* for good, and lift the hold once the group has reached it.
 
+    The hold is at *held_rank*, or at the holder.
+
     A command to arm that is executed late arms a disarmed rank again. Even a rank that
     was seen disarmed could then change its map alone while the command to go on is sent
     and repeated. Each rank therefore also prepares a newer map, after which it refuses
     to be armed for the one before. The newer map has the same experts, so that nothing
     has to be copied.
+
+    At least one rank must have prepared it before any rank is disarmed. Otherwise, if
+    this agent dies in between, late commands to arm can lead another one to see all
+    ranks armed and lift the hold, and a late command to disarm follows.
     """
     versions = versions_of(states)
     newest = versions[-1] if versions else 0
@@ -301,14 +359,28 @@
         "epoch": epoch,
         "mapping": mapping,
     }
+    held_rank = group.holder if held_rank is None else held_rank
+    asked = sorted({*ranks, held_rank})
+    start_ms, waited_ms = group.now(), 0
+    while mapping is not None and waited_ms < WITHDRAW_TIMEOUT_MS:
+        states = states_of((yield group.poll(asked, replacement)), epoch)
+        if held_rank in states and states[held_rank].held != step:
+            return
+        if all_armed(group, states):
+            yield lift_hold(group, step, epoch, held_rank)
+            return
+        if any(state.prepared > newest for state in states.values()):
+            break
+        yield group.sleep(POLL_INTERVAL_MS)
+        waited_ms = max(waited_ms + POLL_INTERVAL_MS, group.now() - start_ms)
     start_ms, waited_ms = group.now(), 0
     while True:
         for version in versions:
             command = {"operation": commands.DISARM, "version": version, "epoch": epoch}
-            answers = yield group.poll(ranks, command)
-        answers = yield group.poll(ranks, replacement if mapping is not None else None)
+            answers = yield group.poll(asked, command)
+        answers = yield group.poll(asked, replacement if mapping is not None else None)
         states = states_of(answers, epoch)
-        holder = states.get(group.holder)
+        holder = states.get(held_rank)
         if holder is not None and holder.held != step:
             return
         pending = [r for r in ranks if r not in states or states[r].armed]
@@ -321,17 +393,18 @@
             break
         yield group.sleep(POLL_INTERVAL_MS)
         waited_ms += POLL_INTERVAL_MS
-    yield lift_hold(group, step, epoch)
+    yield lift_hold(group, step, epoch, held_rank)
 
 
 @defer.inlineCallbacks
-def lift_hold(group, step, epoch):
+def lift_hold(group, step, epoch, held_rank=None):
     """Lift the hold before *step*, and verify that it is lifted."""
+    held_rank = group.holder if held_rank is None else held_rank
     command = {"operation": commands.GO, "step": step, "epoch": epoch}
     while True:
-        yield group.send(group.holder, command)
-        states = states_of((yield group.poll()), epoch)
-        holder = states.get(group.holder)
+        yield group.send(held_rank, command)
+        states = states_of((yield group.poll([held_rank])), epoch)
+        holder = states.get(held_rank)
         if holder is not None and holder.held != step:
             return
         yield group.sleep(POLL_INTERVAL_MS)
@@ -359,7 +432,7 @@
     try:
         step = yield hold(group, plan, newest, steps)
         armed = yield arm(group, group.others, version, step, epoch)
-        armed = armed and (yield arm(group, [LEADER], version, step, epoch))
+        armed = armed and (yield arm(group, [group.planner], version, step, epoch))
     finally:
         # An abandoned change counts as taking at least the normal distance, as it may
         # have been set too few steps ahead.
@@ -374,25 +447,45 @@
 
 @defer.inlineCallbacks
 def resolve(group, states, epoch):
-    """Finish what a leader left held; ``False`` if that is not possible yet.
+    """Finish what a planner left held; ``False`` if that is not possible yet.
 
-    *states* must have been read after the leader's queries were first refused.
+    *states* must have been read after that planner's queries were first refused, or
+    after it had stopped. If its own rank is the only one missing, it is not armed as
+    long as another is not.
     """
-    step = states[group.holder].held
+    step_by_rank = {rank: state.held for rank, state in states.items() if state.held}
     missing = [rank for rank in range(group.size) if rank not in states]
     armed = [rank for rank, state in states.items() if state.armed]
-    log.warning("held_by_no_switch", step=step, armed=armed, missing=missing)
-    if len(armed) == group.size:
-        yield lift_hold(group, step, epoch)
+    log.warning(
+        "held_by_no_switch",
+        step=min(step_by_rank.values(), default=0),
+        armed=armed,
+        missing=missing,
+    )
+    holds = sorted(step_by_rank.items(), key=lambda hold: hold[1])
+    if all_armed(group, states):
+        for rank, step in holds:
+            yield lift_hold(group, step, epoch, rank)
         return True
-    if missing == [LEADER] and len(armed) == len(states):
+    planners = {planner_of_hold(rank) for rank in step_by_rank}
+    if missing and (planners != set(missing) or len(armed) == len(states)):
         return False
-    if missing and missing != [LEADER]:
-        return False
-    yield withdraw(group, sorted(states), states, step, epoch)
+    for rank, step in holds:
+        yield withdraw(group, sorted(states), states, step, epoch, rank)
     return True
 
 
+def all_armed(group, states):
+    """Whether all ranks are armed for the same map."""
+    versions = {state.armed for state in states.values()}
+    return len(states) == group.size and len(versions) == 1 and 0 not in versions
+
+
+def planner_of_hold(rank):
+    """Return the rank of the planner that holds the group at *rank*."""
+    return max(LEADER, rank - 1)
+
+
 def versions_of(states):
     """Return the map versions that ranks may be armed for, now or by a late command.
 
--- a/dunlinpoint/experts/tests/test_switch.py
+++ b/dunlinpoint/experts/tests/test_switch.py
@@ -354,3 +354,50 @@
     assert arming_times.urgent_ahead_ms() < switch.AHEAD_MS
     arming_times.add(4000)
     assert arming_times.urgent_ahead_ms() == switch.AHEAD_MS
+
+
+def armed_states(ranks, versions):
+    """Have ranks be armed for *versions*, 0 for none, with the group held."""
+    for number, version in enumerate(versions):
+        rank = ranks.by_rank[number]
+        rank.prepared, rank.armed = 7, (version, 50) if version else None
+    ranks.by_rank[switch.STANDBY].held = 50
+    return ranks.states().result
+
+
+def test_no_rank_is_disarmed_before_another_can_not_be_armed_any_more():
+    # Failure: a step with two maps. A resolver dies after it disarmed one rank, late
+    # commands have armed the rest, the next resolver sees all ranks armed and lifts the
+    # hold, and a late command disarms a rank. Found by the model with two processes.
+    ranks = started()
+    group = ranks.group()
+    lost = []
+
+    def send(number, body):
+        if body["operation"] == "prepare" and len(lost) < 3 * SIZE:
+            lost.append(number)
+            return defer.succeed(0)
+        return ranks.send(number, body)
+
+    group.send = send
+    ended = []
+    states = armed_states(ranks, (0, 7, 7, 7))
+    switch.resolve(group, states, EPOCH).addBoth(ended.append)
+    ranks.advance(60)
+    assert lost and not ranks.executed
+    ranks.advance(4000)
+    assert ended == [True] and not ranks.mixed
+    kinds = [kind for _, kind in ranks.executed]
+    assert kinds.index("prepare") < kinds.index("disarm")
+
+
+def test_ranks_armed_for_different_maps_do_not_count_as_all_armed():
+    # Failure: a step with two maps. A leader that froze during a reading sees some
+    # ranks armed for its own last map and others for the acting leader's, and lifts the
+    # acting leader's hold while ranks are being armed. Found by the model.
+    ranks = started()
+    assert not switch.all_armed(ranks.group(), armed_states(ranks, (7, 7, 9, 9)))
+    assert switch.all_armed(ranks.group(), armed_states(ranks, (7, 7, 7, 7)))
+    group = ranks.group()
+    group.now = lambda: switch.MAX_READING_MS + 1
+    assert switch.is_stale(group, 0) and not switch.is_stale(group, 1)
