The standby leads while the leader's agent is lost

Cause: a killed agent of rank 0 needs 1.5 to 2 s to lead again, a frozen one as long as it is frozen. Meanwhile the group keeps an old map and streams accumulate for up to ten seconds.

Change: rank 1's agent takes over when the leader's port refuses connections after 150 ms of silence, or after 600 ms of silence (experts/standby.py). It refuses the leader's queries, finishes what was left held, and runs the leader's iterations with holds at rank 2. It gives way between two iterations once the leader queries it again. The leader asks rank 1's agent alone before it reads a group whose standby it has not heard for 400 ms, and the acting leader rank 2's. Rank 2's agent lifts a hold that no leader takes care of. No counts are handed over: the ranks' agents return the growth since the last query of either leader.

The optional fields Question.gives_way and Gathered.leads keep old agents safe: without the first the standby only lifts holds, without the second an agent that answers counts as leading. Links report a refused connection as ConnectionRefused. Leader.may_act turns acting off. Groups of one or two ranks stay as they are.

--- a/dunlinpoint/experts/__init__.py
+++ b/dunlinpoint/experts/__init__.py
@@ -14,10 +14,12 @@
 ``aggregation``   queries to many ranks through aggregators
 ``group_client``  client of a group's ranks, for the leader and its standby
 ``leader``        control loop at rank 0: read, plan and switch
+``standby``       takeover from a lost leader, by the agents of ranks 1 and 2
 ``messages``      wire messages about ranks
 ================  ========================================================
 
-The leader is always the agent of rank 0. The group cannot make a step without
-rank 0, so an agent that cannot reach rank 0 has no group to lead. No election is
-needed, and a partitioned leader cannot compete with another.
+The leader is the agent of rank 0, and while that is lost, the agent of rank 1. The
+leader needs the answers of rank 1's agent to change a map, and the acting leader those
+of rank 2's. No election is needed, and a partitioned leader cannot compete with
+another.
 """
--- a/dunlinpoint/experts/aggregation.py
+++ b/dunlinpoint/experts/aggregation.py
@@ -35,6 +35,8 @@
 # the network path to the aggregator and back.
 SUBGROUP_TIMEOUT_SHARE = 0.6
 LINK_TIMEOUT_MS = 900
+# Reason of a refusal by an agent that has taken over from the sender.
+FENCED = "fenced"
 
 
 @attrs.frozen
@@ -61,11 +63,13 @@
     """Answers (``RankAnswer``) received, and one list of counts per subgroup.
 
     ``rank_by_peer`` has the ranks of agents that answered only for themselves.
+    ``fenced`` tells whether an agent refused because it has taken over.
     """
 
     answers: list = attrs.field(factory=list)
     counts: list = attrs.field(factory=list)
     rank_by_peer: dict = attrs.field(factory=dict)
+    fenced: bool = False
 
     def add(self, gathered):
         """Add the ``Gathered`` result of one agent."""
@@ -138,6 +142,7 @@
             leading=question.leading,
             behind=[ttypes.Peer(other.host, other.port) for other in others],
             behind_ms=round(timeout_ms * SUBGROUP_TIMEOUT_SHARE),
+            gives_way=question.leading,
         )
         command = question.command
         if command is not None:
@@ -179,8 +184,8 @@
             if not others and gathered.answers:
                 result.rank_by_peer[aggregator] = gathered.answers[0].state.rank
             return
-        except ttypes.Refused:
-            pass
+        except ttypes.Refused as exc:
+            result.fenced = result.fenced or exc.reason == FENCED
         except errors.WireError as exc:
             if others:
                 self.avoided_until_ms_by_peer[aggregator] = (
--- a/dunlinpoint/experts/group_client.py
+++ b/dunlinpoint/experts/group_client.py
@@ -17,6 +17,7 @@
     window,
 )
 from dunlinpoint.follow import view
+from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 log = logs.logger("experts")
@@ -36,6 +37,9 @@
 # Readings of counts less than this far apart are merged. A step takes about as long,
 # and a reading that covers no step contains no choices.
 MIN_READING_INTERVAL_MS = 80
+# Ranks at which planners hold the group. Their agents may refuse a leader's query, so
+# that they are always asked directly.
+HOLDERS = (switch.STANDBY, switch.WITNESS)
 
 
 @attrs.define
@@ -44,6 +48,11 @@
 
     ``on_counts(now, counts)`` is called with each reading of the counts, summed over
     the ranks. ``pending_counts`` holds those received since the last call.
+
+    *guard* is the rank whose agent must answer a leader itself: its engine is not asked
+    in its place, because its silence tells the leader to stop. ``guard_seen_ms`` is
+    when the last leader's query that it answered was sent, and *fenced* whether an
+    agent refused the last query.
     """
 
     handler: rank.Handler
@@ -57,6 +66,9 @@
     bypassed_until_ms_by_rank: dict = attrs.field(factory=dict)
     pending_counts: list = attrs.field(factory=list)
     last_reading_ms: int = 0
+    guard: int | None = switch.STANDBY
+    guard_seen_ms: int | None = None
+    fenced: bool = False
 
     def __attrs_post_init__(self):
         self.unanswered = dispatcher.UnansweredTracker(self.clock)
@@ -65,6 +77,15 @@
         """Forget the ranks' agents, which may be others after a change of epoch."""
         self.member_by_rank = {}
         self.bypassed_until_ms_by_rank = {}
+        self.guard_seen_ms = None
+
+    def set_guard(self, rank):
+        """Let *rank* be the guard from now on."""
+        self.guard, self.guard_seen_ms = rank, None
+
+    def bypass(self, rank):
+        """Ask the engine of *rank* past its agent for the next ``BYPASS_MS``."""
+        self.bypassed_until_ms_by_rank[rank] = self.clock.now() + BYPASS_MS
 
     def agents(self, group):
         """Return the members that are agents of *group*'s ranks."""
@@ -72,12 +93,16 @@
 
     @defer.inlineCallbacks
     def read(self, group, own_rank, question):
-        """A Deferred of ``RankAnswer`` by rank of *group*, for ranks that answer."""
+        """A Deferred of ``RankAnswer`` by rank of *group*, for ranks that answer.
+
+        Fails with ``switch.Fenced``, like :meth:`ask`.
+        """
+        self.fenced = False
         members = self.agents(group)
         known = {peer_of(m): n for n, m in self.member_by_rank.items()}
         unknown = [p for p in map(peer_of, members) if p not in known]
         numbers = sorted(known.values())
-        queries = [self.ask(numbers, own_rank, question, READ_TIMEOUT_MS)]
+        queries = [self._ask_known(numbers, own_rank, question, READ_TIMEOUT_MS)]
         if unknown:
             # An agent whose rank is unknown may be the holder, so it is asked directly
             # and is not used as an aggregator.
@@ -85,6 +110,7 @@
         answers = {}
         for result in (yield defer.gatherResults(queries)):
             answers.update(result)
+        self._check_fenced()
         return {n: a for n, a in answers.items() if a.state.group == group}
 
     @defer.inlineCallbacks
@@ -92,17 +118,28 @@
         result = yield self.handler.fan_out.ask_each(peers, question, READ_TIMEOUT_MS)
         self._add_counts(result.counts)
         self._update_members(result.rank_by_peer)
+        self.fenced = self.fenced or result.fenced
         return {answer.state.rank: answer for answer in result.answers}
 
     @defer.inlineCallbacks
     def ask(self, numbers, own_rank, question, timeout_ms):
         """A Deferred of ``RankAnswer`` by rank, for those of *numbers* that answer."""
+        self.fenced = False
+        answers = yield self._ask_known(numbers, own_rank, question, timeout_ms)
+        self._check_fenced()
+        return answers
+
+    def _check_fenced(self):
+        if self.fenced:
+            self.guard_seen_ms = None
+            raise switch.Fenced("another agent has taken over")
+
+    @defer.inlineCallbacks
+    def _ask_known(self, numbers, own_rank, question, timeout_ms):
         now = self.clock.now()
         agents = [n for n in numbers if self.bypassed_until_ms_by_rank.get(n, 0) <= now]
         peers = {peer_of(self.member_by_rank[n]): n for n in agents if n != own_rank}
-        direct_peers = [
-            peer for peer, number in peers.items() if number == switch.STANDBY
-        ]
+        direct_peers = [peer for peer, number in peers.items() if number in HOLDERS]
         queries = [
             self.handler.fan_out.ask_all(
                 list(peers), question, timeout_ms, direct_peers
@@ -112,11 +149,16 @@
         results = yield defer.gatherResults(queries)
         self._add_counts([counts for result in results for counts in result.counts])
         answers = {a.state.rank: a for result in results for a in result.answers}
-        missing = [n for n in numbers if n not in answers and n != switch.STANDBY]
+        if any(result.fenced for result in results):
+            self.fenced = True
+            return answers
+        if question.leading and self.guard in answers:
+            self.guard_seen_ms = now
+        missing = [n for n in numbers if n not in answers and n != self.guard]
         if len(missing) > MAX_BYPASSED:
             return answers
         for number in set(missing).intersection(agents):
-            self.bypassed_until_ms_by_rank[number] = self.clock.now() + BYPASS_MS
+            self.bypass(number)
         direct = [self._ask_engine(number, question) for number in missing]
         for answer in (yield defer.gatherResults(direct)):
             if answer is not None:
@@ -127,8 +169,8 @@
     def _ask_engine(self, number, question):
         """A Deferred of a ``RankAnswer`` from a rank's engine, or of ``None``.
 
-        This bypasses the rank's agent. It is never used for the holder, whose agent
-        stops answering to signal that the standby leader has taken over.
+        This bypasses the rank's agent. It is never used for the guard, whose agent
+        stops answering to signal that it has taken over.
         """
         target = self.handler.engine.at(self.member_by_rank[number].engine)
         self.counters.incr("ask.past_agent")
@@ -188,9 +230,29 @@
             self.unanswered.record()
         return dispatcher.combined_status(statuses)
 
-    def group(self, size, own_rank):
-        """Return a ``switch.Group`` of the ranks, for the agent of *own_rank*."""
-        leading = own_rank == switch.LEADER
+    @defer.inlineCallbacks
+    def probe(self, number):
+        """A Deferred of what is known of rank *number*'s agent.
+
+        ``Gathered`` if it answers, ``None`` if it is silent; fails with
+        ``ConnectionRefused`` if it is dead.
+        """
+        peer = peer_of(self.member_by_rank[number])
+        question = aggregation.Question()
+        try:
+            return (yield self.handler.fan_out.ask(peer, question, SWITCH_TIMEOUT_MS))
+        except errors.ConnectionRefused:
+            raise
+        except (errors.WireError, ttypes.Refused):
+            return None
+
+    def group(self, size, own_rank, leading=None):
+        """Return a ``switch.Group`` of the ranks, for the agent of *own_rank*.
+
+        With *leading* its queries are a leader's, by default those of rank 0.
+        """
+        if leading is None:
+            leading = own_rank == switch.LEADER
 
         @defer.inlineCallbacks
         def ask(ranks, body=None):
@@ -220,6 +282,8 @@
             self.clock.now,
             self.mapping_of,
             arming_times=self.arming_times,
+            planner=own_rank,
+            holder=min(own_rank + 1 if leading else own_rank, size - 1),
         )
 
     def mapping_of(self, version):
--- a/dunlinpoint/experts/leader.py
+++ b/dunlinpoint/experts/leader.py
@@ -1,8 +1,11 @@
 """The control loop at rank 0, which reads every rank, plans a map and switches to it.
 
-A leader can die or freeze while it holds the group. The agent of the next rank is its
-standby: once the leader has stopped querying it, the standby finishes the change of map
-in progress and lifts the hold. It plans nothing itself.
+A leader can die or freeze, also while it holds the group. The agent of rank 1 is its
+standby: once the leader's process is known dead, or has been silent for some time, the
+standby refuses the leader's queries, finishes the change of map in progress, and leads
+in its place (:mod:`standby`). The agent of rank 2 lifts a hold that an acting leader
+left. A leader that is back reads the group only after rank 1's agent has answered it
+without a refusal.
 
 In each iteration the leader reads all ranks' counts through their agents. It plans by
 recent demand, and switches when the new map saves enough of the time that experts take
@@ -26,6 +29,7 @@
     engine,
     group_client,
     placement,
+    standby,
     switch,
     window,
 )
@@ -39,16 +43,11 @@
 # step longer until the next map is in force.
 LEADER_INTERVAL_MS = 50
 IDLE_INTERVAL_MS = 400
-STANDBY_INTERVAL_MS = 150
 OTHER_INTERVAL_MS = 2000
 # Delay of the leader and its standby while the group is broken. Polled every 2 s, a
 # group that had reopened kept its first map for up to 2 s, with most streams past
 # their latency target.
 BROKEN_INTERVAL_MS = 150
-# How long the leader may be silent before its standby takes over. A leader queries
-# every 50 ms, and every 400 ms or sooner while it switches and commands get lost. With
-# 350 ms a slow leader was declared dead, and armed ranks while its standby took over.
-LEADER_TIMEOUT_MS = 600
 FOLLOW_WAIT_MS = 3000
 # A leader needs only its engines' shape and the promised inter-event gap from a
 # document. They hardly ever change, and a new document is in force within seconds all
@@ -64,14 +63,21 @@
 FIRST_RATE_STEPS = 2
 # Minimum number of choices of a set that a map is planned by.
 MIN_CHOICES = 2000
-# Largest random gap between map versions. It prevents a command of an earlier leader
-# that is executed late from naming a version that this leader gives to another map.
+# Largest random gap between map versions, in strides. It prevents a command of an
+# earlier leader that is executed late from naming a version that this leader gives to
+# another map.
 MAX_VERSION_GAP = 1000
 
 
 @attrs.define
 class Leader:
-    """State that the agent of rank 0 keeps between iterations."""
+    """State that an agent keeps between iterations.
+
+    With *acting*, the agent of rank 1 leads in place of the leader's; it never does
+    without *may_act*, and then only lifts holds. *settled* tells that this agent's last
+    change of map succeeded, since when no other agent can have sent commands.
+    ``held_since_ms`` is since when rank 2 has been held by nobody.
+    """
 
     group_client: group_client.GroupClient
     view: view.View
@@ -90,6 +96,10 @@
     steps_per_s: float = 0.0
     idle: bool = False
     following: bool = False
+    may_act: bool = True
+    acting: bool = False
+    settled: bool = False
+    held_since_ms: int | None = None
     group_state: tuple | None = None
     on_group_state: list = attrs.field(factory=list)
 
@@ -124,6 +134,13 @@
         self.epoch = self.mapping = self.map_version = self.last_step = None
         self.idle = False
 
+    def set_leads(self, own, leads):
+        """Set whether this agent leads its group, and log a change."""
+        handler = self.group_client.handler
+        if leads != handler.leads:
+            handler.leads = leads
+            log.info("leads", group=own.group, rank=own.rank, on=leads)
+
     def update_step_rate(self, step):
         """Update the steps per second from the number *step* and an earlier one."""
         now = self.clock.now()
@@ -149,18 +166,22 @@
     """Run one iteration; a Deferred of the delay until the next, in ms."""
     own = yield leader.group_client.handler.engine.state()
     notify_group_state(leader, own)
-    if own.rank > switch.STANDBY:
+    if own.rank > switch.WITNESS:
         leader.reset()
         return OTHER_INTERVAL_MS
     if not own.open:
+        standby.stop_acting(leader, "broken")
         leader.reset()
         return BROKEN_INTERVAL_MS
     if not leader.following:
         leader.following = True
         leader.view.follow(leader.clock.reactor)
-    if own.rank != switch.LEADER:
-        yield take_over(leader, own)
-        return STANDBY_INTERVAL_MS
+    if own.rank == switch.WITNESS:
+        yield standby.lift_abandoned_hold(leader, own)
+        return standby.INTERVAL_MS
+    if own.rank == switch.STANDBY:
+        if not (yield standby.is_acting(leader, own)):
+            return standby.INTERVAL_MS
     yield leader_iteration(leader, own)
     return IDLE_INTERVAL_MS if leader.idle else LEADER_INTERVAL_MS
 
@@ -177,62 +198,89 @@
 
 @defer.inlineCallbacks
 def leader_iteration(leader, own):
-    """Run the leader's iteration; *own* is its rank's state."""
+    """Run the iteration of the leader or acting leader; *own* is its rank's state."""
     if own.epoch != leader.epoch:
         leader.reset()
         leader.group_client.reset()
         leader.epoch = own.epoch
         leader.window.resume(leader.clock.now())
     leader.update_step_rate(own.step)
+    if not (yield may_lead(leader, own)):
+        return
     query = aggregation.Question(
         counts=True, experts=leader.mapping is None, leading=True
     )
+    asked_ms = leader.clock.now()
     answers = yield leader.group_client.read(own.group, own.rank, query)
     states = {number: answer.state for number, answer in answers.items()}
+    group = leader.group_client.group(own.size, own.rank, leading=True)
+    if switch.is_stale(group, asked_ms):
+        leader.counters.incr("turn.stale")
+        return
     if len(states) < own.size or any(s.epoch != own.epoch for s in states.values()):
         leader.counters.incr("turn.incomplete")
         return
-    group = leader.group_client.group(own.size, own.rank)
-    if states[group.holder].held:
-        yield switch.resolve(group, states, own.epoch)
-        leader.mapping = None
-        return
-    if not update_mapping(leader, states):
+    if leader.settled:
+        group.min_ahead_steps = switch.URGENT_MIN_AHEAD_STEPS
+    is_known = update_mapping(leader, states)
+    if any(state.held for state in states.values()):
+        yield resolve(leader, group, states)
         return
-    yield replan(leader, group, states)
+    if is_known:
+        yield replan(leader, group, states)
 
 
 @defer.inlineCallbacks
-def take_over(leader, own):
-    """Lift a hold left behind by a leader that no longer queries any rank.
+def may_lead(leader, own):
+    """Whether no other agent leads, by a recent answer of the guard.
 
-    Otherwise the group stalls until the leader's machine is back. A working leader
-    queries every rank several times a second, also while it switches.
+    The guard is rank 1's agent for the leader, and rank 2's for the acting leader.
     """
-    poll_query = aggregation.Question()
-    if own.epoch != leader.epoch:
-        # The ranks' agents must be known before the leader becomes unreachable.
-        leader.reset()
-        leader.epoch = own.epoch
-        leader.group_client.reset()
-    if len(leader.group_client.member_by_rank) < own.size:
-        yield leader.group_client.read(own.group, own.rank, poll_query)
-        return
-    handler = leader.group_client.handler
-    since_query_ms = 0
-    if handler.last_query_ms is not None:
-        since_query_ms = leader.clock.now() - handler.last_query_ms
-    if since_query_ms < LEADER_TIMEOUT_MS or not own.held:
-        return
-    leader.counters.incr("deputised")
-    handler.fenced = True
-    try:
-        answers = yield leader.group_client.read(own.group, own.rank, poll_query)
-        states = {number: answer.state for number, answer in answers.items()}
-        group = leader.group_client.group(own.size, own.rank)
-        yield switch.resolve(group, states, own.epoch)
-    finally:
-        handler.fenced = False
+    client = leader.group_client
+    if own.size > 1 and not is_guard_seen(leader):
+        leader.settled = False
+        if client.guard not in client.member_by_rank:
+            # Not a leader's query, which would take the counts.
+            yield client.read(own.group, own.rank, aggregation.Question())
+        answers = {}
+        if client.guard in client.member_by_rank:
+            query = aggregation.Question(leading=True)
+            timeout_ms = group_client.SWITCH_TIMEOUT_MS
+            asked = client.ask([client.guard], own.rank, query, timeout_ms)
+            answers = yield asked.addErrback(wait_for_acting_leader, leader)
+        if client.guard not in answers:
+            leader.set_leads(own, False)
+            return False
+    leader.set_leads(own, True)
+    return True
+
+
+def is_guard_seen(leader):
+    """Whether the guard answered a query that was sent recently."""
+    seen_ms = leader.group_client.guard_seen_ms
+    if seen_ms is None:
+        return False
+    return leader.clock.now() - seen_ms <= switch.MAX_HOLDER_AGE_MS
+
+
+def wait_for_acting_leader(failure, leader):
+    """Handle the guard's refusal: no rank answered this leader."""
+    failure.trap(switch.Fenced)
+    leader.counters.incr("turn.fenced")
+    leader.mapping = None
+    return {}
+
+
+@defer.inlineCallbacks
+def resolve(leader, group, states):
+    """Finish what a planner left held.
+
+    Ranks prepare the map in force in place of one that this agent does not know.
+    """
+    known, in_force = group.mapping_of, leader.mapping
+    group.mapping_of = lambda version: known(version) or in_force
+    leader.settled, leader.mapping = False, None
+    yield switch.resolve(group, states, leader.epoch)
 
 
 def update_mapping(leader, states):
@@ -283,9 +331,7 @@
     minimum_ms = benefit.min_saved_ms(shape, moved, group.size)
     if benefit.saved_ms(leader.step_ms, before, after) < minimum_ms:
         return
-    highest = max(max(s.map_version, s.prepared, s.armed) for s in states.values())
-    version = max(highest, leader.last_version) + leader.rng.randint(1, MAX_VERSION_GAP)
-    leader.last_version = version
+    version = next_version(leader, states, group.planner)
     copy_ms = round(placement.max_new_experts(leader.mapping, proposed) * shape.copy_ms)
     plan = switch.Plan(version, proposed, leader.epoch, copy_ms, urgent)
     start_ms = leader.clock.now()
@@ -294,8 +340,9 @@
     except switch.SwitchError as exc:
         leader.counters.refused("map_switch")
         log.warning("switch_given_up", version=version, reason=str(exc))
-        leader.mapping = None
+        leader.mapping, leader.settled = None, False
         return
+    leader.settled = True
     leader.mapping, leader.map_version = proposed, version
     took_ms = leader.clock.now() - start_ms
     leader.counters.observe_ms("switch", took_ms)
@@ -314,6 +361,20 @@
     )
 
 
+def next_version(leader, states, planner):
+    """Return a version above all in *states*, which only rank *planner* may plan.
+
+    Versions between two multiples of the stride are those of maps that replace a
+    withdrawn one.
+    """
+    highest = max(max(s.map_version, s.prepared, s.armed) for s in states.values())
+    strides = max(highest, leader.last_version) // switch.VERSION_STRIDE
+    strides += leader.rng.randint(1, MAX_VERSION_GAP)
+    leader.last_version = strides * switch.VERSION_STRIDE
+    leader.last_version += switch.VERSION_OFFSET_BY_PLANNER[planner]
+    return leader.last_version
+
+
 def run(reactor, leader):
     """Run the control loop until the reactor stops."""
     leader.view.wait_ms = FOLLOW_WAIT_MS
--- a/dunlinpoint/experts/rank.py
+++ b/dunlinpoint/experts/rank.py
@@ -25,8 +25,10 @@
 class Handler:
     """Thrift methods of the ``Rank`` service.
 
-    ``last_query_ms`` is the time of the last query from a leader. While *fenced*,
-    queries from leaders are refused, because the standby leader has taken over.
+    ``last_query_ms`` is the time of the last query from a leader, and ``gives_way``
+    whether that leader can give way. While *fenced*, queries from leaders are refused,
+    because this agent has taken over; ``refused_ms`` is when the last one was. *leads*
+    tells other agents whether this one leads the group.
     """
 
     engine: engines.Engine
@@ -34,7 +36,10 @@
     fan_out: aggregation.FanOutClient
     dispatcher: dispatcher.Dispatcher
     last_query_ms: int | None = None
+    gives_way: bool = False
     fenced: bool = False
+    refused_ms: int | None = None
+    leads: bool = False
     counter: window.Counter = attrs.field(factory=window.Counter)
     texts: commands.TextCache = attrs.field(factory=commands.TextCache)
 
@@ -47,10 +52,8 @@
 
     @defer.inlineCallbacks
     def ask(self, question):
-        if question.leading and self.fenced:
-            raise ttypes.Refused("fenced", 0)
         if question.leading:
-            self.last_query_ms = self.clock.now()
+            self.admit_leader(question)
         command = None
         if question.order:
             command = self.decode_command(question)
@@ -69,7 +72,17 @@
             failure = exc
         if failure is not None and not result.answers:
             raise ttypes.Refused(str(failure), 0) from failure
-        return ttypes.Gathered(answers=result.answers, counts=result.packed_counts())
+        return ttypes.Gathered(
+            answers=result.answers, counts=result.packed_counts(), leads=self.leads
+        )
+
+    def admit_leader(self, question):
+        """Record a leader's query; raises ``Refused`` while fenced."""
+        if self.fenced:
+            self.refused_ms = self.clock.now()
+            raise ttypes.Refused(aggregation.FENCED, 0)
+        self.last_query_ms = self.clock.now()
+        self.gives_way = bool(question.gives_way)
 
     def decode_command(self, question):
         """Decode the command of *question*; ``None`` if its base is not known."""
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -85,6 +85,7 @@
     "open": "whether a group serves",
     "step": "step of a group",
     "armed": "ranks that are armed",
+    "rank": "number of a rank in its group",
     "missing": "ranks that did not answer",
     "moved": "number of experts copied",
     "choices": "expert choices in the first set of counts that a map was planned from",
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -116,6 +116,8 @@
   // The ranks to which the receiver forwards this request, and its timeout for them.
   9: list<Peer> behind,
   10: i32 behind_ms,
+  // Whether the sender, which leads, stops leading while rank 1's agent refuses this.
+  11: bool gives_way,
 }
 
 // One rank's answer: its state, and its engine's HTTP status for the command (0 without
@@ -132,6 +134,8 @@
   1: list<RankAnswer> answers,
   2: binary counts,
   3: bool needs_whole,
+  // Whether the answering agent leads the group now.
+  4: bool leads,
 }
 
 service Rank {
--- a/dunlinpoint/wire/errors.py
+++ b/dunlinpoint/wire/errors.py
@@ -9,6 +9,10 @@
     """The call was not sent, as no connection could be made; it had no effect."""
 
 
+class ConnectionRefused(NotSent):
+    """No process listens at the peer's address."""
+
+
 class OutcomeUnknown(WireError):
     """The call was sent but not answered (connection lost or timeout).
 
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -879,11 +879,12 @@
      - epoch
      - behind
      - behind_ms
+     - gives_way
 
     """
 
 
-    def __init__(self, counts=None, experts=None, leading=None, order=None, base=None, operation=None, version=None, epoch=None, behind=None, behind_ms=None,):
+    def __init__(self, counts=None, experts=None, leading=None, order=None, base=None, operation=None, version=None, epoch=None, behind=None, behind_ms=None, gives_way=None,):
         self.counts = counts
         self.experts = experts
         self.leading = leading
@@ -894,6 +895,7 @@
         self.epoch = epoch
         self.behind = behind
         self.behind_ms = behind_ms
+        self.gives_way = gives_way
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -960,6 +962,11 @@
                     self.behind_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.gives_way = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1013,6 +1020,10 @@
             oprot.writeFieldBegin('behind_ms', TType.I32, 10)
             oprot.writeI32(self.behind_ms)
             oprot.writeFieldEnd()
+        if self.gives_way is not None:
+            oprot.writeFieldBegin('gives_way', TType.BOOL, 11)
+            oprot.writeBool(self.gives_way)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1106,14 +1117,16 @@
      - answers
      - counts
      - needs_whole
+     - leads
 
     """
 
 
-    def __init__(self, answers=None, counts=None, needs_whole=None,):
+    def __init__(self, answers=None, counts=None, needs_whole=None, leads=None,):
         self.answers = answers
         self.counts = counts
         self.needs_whole = needs_whole
+        self.leads = leads
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1145,6 +1158,11 @@
                     self.needs_whole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leads = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1170,6 +1188,10 @@
             oprot.writeFieldBegin('needs_whole', TType.BOOL, 3)
             oprot.writeBool(self.needs_whole)
             oprot.writeFieldEnd()
+        if self.leads is not None:
+            oprot.writeFieldBegin('leads', TType.BOOL, 4)
+            oprot.writeBool(self.leads)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2734,6 +2756,7 @@
     (8, TType.I64, 'epoch', None, None, ),  # 8
     (9, TType.LIST, 'behind', (TType.STRUCT, [Peer, None], False), None, ),  # 9
     (10, TType.I32, 'behind_ms', None, None, ),  # 10
+    (11, TType.BOOL, 'gives_way', None, None, ),  # 11
 )
 all_structs.append(RankAnswer)
 RankAnswer.thrift_spec = (
@@ -2747,6 +2770,7 @@
     (1, TType.LIST, 'answers', (TType.STRUCT, [RankAnswer, None], False), None, ),  # 1
     (2, TType.STRING, 'counts', 'BINARY', None, ),  # 2
     (3, TType.BOOL, 'needs_whole', None, None, ),  # 3
+    (4, TType.BOOL, 'leads', None, None, ),  # 4
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/dunlinpoint/wire/rpc.py
+++ b/dunlinpoint/wire/rpc.py
@@ -72,7 +72,9 @@
         if isinstance(result, TTwisted.ThriftClientProtocol):
             self._protocol = result
             return result.client
-        return errors.NotSent(f"{self.address}: {result.getErrorMessage()}")
+        refused = result.check(error.ConnectionRefusedError)
+        kind = errors.ConnectionRefused if refused else errors.NotSent
+        return kind(f"{self.address}: {result.getErrorMessage()}")
 
     def call(self, method, *args, timeout_ms=None):
         """Call *method* on the peer; a Deferred of its result."""
--- a/dunlinpoint/wire/tests/test_rpc.py
+++ b/dunlinpoint/wire/tests/test_rpc.py
@@ -1,7 +1,8 @@
 """Links: the errors that callers receive, and timeouts."""
 
 from thrift import Thrift
-from twisted.internet import defer, task
+from twisted.internet import defer, error, task
+from twisted.python import failure
 
 from dunlinpoint.wire import errors, rpc
 
@@ -76,3 +77,14 @@
     reactor.run_due()
     reactor.run_due()
     assert results[0].check(errors.OutcomeUnknown)
+
+
+def test_a_refused_connection_is_told_from_one_that_was_not_made():
+    # Guards against a standby that takes a leader behind a slow link for dead: only a
+    # refused connection shows that no process listens.
+    link = rpc.Link(task.Clock(), "127.0.0.1", 1, None, 1000)
+    refused = link._connected(failure.Failure(error.ConnectionRefusedError()))
+    assert isinstance(refused, errors.ConnectionRefused)
+    timed_out = link._connected(failure.Failure(error.TimeoutError()))
+    assert not isinstance(timed_out, errors.ConnectionRefused)
+    assert isinstance(timed_out, errors.NotSent)
