A standby that was frozen reads waiting queries before it takes over

Cause: after a freeze of its own, the standby may look at the time of the leader's last query before the queries that arrived meanwhile are read. It would take over from a working leader for some hundred ms.

Change: it checks the silence again after 20 ms.

--- a/dunlinpoint/experts/standby.py
+++ b/dunlinpoint/experts/standby.py
@@ -34,6 +34,9 @@
 LEADER_TIMEOUT_MS = 600
 # Silence of the leader after which its standby checks whether its process is dead.
 PROBE_SILENCE_MS = 150
+# After a freeze of its own, the standby first has to read the queries that arrived
+# meanwhile.
+RECHECK_MS = 20
 # A leader that waits for its standby to give way queries it at least this often.
 WAITING_LEADER_MS = 500
 
@@ -101,7 +104,8 @@
     if silence_ms(leader) < PROBE_SILENCE_MS:
         return None
     if silence_ms(leader) >= LEADER_TIMEOUT_MS:
-        return "silent"
+        yield leader.clock.sleep(RECHECK_MS)
+        return "silent" if silence_ms(leader) >= LEADER_TIMEOUT_MS else None
     try:
         yield leader.group_client.probe(switch.LEADER)
     except errors.ConnectionRefused:
--- a/dunlinpoint/experts/tests/test_leader_loss.py
+++ b/dunlinpoint/experts/tests/test_leader_loss.py
@@ -7,7 +7,7 @@
 
 from dunlinpoint.config import document as config
 from dunlinpoint.experts import leader as control_loop
-from dunlinpoint.experts import placement, rank, window
+from dunlinpoint.experts import placement, rank, standby, window
 from dunlinpoint.experts.tests import agents
 from dunlinpoint.experts.tests import ranks as simulated
 
@@ -174,6 +174,19 @@
     assert net.ranks.step - before >= 19
 
 
+def test_a_standby_that_was_frozen_does_not_take_over():
+    # Failure: the standby resumes, has not yet read the queries that arrived while it
+    # was frozen, and takes the leader for silent.
+    net = started()
+    resumed, reasons = net.leader_by_rank[1], []
+    handler = resumed.group_client.handler
+    handler.last_query_ms = resumed.clock.now() - 3000
+    standby.loss_of_leader(resumed).addCallback(reasons.append)
+    handler.last_query_ms = resumed.clock.now()
+    net.ranks.advance(100)
+    assert reasons == [None]
+
+
 def test_the_standby_of_a_leader_of_the_old_build_only_lifts_its_hold(monkeypatch):
     # Failure: two planners, as a leader that cannot give way returns.
     original = rank.Handler.admit_leader
