Entry: bounded memory under callers that read slowly, limits on requests

Cause: an entry wrote to a caller whether it read or not, and read plain answers whole without counting them. Callers that read nothing filled its memory. The document's limits on callers (header and body size, header time) were parsed and not enforced.

Change: bytes held for callers are counted for each caller and in all (routing/backpressure.py decides, forward/callers.py measures). Over 64 KB unread, the endpoint is paused. Over a quarter of DUNLIN_MEMORY_MB, new requests get 503 with a Retry-After until three quarters of that. Over 0.375 of the memory, plain answers are not read on. A caller that reads nothing for 10 s is closed. Gaps after a pause are not recorded, the watchdog ignores paused endpoints, and a cut after a pause is no failure of the endpoint. forward/channel.py answers 431, 413 and 408 (503 while the document is not confirmed). Bytes of an incomplete event are searched once.

--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -53,6 +53,7 @@
         streaming=route.kind == config.STREAMING,
         arrived_ms=arrived_ms,
         last_event_ms=arrived_ms,
+        caller=request.channel.transport.buffer,
     )
 
 
@@ -79,6 +80,18 @@
     )
 
 
+def shed(forwarder, request):
+    """Refuse a new request: this entry holds too many unread bytes."""
+    responses.respond(
+        forwarder,
+        request,
+        503,
+        responses.SHED_REASON,
+        responses.shed_retry_after_ms(forwarder),
+        held_bytes=forwarder.buffers.total,
+    )
+
+
 @defer.inlineCallbacks
 def serve(forwarder, request):
     """Forward one request; every code path sends exactly one final response."""
@@ -87,6 +100,9 @@
         # at the end of the grace period and be aborted.
         responses.not_run(forwarder, request, "stopping")
         return
+    if forwarder.buffers.is_shedding:
+        shed(forwarder, request)
+        return
     arrived_ms = forwarder.clock.now()
     disconnected = []
     request.notifyFinish().addErrback(disconnected.append)
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -128,6 +128,9 @@
     """Whether another attempt may follow one that ended with *outcome*."""
     if call.is_over:
         return False
+    if outcome == exchange.UNREAD and call.started:
+        # The rest would again be produced faster than the caller reads it.
+        return False
     if outcome != exchange.NOT_RUN and not routes.is_repeatable(call.route):
         return False
     if call.attempts >= call.route.max_attempts:
@@ -175,7 +178,7 @@
         head, body = call.last_failure
         forwarder.counters.incr("answered.endpoint_failure")
         responses.copy_head(request, head, len(body))
-        responses.finish(forwarder, request, body)
+        responses.finish(forwarder, request, (body,))
     elif not call.may_have_run:
         responses.respond(
             forwarder,
--- a/dunlinpoint/forward/events.py
+++ b/dunlinpoint/forward/events.py
@@ -32,16 +32,19 @@
 
     last_id: int | None = None
     count: int = 0
-    partial: bytes = b""
+    partial: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, data):
         """Add *data*; return the bytes of the new events that it completes."""
-        buffer = self.partial + data
+        # Only new bytes are searched: searched again at each read, one event of some
+        # megabytes would block the process for seconds.
+        searched = max(0, len(self.partial) - len(EVENT_END) + 1)
+        self.partial += data
         out = []
         start = 0
-        while (end := buffer.find(EVENT_END, start)) >= 0:
-            event = buffer[start : end + len(EVENT_END)]
-            start = end + len(EVENT_END)
+        while (end := self.partial.find(EVENT_END, searched)) >= 0:
+            event = bytes(self.partial[start : end + len(EVENT_END)])
+            start = searched = end + len(EVENT_END)
             number = event_id(event)
             if number is not None:
                 if self.last_id is not None and number <= self.last_id:
@@ -49,9 +52,9 @@
                 self.last_id = number
             self.count += 1
             out.append(event)
-        self.partial = buffer[start:]
+        del self.partial[:start]
         return b"".join(out)
 
     def restart(self):
         """Discard the incomplete event of a stream that is resumed elsewhere."""
-        self.partial = b""
+        self.partial.clear()
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -15,6 +15,8 @@
   so that the endpoint stops working on the request.
 """
 
+import collections
+
 from twisted.internet import defer
 from twisted.web import http_headers
 
@@ -32,6 +34,8 @@
 PAST_TARGET_PRIORITY_PENALTY = 5
 # Outcomes of an attempt.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
+# The endpoint closed the connection because this entry did not read it.
+UNREAD = "unread"
 
 
 def header_text(value):
@@ -86,6 +90,7 @@
     forwarder.picker.began(incarnation)
     forwarder.picker.signals.sent(incarnation, forwarder.clock.now())
     watchdog = None
+    call.source.reset()
     try:
         connection = yield forwarder.pool.connect(
             member, routes.is_repeatable(call.route) and not call.streaming
@@ -105,8 +110,12 @@
         return NOT_RUN
     except pool.Broken:
         call.may_have_run = True
+        now = forwarder.clock.now()
+        if not call.is_over and call.source.explains_cut(now):
+            forwarder.counters.incr("slow_reader.cut")
+            return UNREAD
         if not call.is_over:
-            forwarder.picker.failed(incarnation, forwarder.clock.now())
+            forwarder.picker.failed(incarnation, now)
         return BROKEN
     finally:
         call.connection = None
@@ -122,6 +131,14 @@
     return outcome
 
 
+def end_reading(forwarder, call):
+    """End the reading of an answer and count it if it was paused."""
+    if call.source.was_paused:
+        forwarder.counters.incr("slow_reader.paused")
+    call.source.end()
+    call.caller.source = None
+
+
 def record_done(forwarder, call, member):
     """Log and time a request that *member* has answered."""
     took_ms = forwarder.clock.now() - call.arrived_ms
@@ -211,19 +228,57 @@
         forwarder.counters.incr("answered.stream")
         responses.finish(forwarder, call.request)
         return DONE
-    body = bytearray()
-    yield pool.read(connection, head, body.extend)
+    pieces = yield read_plain(forwarder, call, connection, head)
+    length = sum(map(len, pieces))
+    if head.code >= 500 or call.is_over:
+        call.caller.hold(-length, forwarder.clock.now())
     if head.code >= 500:
-        call.last_failure = head, bytes(body)
+        call.last_failure = head, b"".join(pieces)
         return FAILED
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     forwarder.counters.incr("answered.plain")
-    responses.copy_head(call.request, head, len(body))
-    responses.finish(forwarder, call.request, bytes(body))
+    responses.copy_head(call.request, head, length)
+    responses.finish(forwarder, call.request, passed_on(call.caller, pieces))
     return DONE
 
 
+def passed_on(caller, pieces):
+    """Yield and remove the *pieces* of an answer, which no longer count as held."""
+    while pieces:
+        piece = pieces.popleft()
+        caller.pass_on(len(piece))
+        yield piece
+
+
+@defer.inlineCallbacks
+def read_plain(forwarder, call, connection, head):
+    """Read a plain answer whole; return the pieces of its body, which count as held."""
+    pieces = collections.deque()
+    buffers, source = forwarder.buffers, call.source
+    source.begin(connection)
+    buffers.began_plain(source)
+
+    def on_data(data):
+        now = forwarder.clock.now()
+        pieces.append(data)
+        call.caller.hold(len(data), now)
+        if not buffers.may_read_plain(source):
+            source.pause(now)
+
+    try:
+        yield pool.read(connection, head, on_data)
+    except pool.Broken:
+        call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
+        # The failure's traceback keeps the pieces until the next garbage collection.
+        pieces.clear()
+        raise
+    finally:
+        end_reading(forwarder, call)
+        buffers.ended_plain(source, forwarder.clock.now())
+    return pieces
+
+
 def record_not_run(forwarder, member, head):
     """Record that *member* did not run a request, and which endpoint caused it."""
     forwarder.counters.incr("endpoint.not_run")
@@ -259,16 +314,23 @@
     call.events.restart()
     groups = forwarder.groups(call)
     last_ms = None
+    source, caller = call.source, call.caller
+    source.begin(connection)
+    caller.source = source
+    partial_bytes = 0
 
     def on_data(data):
-        nonlocal last_ms
+        nonlocal last_ms, partial_bytes
         now = forwarder.clock.now()
         forwarder.picker.data_received(pick.incarnation_key(member), now)
         forwarder.outages.data_received(member)
         out = call.events.feed(data)
+        caller.hold(len(call.events.partial) - partial_bytes, now)
+        partial_bytes = len(call.events.partial)
         if not out or call.is_over:
             return
-        if last_ms is not None:
+        # After a pause, the gaps depend on the caller and not on the endpoint.
+        if last_ms is not None and not source.was_paused:
             forwarder.counters.observe_ms("pause", now - last_ms)
             if groups is not None:
                 groups.record_gap(call.group, now - last_ms, now)
@@ -281,7 +343,11 @@
             responses.copy_head(request, head, None)
         request.write(out)
 
-    yield pool.read(connection, head, on_data)
+    try:
+        yield pool.read(connection, head, on_data)
+    finally:
+        end_reading(forwarder, call)
+        caller.hold(-partial_bytes, forwarder.clock.now())
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -34,6 +34,8 @@
 # Maximum idle time of a connection for a request that must not run twice.
 UNREPEATABLE_MAX_IDLE_MS = 500
 MAX_IDLE_CONNECTIONS = 8
+# Most bytes read from an endpoint at once, by which a paused answer exceeds its bound.
+READ_BYTES = 16 * 1024
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -116,6 +118,16 @@
             and now - self.idle_since_ms <= limit_ms
         )
 
+    def pause(self):
+        """Read nothing more for now."""
+        if self.transport is not None:
+            self.transport.pauseProducing()
+
+    def resume(self):
+        """Go on reading."""
+        if self.transport is not None:
+            self.transport.resumeProducing()
+
     def close(self):
         """Abort the connection and any exchange in progress."""
         if self.transport is not None:
@@ -228,6 +240,7 @@
         except Exception as exc:
             raise NotSent(f"{member.host}:{member.port}: {exc}") from exc
         connection.transport.setTcpNoDelay(True)
+        connection.transport.bufferSize = READ_BYTES
         return connection
 
     def _put_idle(self, incarnation, connection):
--- a/dunlinpoint/forward/site.py
+++ b/dunlinpoint/forward/site.py
@@ -8,7 +8,7 @@
 from twisted.web import resource, server
 
 from dunlinpoint import clock, http_site, logs
-from dunlinpoint.forward import admission
+from dunlinpoint.forward import admission, callers, channel
 
 log = logs.logger("entry")
 
@@ -44,4 +44,6 @@
     """
     idle_ms = forwarder.limits.idle_ms + IDLE_MARGIN_MS
     site = http_site.Site(ForwardResource(forwarder), timeout=clock.seconds(idle_ms))
-    return site, reactor.listenTCP(port, site, interface=host, backlog=512)
+    site.protocol = lambda: channel.CallerChannel(forwarder)
+    site.requestFactory = channel.CallerRequest
+    return site, callers.listen(reactor, forwarder, site, host, port)
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -14,6 +14,7 @@
 from dunlinpoint.follow import view
 from dunlinpoint.forward import condition, events, names, pool, quarantine, routes
 from dunlinpoint.routing import (
+    backpressure,
     budget,
     endpoint_order,
     endpoint_signals,
@@ -53,6 +54,7 @@
     )
     key_lease_ms: int = 0
     in_flight: int = 0
+    buffers: backpressure.EntryBuffers = attrs.field(factory=backpressure.EntryBuffers)
     lifecycle: lifecycle.Lifecycle = attrs.field(factory=lifecycle.begin)
     outages: outage.Outages = attrs.field(factory=outage.Outages)
     groups_by_service: dict = attrs.field(factory=dict)
@@ -65,13 +67,21 @@
 
     @classmethod
     def from_config(
-        cls, reactor, entry_view, counters, header_names, read_signal, key_lease_ms=0
+        cls,
+        reactor,
+        entry_view,
+        counters,
+        header_names,
+        read_signal,
+        key_lease_ms=0,
+        memory_bytes=0,
     ):
         """Create the state of the entry with the view *entry_view*.
 
         ``read_signal(status, headers)`` returns the ``Signal`` in an endpoint's
         response. If *key_lease_ms* is above 0, requests with a key are refused once
         no majority of controls has confirmed the document for that time.
+        *memory_bytes* is the entry's memory, 0 for no bound.
         """
         ms_clock = clock.Clock(reactor)
         forwarder = cls(
@@ -86,6 +96,7 @@
             names=header_names,
             read_signal=read_signal,
             key_lease_ms=key_lease_ms,
+            buffers=backpressure.EntryBuffers(memory_bytes),
         )
         entry_view.on_document.append(forwarder.apply_document)
         entry_view.on_change.append(forwarder.handle_change)
@@ -256,6 +267,8 @@
       chosen.
     - ``waited``: whether it has waited for a stalled group.
     - ``queue_key``: its key in the queue of callers past their latency target.
+    - ``caller``: the bytes held for its caller.
+    - ``source``: the endpoint's connection that its answer is read from.
     """
 
     request: object
@@ -284,6 +297,8 @@
     in_flight_at_endpoint: int = 0
     waited: bool = False
     queue_key: tuple | None = None
+    caller: backpressure.CallerBuffer = attrs.field(factory=backpressure.CallerBuffer)
+    source: backpressure.Source = attrs.field(factory=backpressure.Source)
 
     def stop(self):
         """Abort the attempt in progress."""
--- a/dunlinpoint/forward/watchdog.py
+++ b/dunlinpoint/forward/watchdog.py
@@ -10,7 +10,7 @@
 import attrs
 
 from dunlinpoint.forward import routes
-from dunlinpoint.routing import pick
+from dunlinpoint.routing import backpressure, pick
 
 CHECK_INTERVAL_MS = 250
 # Share of the remaining time that an idempotent request spends on its first endpoint
@@ -26,6 +26,7 @@
     call: object
     member: object
     connection: object
+    source: backpressure.Source = attrs.field(factory=backpressure.Source)
     timer: object = None
     stopped: bool = False
 
@@ -37,7 +38,9 @@
         """Abort the attempt or probe the endpoint if only it is unresponsive."""
         members = self.forwarder.members(self.call.service)
         now = self.forwarder.clock.now()
-        if not self.forwarder.picker.is_unresponsive(
+        if self.source.explains_silence(now):
+            self.schedule_check(pick.UNRESPONSIVE_MS)
+        elif not self.forwarder.picker.is_unresponsive(
             pick.incarnation_key(self.member), members, now
         ):
             self.schedule_check(CHECK_INTERVAL_MS)
@@ -47,6 +50,15 @@
             probe = self.forwarder.pool.can_connect(self.member)
             probe.addCallback(self.probe_done)
 
+    def check_plain(self):
+        """Abort the attempt at a plain answer, unless this entry has paused it."""
+        if self.source.explains_silence(self.forwarder.clock.now()):
+            self.timer = self.forwarder.clock.call_later(
+                CHECK_INTERVAL_MS, self.check_plain
+            )
+        else:
+            self.connection.close()
+
     def probe_done(self, accepted):
         """Handle the result of the probe: whether a new connection was accepted."""
         if self.stopped:
@@ -78,12 +90,12 @@
     """
     if not routes.is_repeatable(call.route) or call.attempts >= call.route.max_attempts:
         return None
-    watchdog = Watchdog(forwarder, call, member, connection)
+    watchdog = Watchdog(forwarder, call, member, connection, call.source)
     if call.streaming:
         watchdog.schedule_check(pick.UNRESPONSIVE_MS)
         return watchdog
     remaining_ms = call.deadline_ms - forwarder.clock.now()
     watchdog.timer = forwarder.clock.call_later(
-        remaining_ms * FIRST_ATTEMPT_SHARE, connection.close
+        remaining_ms * FIRST_ATTEMPT_SHARE, watchdog.check_plain
     )
     return watchdog
--- a/dunlinpoint/platform/commands.py
+++ b/dunlinpoint/platform/commands.py
@@ -27,6 +27,9 @@
     inner_ports: flags.InnerPorts
     revoke_ms: Annotated[str, flags.flag("DUNLIN_REVOKE_MS", "key revocation, ms", "0")]
     grace_s: Annotated[str, flags.flag("DUNLIN_GRACE_S", "SIGTERM to SIGKILL, s", "8")]
+    memory_mb: Annotated[
+        str, flags.flag("DUNLIN_MEMORY_MB", "memory in MB; empty: no bound", "")
+    ]
     metrics: flags.Metrics
 
 
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -24,6 +24,7 @@
 # Part of the grace time kept for the exit; streams may use all of the rest.
 STOP_MARGIN_MS = 300
 POLL_INTERVAL_MS = 50
+BYTES_PER_MB = 1024 * 1024
 # Share of the key revocation time for which an entry serves without confirmation of
 # its document; the rest covers the round trip of the last poll.
 KEY_LEASE_SHARE = 0.8
@@ -45,6 +46,7 @@
         addresses.whole_number(command.revoke_ms, "revoke-ms") * KEY_LEASE_SHARE
     )
     grace_ms = addresses.whole_number(command.grace_s, "grace-s") * clock.MS_PER_SECOND
+    memory_mb = addresses.whole_number(command.memory_mb or "0", "memory-mb")
     logs.setup()
     entry_view = view.View.from_config(reactor, zone, controls)
     entry_view.follower = command.listen
@@ -55,6 +57,7 @@
         protocol.HEADERS,
         endpoint_signals.from_response,
         lease_ms,
+        memory_mb * BYTES_PER_MB,
     )
     entry_view.follow(reactor)
     settings.watch(
--- a/dunlinpoint/routing/__init__.py
+++ b/dunlinpoint/routing/__init__.py
@@ -15,6 +15,7 @@
 ``latency``            callers past their latency target, and their queue
 ``endpoint_signals``   rate limits, backoff and draining signalled by endpoints
 ``rate``               an entry's share of an endpoint's rate limit
+``backpressure``       bytes held for callers: pauses, refusals and closed callers
 ``budget``             retry budget of each service
 =====================  ==============================================================
 """
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -24,19 +24,29 @@
 EVENT_COUNT = 6
 # More than the send and receive buffers of a connection hold together.
 LARGE_BODY_BYTES = 12 * 1024 * 1024
+# A stream of events that are sent as fast as they are read, and how long a server waits
+# for its reader before it closes the connection of a "cut" stream.
+FLOOD_EVENTS = 1500
+FLOOD_EVENT_BYTES = 16 * 1024
+CUT_TIMEOUT_S = 2.0
 
 
 def event(number):
     return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
+def flood_event(number):
+    return f"id: {number}\ndata: ".encode() + b"x" * FLOOD_EVENT_BYTES + b"\n\n"
+
+
 class Server(http.server.BaseHTTPRequestHandler):
     """Request handler of one simulated server.
 
     Its state is kept in attributes of the HTTP server: ``runs`` lists the executed
     requests as (server id, request id), ``arrivals`` the monotonic times (s) of all
     requests, ``extra_headers`` the headers added to every answer. While ``retry_after``
-    is set, every request is refused with it as Retry-After (s).
+    is set, every request is refused with it as Retry-After (s). ``flooded`` counts the
+    events of "flood" streams that were sent.
     """
 
     protocol_version = "HTTP/1.1"
@@ -85,22 +95,42 @@
             self.stream(last, always=kind == "broken")
         elif kind == "big":
             self.answer(200, b"x" * LARGE_BODY_BYTES)
+        elif kind in ("flood", "cut"):
+            self.flood(CUT_TIMEOUT_S if kind == "cut" else None)
         else:
             seen = {name.lower(): value for name, value in self.headers.items()}
             self.answer(200, json.dumps(seen).encode())
 
-    def stream(self, last, always=False):
-        """Send the events after number *last*.
-
-        The connection is closed within the fourth event: for every request with
-        *always*, otherwise only when the stream starts from the beginning.
-        """
+    def begin_stream(self):
         self.begin(200)
         self.send_header(ATTEMPT, self.headers[ATTEMPT])
         self.send_header(SIGNATURE, self.server.id)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+
+    def flood(self, timeout_s):
+        """Send large events as fast as they are read.
+
+        The connection is closed when it takes nothing for *timeout_s*.
+        """
+        self.connection.settimeout(timeout_s)
+        self.begin_stream()
+        try:
+            for number in range(1, FLOOD_EVENTS + 1):
+                self.chunk(flood_event(number))
+                self.server.flooded += 1
+            self.chunk(b"")
+        except OSError:
+            self.close_connection = True
+
+    def stream(self, last, always=False):
+        """Send the events after number *last*.
+
+        The connection is closed within the fourth event: for every request with
+        *always*, otherwise only when the stream starts from the beginning.
+        """
+        self.begin_stream()
         for number in range(last + 1, EVENT_COUNT + 1):
             data = event(number)
             if number == 4 and (always or not last):
@@ -185,8 +215,11 @@
     }
 
 
-def run(folder):
-    """Yield one running ``Platform`` whose logs are under *folder*."""
+def run(folder, **entry_settings):
+    """Yield one running ``Platform`` whose logs are under *folder*.
+
+    *entry_settings* are added to the settings of the entry.
+    """
     ports = [deploy.free_port() for _ in range(5)]
     entry_port, ready_port, admin_port, inner, metrics_port = ports
     seeds = f"127.0.0.1:{admin_port}"
@@ -207,6 +240,7 @@
         ready=f"127.0.0.1:{ready_port}",
         grace_s=6,
         metrics=f"127.0.0.1:{metrics_port}",
+        **entry_settings,
         **common,
     )
     runs, servers = [], []
@@ -215,6 +249,7 @@
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
         server.id, server.runs = f"i-{number}", runs
         server.extra_headers, server.arrivals, server.retry_after = {}, [], None
+        server.flooded = 0
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
     running = Platform(
