--- a/dunlinpoint/forward/callers.py
+++ b/dunlinpoint/forward/callers.py
@@ -1,4 +1,4 @@
-"""Connections of callers: counts their unread bytes and closes those that stall."""
+"""Connections of callers: counts unread bytes, closes callers that read nothing."""
 
 import collections
 import fcntl
@@ -99,19 +99,19 @@
         return created
 
 
-def close_stalled(forwarder):
+def close_timed_out(forwarder):
     """Close the connections of callers that read nothing for too long."""
     buffers = forwarder.buffers
     elapsed_ms = buffers.elapsed_ms(forwarder.clock.now())
     for buffer in list(buffers.waiting):
-        if not buffer.is_stalled(buffer.connection.queued_bytes(), elapsed_ms):
+        if not buffer.has_timed_out(buffer.connection.queued_bytes(), elapsed_ms):
             continue
         forwarder.counters.incr("slow_reader.closed")
         log.warning(
             "slow_reader_closed",
             host=buffer.connection.getPeer().host,
             port=buffer.connection.getPeer().port,
-            stalled_ms=buffer.stalled_ms,
+            unread_ms=buffer.unread_ms,
             unread_bytes=buffer.unread + buffer.queued,
             held_bytes=buffers.total,
         )
@@ -137,7 +137,7 @@
     forwarder.buffers.on_shedding = lambda on: log_shedding(forwarder, on)
     listening_port = CallerPort(reactor, forwarder, site, host, port)
     listening_port.startListening()
-    loop = task.LoopingCall(close_stalled, forwarder)
+    loop = task.LoopingCall(close_timed_out, forwarder)
     loop.clock = reactor
     loop.start(clock.seconds(backpressure.CHECK_INTERVAL_MS), now=False).addErrback(
         lambda failure: log.error("check_failed", error=failure.getTraceback())
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -100,7 +100,7 @@
     "unread_bytes": "bytes written for a caller that it has not read",
     "held_bytes": "bytes that an entry holds for all of its callers",
     "limit_bytes": "held bytes above which an entry refuses new requests",
-    "stalled_ms": "how long a caller has read nothing while bytes waited for it",
+    "unread_ms": "how long a caller has read nothing while bytes waited for it",
     "counters": "counters by name",
     "omitted": "number of lines left out by the rate limit, by event",
     "dropped": "number of lines dropped because the buffer was full",
--- a/dunlinpoint/routing/backpressure.py
+++ b/dunlinpoint/routing/backpressure.py
@@ -200,7 +200,7 @@
     - ``connection``: the caller's connection, for the code that closes it.
     - ``source``: the ``Source`` of the stream that is passed on, or ``None``.
     - ``queued``: bytes that waited in the operating system at the last check.
-    - ``stalled_ms``: how long the caller has read nothing while bytes waited.
+    - ``unread_ms``: how long the caller has read nothing while bytes waited.
     """
 
     entry: EntryBuffers = attrs.field(factory=EntryBuffers)
@@ -210,7 +210,7 @@
     source: Source | None = None
     has_sent: bool = False
     queued: int = 0
-    stalled_ms: int = 0
+    unread_ms: int = 0
     closed: bool = False
 
     def hold(self, count, now):
@@ -248,7 +248,7 @@
         if self.source is not None and self.unread <= RESUME_UNREAD_BYTES:
             self.source.resume(now)
 
-    def is_stalled(self, queued, elapsed_ms):
+    def has_timed_out(self, queued, elapsed_ms):
         """Check the caller's progress; whether its connection is to be closed.
 
         *queued* is the number of bytes that wait in the operating system, *elapsed_ms*
@@ -261,8 +261,8 @@
         if not self.unread and not queued:
             self.entry.waiting.discard(self)
             has_progressed = True
-        self.stalled_ms = 0 if has_progressed else self.stalled_ms + elapsed_ms
-        return self.stalled_ms >= READ_TIMEOUT_MS
+        self.unread_ms = 0 if has_progressed else self.unread_ms + elapsed_ms
+        return self.unread_ms >= READ_TIMEOUT_MS
 
     def close(self, now):
         """Release everything: the caller's connection is closed."""
--- a/dunlinpoint/routing/tests/test_backpressure.py
+++ b/dunlinpoint/routing/tests/test_backpressure.py
@@ -137,26 +137,26 @@
     assert entry.total == 0 and not entry.waiting
 
 
-def stalled_after(checks, queued):
+def timed_out_after(checks, queued):
     """Check a caller with bytes that wait; the number of the check that closes it."""
     caller = backpressure.CallerBuffer()
     caller.wrote(1000, now=0)
     for number in range(checks):
-        if caller.is_stalled(queued(number), backpressure.CHECK_INTERVAL_MS):
+        if caller.has_timed_out(queued(number), backpressure.CHECK_INTERVAL_MS):
             return number
     return None
 
 
 def test_a_caller_that_reads_nothing_for_the_timeout_is_closed():
     expected = backpressure.READ_TIMEOUT_MS // backpressure.CHECK_INTERVAL_MS
-    assert stalled_after(100, lambda number: 5000) == expected - 1
+    assert timed_out_after(100, lambda number: 5000) == expected - 1
 
 
 def test_a_caller_that_reads_very_slowly_is_not_closed():
     # Guards against a caller that is closed although it reads: the operating system
     # takes more bytes only once a third of its buffer is free, which takes a caller of
     # 2 KB/s more than the timeout.
-    assert stalled_after(100, lambda number: 90_000 - 200 * number) is None
+    assert timed_out_after(100, lambda number: 90_000 - 200 * number) is None
 
 
 def test_the_time_of_a_frozen_process_does_not_count():
--- a/tests/integration/test_slow_readers.py
+++ b/tests/integration/test_slow_readers.py
@@ -130,7 +130,7 @@
     # Guards against an answer that is complete in the entry's memory and is cut because
     # its caller reads it slowly, and against one that is kept for ever.
     with (
-        ask_slowly(platform, "/once/big", "stalled") as stalled,
+        ask_slowly(platform, "/once/big", "unread") as unread,
         ask_slowly(platform, "/once/big", "slow") as slow,
     ):
         began_s, received = time.monotonic(), bytearray()
@@ -139,7 +139,7 @@
             received += slow.recv(2000)
             time.sleep(0.2)
         assert time.monotonic() - began_s > READ_TIMEOUT_S - 1
-        assert not read_all(stalled)[1]
+        assert not read_all(unread)[1]
         slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
         while received.count(b"x") < platform_lab.LARGE_BODY_BYTES:
             piece = slow.recv(1 << 20)
