Soak: callers that read slowly

Cause: the soak's callers read every answer at once, so no pause, cut or slow read was played together with faults.

Change: two callers read streams of 1 MB slowly over a small receive buffer, some of them longer than the backends wait (1 s unread closes the connection); entries have 200 MB. The check of own answers covers these streams.

--- a/dunlinpoint/soak/callers.py
+++ b/dunlinpoint/soak/callers.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import random
+import socket
 import threading
 import time
 
@@ -15,12 +16,26 @@
 from dunlinpoint.soak import cluster, servers
 
 CALLERS = 6
+# Callers that read slowly: how much of an answer they read at once and how long they
+# wait before. The longest waits are beyond the time for which backends wait.
+SLOW_CALLERS = 2
+SLOW_READ_BYTES = 64 * 1024
+SLOW_READ_WAIT_S = (0.0, 0.1)
+LONG_WAIT_S = 1.5
+LONG_WAIT_SHARE = 0.03
+SLOW_BUFFER_BYTES = 32 * 1024
 THINK_TIME_S = (0.01, 0.15)
 DEADLINE_MS = 3000
 # The most times that the operator sends one document to each control.
 SEND_ATTEMPTS = 20
 RESEND_INTERVAL_S = 0.2
 PATH_PREFIXES = ("/once/", "/often/", "/stream/")
+ROUTE_KIND_BY_PREFIX = {
+    "/once/": "non_idempotent",
+    "/often/": "idempotent",
+    "/stream/": "streaming",
+    servers.LARGE_STREAM_PREFIX: "streaming",
+}
 
 
 @attrs.define
@@ -43,6 +58,8 @@
 class Caller:
     """One caller with its persistent connection."""
 
+    connection_class = http.client.HTTPConnection
+
     cluster: cluster.Cluster
     number: int
     results: list
@@ -67,11 +84,11 @@
         """Send one request and record its result."""
         if self.connection is None:
             self.node = self.rng.choice(self.cluster.entries)
-            self.connection = http.client.HTTPConnection(
+            self.connection = self.connection_class(
                 self.node.host, self.cluster.port, timeout=DEADLINE_MS / 1000 + 1
             )
         self.request_count += 1
-        path_prefix = self.rng.choice(PATH_PREFIXES)
+        path_prefix = self.choose_path_prefix()
         request_id = f"{self.number}-{self.request_count}"
         incarnation, sent_s = self.node.start_count, time.monotonic()
         status, signature, body, is_complete = self.exchange(path_prefix, request_id)
@@ -92,6 +109,14 @@
             )
         )
 
+    def choose_path_prefix(self):
+        """Choose the kind of the next request."""
+        return self.rng.choice(PATH_PREFIXES)
+
+    def read(self, answer):
+        """Read the body of *answer*."""
+        return answer.read()
+
     def exchange(self, path_prefix, request_id):
         """``(status, signature, body, is_complete)`` of one request."""
         headers = {
@@ -108,7 +133,7 @@
             return 0, None, b"", False
         signature = answer.headers[servers.SIGNATURE_HEADER]
         try:
-            body, is_complete = answer.read(), True
+            body, is_complete = self.read(answer), True
         except http.client.IncompleteRead as exc:
             body, is_complete = exc.partial, False
         except (OSError, http.client.HTTPException):
@@ -118,6 +143,43 @@
         return answer.status, signature, body, is_complete
 
 
+class SlowConnection(http.client.HTTPConnection):
+    """A connection with a small receive buffer."""
+
+    def connect(self):
+        """Connect; the buffer's size has to be set before."""
+        self.sock = socket.socket()
+        self.sock.settimeout(self.timeout)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+        self.sock.connect((self.host, self.port))
+
+
+class SlowCaller(Caller):
+    """A caller that reads large streams slowly."""
+
+    connection_class = SlowConnection
+
+    def choose_path_prefix(self):
+        return servers.LARGE_STREAM_PREFIX
+
+    def read(self, answer):
+        """Read the body of *answer* in pieces, with a wait before each."""
+        body = bytearray()
+        try:
+            while piece := answer.read(SLOW_READ_BYTES):
+                body += piece
+                self.cluster.stop_event.wait(self.draw_wait_s())
+        except http.client.IncompleteRead as exc:
+            raise http.client.IncompleteRead(bytes(body) + exc.partial) from exc
+        return bytes(body)
+
+    def draw_wait_s(self):
+        """Draw how long to wait before the next piece is read."""
+        if self.rng.random() < LONG_WAIT_SHARE:
+            return LONG_WAIT_S
+        return self.rng.uniform(*SLOW_READ_WAIT_S)
+
+
 @attrs.define
 class AcknowledgedDocument:
     """A document version that a control acknowledged, and when."""
@@ -167,11 +229,7 @@
                 "maxAttempts": 2,
                 "resumable": route_kind == "streaming",
             }
-            for path_prefix, route_kind in zip(
-                PATH_PREFIXES,
-                ("non_idempotent", "idempotent", "streaming"),
-                strict=True,
-            )
+            for path_prefix, route_kind in ROUTE_KIND_BY_PREFIX.items()
         ]
         return {
             "version": version,
--- a/dunlinpoint/soak/checks.py
+++ b/dunlinpoint/soak/checks.py
@@ -11,6 +11,8 @@
 IN_FORCE_BOUND_S = 2.0
 # Time after a fault during which a process is exempt from time bounds.
 FAULT_GRACE_S = 4.0
+# A large stream that took longer may have been ended by its caller's deadline.
+SLOW_READ_S = 2.8
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Response modes in which a backend sends part of an answer or none.
 TRUNCATING_MODES = {"drop", "break"}
@@ -42,12 +44,8 @@
         return []
     if request.signature is None:
         return [f"{request.request_id}: status 200 without a backend's signature"]
-    if request.path_prefix == "/stream/":
-        events = [
-            servers.event(request.request_id, n)
-            for n in range(1, servers.EVENT_COUNT + 1)
-        ]
-        expected = b"".join(events)
+    if request.path_prefix in ("/stream/", servers.LARGE_STREAM_PREFIX):
+        expected = servers.stream_of(request.path_prefix, request.request_id)
         if request.is_complete and request.body != expected:
             return [f"{request.request_id}: a stream ended normally with wrong content"]
         if not expected.startswith(request.body[: request.body.rfind(b"\n\n") + 2]):
@@ -84,6 +82,11 @@
         return []
     if any(execution.response_mode in TRUNCATING_MODES for execution in executions):
         return []
+    if request.path_prefix == servers.LARGE_STREAM_PREFIX and (
+        request.ended_s - request.sent_s > SLOW_READ_S
+    ):
+        # Its caller may have read so slowly that its own deadline ended it.
+        return []
     if _any_within(cluster.link_faults_s, span[0] - FAULT_GRACE_S, span[1]):
         return []
     return [f"{request.request_id}: interrupted by a planned stop of {request.entry}"]
--- a/dunlinpoint/soak/cluster.py
+++ b/dunlinpoint/soak/cluster.py
@@ -26,6 +26,7 @@
 HOST = "soak.example"
 API_KEY = "key-1"
 GRACE_S = 4
+ENTRY_MEMORY_MB = 200
 HEARTBEAT_INTERVAL_S = 0.4
 CALL_TIMEOUT_S = 2.0
 
@@ -131,6 +132,7 @@
             host = f"{net}.{i + 101}"
             env = common | {"zone": ZONES[i % 2], "listen": f"{host}:{cluster.port}"}
             env |= {"ready": f"{host}:{ready}", "grace_s": GRACE_S, "revoke_ms": 5000}
+            env |= {"memory_mb": ENTRY_MEMORY_MB}
             cluster.add(cluster.entries, f"entry-{i}", host, "entry", env)
         return cluster
 
--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -48,10 +48,9 @@
     try:
         cluster.start()
         wait_ready(cluster, operator)
-        for number in range(callers.CALLERS):
-            caller = callers.Caller(
-                cluster, number, results, random.Random(rng.random())
-            )
+        for number in range(callers.CALLERS + callers.SLOW_CALLERS):
+            kind = callers.Caller if number < callers.CALLERS else callers.SlowCaller
+            caller = kind(cluster, number, results, random.Random(rng.random()))
             threads.append(threading.Thread(target=caller.run, daemon=True))
             threads[-1].start()
         if with_signals:
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -7,6 +7,7 @@
 
 import http.server
 import random
+import socket
 import threading
 import time
 
@@ -21,6 +22,11 @@
 EVENT_COUNT = 8
 EVENT_INTERVAL_S = 0.04
 PROCESSING_TIME_S = 0.02
+# Large streams for callers that read slowly: padding of each event, and how long a
+# backend waits for its reader before it closes the connection.
+LARGE_STREAM_PREFIX = "/large/"
+LARGE_EVENT_PADDING = b"x" * 128 * 1024
+UNREAD_TIMEOUT_S = 1.0
 # How a backend responds to a request, with weights in percent.
 RESPONSE_MODE_WEIGHTS = {
     "serve": 88,
@@ -38,6 +44,17 @@
     return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
 
 
+def large_event(request_id, number):
+    """The bytes of one event of a request's large stream."""
+    return event(request_id, number)[:-2] + LARGE_EVENT_PADDING + b"\n\n"
+
+
+def stream_of(path_prefix, request_id):
+    """The complete stream that answers a request."""
+    make = large_event if path_prefix == LARGE_STREAM_PREFIX else event
+    return b"".join(make(request_id, n) for n in range(1, EVENT_COUNT + 1))
+
+
 def body_of(request_id):
     """The complete plain answer to a request."""
     return f"answer to {request_id} ".encode() * 20
@@ -158,6 +175,9 @@
             self.respond(200, headers, body_of("another"))
         elif response_mode == "unsigned":
             self.respond(200, {}, body_of(request_id))
+        elif LARGE_STREAM_PREFIX in self.path:
+            last = int(self.headers.get("Last-Event-Id", 0))
+            self.send_large_stream(execution, last)
         elif "/stream/" in self.path:
             last = int(self.headers.get("Last-Event-Id", 0))
             self.send_stream(request_id, last, truncated=response_mode == "break")
@@ -188,14 +208,31 @@
         self.end_headers()
         self.wfile.write(data[:sent])
 
-    def send_stream(self, request_id, last, truncated):
-        """Send the events after *last*; if *truncated*, stop within the third one."""
+    def begin_stream(self, request_id):
+        """Send the head of a stream."""
         self.send_status(200)
         self.send_header(ATTEMPT_ID_HEADER, request_id)
         self.send_header(SIGNATURE_HEADER, self.server.backend.server_id)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+
+    def send_large_stream(self, execution, last):
+        """Send large events after *last*, and give up when they stay unread."""
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        self.connection.settimeout(UNREAD_TIMEOUT_S)
+        self.begin_stream(execution.request_id)
+        try:
+            for number in range(last + 1, EVENT_COUNT + 1):
+                self.send_chunk(large_event(execution.request_id, number))
+            self.send_chunk(b"")
+        except OSError:
+            execution.response_mode = "drop"
+            self.close_connection = True
+
+    def send_stream(self, request_id, last, truncated):
+        """Send the events after *last*; if *truncated*, stop within the third one."""
+        self.begin_stream(request_id)
         for number in range(last + 1, EVENT_COUNT + 1):
             time.sleep(EVENT_INTERVAL_S)
             data = event(request_id, number)
--- a/dunlinpoint/soak/tests/test_checks.py
+++ b/dunlinpoint/soak/tests/test_checks.py
@@ -116,3 +116,20 @@
     assert len(signal_violations(kind, VIOLATING[kind])) == 1
     assert signal_violations(kind, VIOLATING[kind], disturbed_s=[10.5]) == []
     assert signal_violations(kind, ALLOWED[kind]) == []
+
+
+def test_a_large_stream_with_a_gap_is_detected():
+    # Guards against a soak test that does not look at callers that read slowly: bytes
+    # that waited for one of them are lost or reach another.
+    finished = finished_cluster()
+    path_prefix = servers.LARGE_STREAM_PREFIX
+    whole = servers.stream_of(path_prefix, "r")
+    first = servers.large_event("r", 1)
+    for body, complete, expected in (
+        (whole, True, 0),
+        (first, False, 0),
+        (first, True, 1),
+        (whole[len(first) :], False, 1),
+    ):
+        found = result(path_prefix, 200, complete, body, "i-0")
+        assert len(violations(finished, [found])) == expected
