Entry: smaller bound for each caller while new requests are refused

Cause: requests that are admitted before the entry's threshold is reached still fill 64 KB each. With the 152 MB of deployment B, 1,000 endless streams that are not read took 167 MB.

Change: while the entry refuses new requests, an endpoint is paused from 16 KB unread.

Large plain answers on small entries stay open.

--- a/dunlinpoint/routing/backpressure.py
+++ b/dunlinpoint/routing/backpressure.py
@@ -8,7 +8,8 @@
 
 Four decisions follow, each from plain counts:
 
-- A caller with over ``MAX_UNREAD_BYTES`` unread pauses the endpoint that answers it.
+- A caller with over ``MAX_UNREAD_BYTES`` unread pauses the endpoint that answers it;
+  less is enough while the entry refuses new requests.
 - An entry that holds over ``SHED_FRACTION`` of its memory for all callers together
   refuses new requests.
 - An entry that holds over ``FULL_FRACTION`` does not read on the plain answers that it
@@ -21,10 +22,10 @@
 
 import attrs
 
-# Unread bytes of one caller above which its endpoint is paused, and at which it is
-# read on.
+# Unread bytes of one caller above which its endpoint is paused, and the same while the
+# entry refuses new requests. The endpoint is read on at half of this.
 MAX_UNREAD_BYTES = 64 * 1024
-RESUME_UNREAD_BYTES = MAX_UNREAD_BYTES // 2
+MAX_SHED_UNREAD_BYTES = 16 * 1024
 # Share of the entry's memory above which it refuses new requests, and the share of
 # this threshold below which it accepts them again.
 SHED_FRACTION = 0.25
@@ -219,6 +220,10 @@
     unread_ms: int = 0
     closed: bool = False
 
+    @property
+    def max_unread(self):
+        return MAX_SHED_UNREAD_BYTES if self.entry.is_shedding else MAX_UNREAD_BYTES
+
     def hold(self, count, now):
         """Hold *count* more bytes, or fewer if it is negative."""
         if not self.closed and count:
@@ -241,7 +246,7 @@
         self.unread += count
         self.entry.waiting.add(self)
         self.entry.add(count, now, count)
-        if self.unread > MAX_UNREAD_BYTES and self.source is not None:
+        if self.unread > self.max_unread and self.source is not None:
             self.source.pause(now)
 
     def sent(self, count, now):
@@ -251,7 +256,7 @@
         self.has_sent = True
         self.unread -= count
         self.entry.add(-count, now, -count)
-        if self.source is not None and self.unread <= RESUME_UNREAD_BYTES:
+        if self.source is not None and self.unread <= self.max_unread // 2:
             self.source.resume(now)
 
     def has_timed_out(self, queued, elapsed_ms):
--- a/dunlinpoint/routing/tests/test_backpressure.py
+++ b/dunlinpoint/routing/tests/test_backpressure.py
@@ -44,6 +44,20 @@
     assert caller.source.longest_pause_ms == 1500
 
 
+def test_less_unread_pauses_an_endpoint_while_new_requests_are_refused():
+    # Guards against an entry whose memory is exceeded by what it has admitted: a
+    # thousand streams of callers that read nothing, each below its own bound.
+    entry = backpressure.EntryBuffers(MB)
+    caller, connection = streaming_caller(entry)
+    other = backpressure.CallerBuffer(entry)
+    other.wrote(MB // 2, now=0)
+    caller.wrote(backpressure.MAX_SHED_UNREAD_BYTES + 1, now=0)
+    assert not connection.reading
+    other.close(now=1)
+    caller.sent(1, now=2)
+    assert connection.reading
+
+
 def test_a_pause_is_repeated_if_the_library_went_on_reading():
     # Guards against an endpoint that is read without bound: the HTTP library resumes
     # the connection when it hands over the body, after the first bytes have paused it.
