--- a/dunlinpoint/platform/commands.py
+++ b/dunlinpoint/platform/commands.py
@@ -33,6 +33,9 @@
     cold_tolerance: Annotated[
         str, flags.flag("DUNLIN_COLD_TOLERANCE", "requests above a cold rate, or 0", "")
     ]
+    memory_mb: Annotated[
+        str, flags.flag("DUNLIN_MEMORY_MB", "memory in MB; empty: no bound", "")
+    ]
     metrics: flags.Metrics
 
 
--- a/dunlinpoint/soak/tests/test_checks.py
+++ b/dunlinpoint/soak/tests/test_checks.py
@@ -176,3 +176,20 @@
     assert [f.kind for f in planned].count(evacuations.KIND) == 1
     others = [f for f in planned if f.kind != evacuations.KIND]
     assert others == faults.schedule(11, with_evacuation=False)
+
+
+def test_a_large_stream_with_a_gap_is_detected():
+    # Guards against a soak test that does not look at callers that read slowly: bytes
+    # that waited for one of them are lost or reach another.
+    finished = finished_cluster()
+    path_prefix = servers.LARGE_STREAM_PREFIX
+    whole = servers.stream_of(path_prefix, "r")
+    first = servers.large_event("r", 1)
+    for body, complete, expected in (
+        (whole, True, 0),
+        (first, False, 0),
+        (first, True, 1),
+        (whole[len(first) :], False, 1),
+    ):
+        found = result(path_prefix, 200, complete, body, "i-0")
+        assert len(violations(finished, [found])) == expected
