--- a/dunlinpoint/control/evacuation.py
+++ b/dunlinpoint/control/evacuation.py
@@ -41,10 +41,18 @@
 
 
 def from_messages(messages, known):
-    """The records in a list of messages; *known* if the list is absent (``None``)."""
-    if messages is None:
-        return tuple(known)
-    return tuple(Evacuation.from_message(m) for m in messages)
+    """The records in a list of messages and those *known*, the later one of each zone.
+
+    Records are never removed. An instance that learned a round from a process of an
+    earlier version, which drops the list (``None``), would otherwise propose its next
+    decision without records that the others hold.
+    """
+    record_by_zone = {record.zone: record for record in known}
+    for record in map(Evacuation.from_message, messages or ()):
+        held = record_by_zone.get(record.zone)
+        if held is None or record.round >= held.round:
+            record_by_zone[record.zone] = record
+    return tuple(sorted(record_by_zone.values(), key=lambda e: e.zone))
 
 
 def record_of(evacuations, zone):
--- a/dunlinpoint/control/tests/test_evacuation.py
+++ b/dunlinpoint/control/tests/test_evacuation.py
@@ -296,3 +296,16 @@
     operator.advance(evacuation_orders.MAX_ATTEMPTS)
     assert all(outcomes[0].accepted for outcomes in sent)
     assert evacuated(operator, "c2") == names
+
+
+def test_a_list_that_an_old_build_dropped_is_completed_by_zone():
+    # Guards against an evacuation that reverts: an instance learns its round from an
+    # old build, which drops the list, and proposes the next decision without it.
+    begun = evacuation.Evacuation("z1", True, 4)
+    ended = evacuation.Evacuation("z1", False, 6)
+    other = evacuation.Evacuation("z2", True, 5)
+    messages = [ended.to_message()]
+    assert evacuation.from_messages(messages, (begun, other)) == (ended, other)
+    assert evacuation.from_messages([begun.to_message()], (ended,)) == (ended,)
+    assert evacuation.from_messages(None, (begun,)) == (begun,)
+    assert evacuation.from_messages([], (begun,)) == (begun,)
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -41,6 +41,8 @@
 RETRY_MS = 300
 # The revision of no list: a control polled with it returns all members.
 NO_REVISION = 0
+# The round of no decision: a control polled with it returns its own.
+NO_ROUND = -1
 # Kinds of members that get no callers' requests, so evacuations do not concern them.
 # Ranks of an evacuated zone continue to compute for their group.
 SYSTEM_KINDS = frozenset((discovery.KIND, messages.KIND))
@@ -254,7 +256,9 @@
         if document.evacuations is None or document.round <= (known_round or 0):
             return
         self.evacuations_round = document.round
-        self.evacuations = evacuation.from_messages(document.evacuations, ())
+        self.evacuations = evacuation.from_messages(
+            document.evacuations, self.evacuations
+        )
         before = self.evacuated_zones
         self.evacuated_zones = evacuation.active_zones(self.evacuations)
         if known_round is None:
@@ -354,7 +358,9 @@
                 "view",
                 self.zone,
                 followed.revision,
-                self.document.round,
+                # The round may be known from a control of an earlier version, which
+                # sends no evacuations.
+                NO_ROUND if followed.answered_ms is None else self.document.round,
                 self.wait_ms,
                 followed.requests_bodies,
                 self.follower,
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -225,7 +225,8 @@
     forwarder.picker.cold.answered(member, call, now)
     forwarder.picker.signals.apply(pick.incarnation_key(member), signal, sent_ms, now)
     is_refused = head.headers.hasHeader(own.not_run) or head.code == 421
-    forwarder.picker.cold.record_outcome(member, not is_refused, now)
+    if head.code != 421:
+        forwarder.picker.cold.record_outcome(member, not is_refused, now)
     if is_refused:
         yield drain_body(connection, head)
         record_not_run(forwarder, member, head)
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -151,7 +151,7 @@
 
     def handle_change(self):
         """Handle a change notification of the view: wake all waiting requests."""
-        self.update_cold_position()
+        self.update_members()
         quarantine.detect_restarts(self)
         if self.changes.waiters:
             self.changes.notify_all()
--- a/dunlinpoint/platform/admin.py
+++ b/dunlinpoint/platform/admin.py
@@ -121,6 +121,7 @@
         if outcome.reason == evacuation_orders.WAITED:
             # All further orders on this connection would be refused as well.
             request.setHeader(b"connection", b"close")
+            request.channel.persistent = False
         unknown = outcome.reason == evacuation_orders.UNKNOWN_ZONE
         return reply(request, 404 if unknown else 503, {"error": outcome.reason})
 
--- a/dunlinpoint/routing/cold.py
+++ b/dunlinpoint/routing/cold.py
@@ -107,6 +107,7 @@
 
     - ``seen_ms``: when it was first seen; ``missing_since_ms``: since when it is no
       member.
+    - ``has_incarnation``: whether its key tells it from later ones.
     - ``reported_until_ms``: until when it is cold by its heartbeats, which counts as of
       heartbeat ``sequence``; ``None`` if it reports nothing.
     - ``restored_ms``: when the last evacuation of its zone ended.
@@ -115,6 +116,7 @@
     """
 
     seen_ms: int
+    has_incarnation: bool = True
     missing_since_ms: int | None = None
     reported_until_ms: int | None = None
     sequence: int = -1
@@ -122,6 +124,27 @@
     sent_ms: int | None = None
     unanswered_ms_by_call: dict = attrs.field(factory=dict)
 
+    def went_missing(self, now):
+        """Record that it is no member any more.
+
+        Without an incarnation, it may return as another one under the same key, so a
+        report that it is warm holds no longer.
+        """
+        self.missing_since_ms = now
+        if self.has_incarnation:
+            return
+        self.seen_ms, self.sequence = now, -1
+        if self.reported_until_ms is not None and self.reported_until_ms <= now:
+            self.reported_until_ms = None
+
+    def returned(self, now):
+        """Record that it is a member."""
+        if self.missing_since_ms is None:
+            return
+        self.missing_since_ms = None
+        if not self.has_incarnation:
+            self.seen_ms = now
+
     def until_ms(self, start_ms):
         """Until when the incarnation is cold, if a cold start takes *start_ms*."""
         until_ms = self.reported_until_ms
@@ -166,9 +189,13 @@
         for member in members:
             state = self._state(member, now)
             sequence = member.sequence or 0
-            if member.cold_left_ms is None or sequence <= state.sequence:
+            if member.cold_left_ms is None:
                 continue
             until_ms = now + member.cold_left_ms
+            # Without an incarnation, a lower sequence may be that of a restart.
+            is_colder = until_ms > max(now, state.reported_until_ms or 0)
+            if sequence <= state.sequence and (member.incarnation or not is_colder):
+                continue
             was_cold = (state.reported_until_ms or 0) > now
             state.reported_until_ms, state.sequence = until_ms, sequence
             if until_ms > now and not was_cold:
@@ -196,7 +223,9 @@
         key = incarnations.incarnation_key(member)
         state = self.state_by_incarnation.get(key)
         if state is None:
-            state = self.state_by_incarnation[key] = State(now)
+            state = self.state_by_incarnation[key] = State(
+                now, bool(member.incarnation)
+            )
         return state
 
     def until_ms(self, member, now):
@@ -287,8 +316,8 @@
         """
         for key, state in list(self.state_by_incarnation.items()):
             if key in live:
-                state.missing_since_ms = None
+                state.returned(now)
             elif state.missing_since_ms is None:
-                state.missing_since_ms = now
+                state.went_missing(now)
             elif now > state.missing_since_ms + RETENTION_MS:
                 del self.state_by_incarnation[key]
--- a/dunlinpoint/routing/tests/test_cold.py
+++ b/dunlinpoint/routing/tests/test_cold.py
@@ -178,6 +178,19 @@
     assert known.state_by_incarnation == {}
 
 
+def test_an_endpoint_without_incarnation_that_returns_counts_as_cold(known):
+    # Guards against a restart under the same id, whose first sequence numbers are lower
+    # than those before it: its report was skipped and it counted as warm.
+    known.receive([member(sequence=1000, cold_left_ms=0)], 10_000)
+    known.forget({"i-1"}, 10_000)
+    assert known.until_ms(member(), 10_000) is None
+    known.forget(set(), 20_000)
+    known.forget({"i-1"}, 30_000)
+    assert known.until_ms(member(), 30_000) == 33_000
+    known.receive([member(sequence=1, cold_left_ms=5000)], 30_000)
+    assert known.until_ms(member(), 30_000) == 35_000
+
+
 def test_a_request_that_may_still_be_on_its_way_delays_the_next(known):
     # Guards against a held link that delivers the requests of some seconds at once.
     known.receive([member(cold_left_ms=60_000)], 10_000)
