--- a/dunlinpoint/experts/standby.py
+++ b/dunlinpoint/experts/standby.py
@@ -37,8 +37,8 @@
 # After a freeze of its own, the standby first has to read the queries that arrived
 # meanwhile.
 RECHECK_MS = 20
-# Minimum time for which the standby leads. A leader that takes over again has to learn
-# the map in force and recent demand first, and a shift of demand waits for it meanwhile.
+# Minimum time for which the standby leads. A leader that takes over again first has to
+# learn the map in force and recent demand, and a shift of demand waits meanwhile.
 MIN_ACTING_MS = 3000
 # A leader that waits for its standby to give way queries it at least this often.
 WAITING_LEADER_MS = 500
