--- a/dunlinpoint/control/__init__.py
+++ b/dunlinpoint/control/__init__.py
@@ -13,7 +13,7 @@
 ``evacuation``         evacuated zones, and what copies of an order still do
 ``evacuation_orders``  operators' orders to begin or end the evacuation of a zone
 ``zones``              the zones that exist
-``stall``              orders that waited while the process stood still
+``suspension``         orders that waited while the process was suspended
 ``followers``          the entries that poll this instance, and their positions
 ``server``             the thrift handler of the ``Control`` service
 =====================  ==========================================================
--- a/dunlinpoint/control/evacuation_orders.py
+++ b/dunlinpoint/control/evacuation_orders.py
@@ -13,7 +13,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import clock, logs, metrics
-from dunlinpoint.control import agreement, discovery, evacuation, stall, zones
+from dunlinpoint.control import agreement, discovery, evacuation, suspension, zones
 
 log = logs.logger("control")
 
@@ -40,7 +40,7 @@
     peers: agreement.Peers
     controls: discovery.Controls
     zones: zones.Zones
-    stalls: stall.StallDetector
+    suspensions: suspension.SuspensionDetector
     lock: defer.DeferredLock = attrs.field(factory=defer.DeferredLock)
 
     @defer.inlineCallbacks
@@ -85,7 +85,7 @@
     @defer.inlineCallbacks
     def _check(self, zone, accepted_ms, now):
         """The refusal of an order that must not be proposed, or ``None``."""
-        if self.stalls.may_have_waited(accepted_ms, now):
+        if self.suspensions.may_have_waited(accepted_ms, now):
             return self._refusal(WAITED)
         voting = self.peers.voters
         lacking = self.controls.without_feature(evacuation.FEATURE, voting, now)
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -28,7 +28,7 @@
     evacuation_orders,
     followers,
     membership,
-    stall,
+    suspension,
     voters,
     zones,
 )
@@ -129,7 +129,7 @@
                 peers,
                 known,
                 zones.Zones(settings.zones, ms_clock.now(), {settings.zone}),
-                stall.StallDetector(ms_clock.now()),
+                suspension.SuspensionDetector(ms_clock.now()),
             ),
         )
         local.on_commit.append(state.answer_polls)
@@ -459,7 +459,7 @@
 
 def tick(state):
     """Record that the event loop runs."""
-    state.orders.stalls.tick(state.clock.now())
+    state.orders.suspensions.tick(state.clock.now())
 
 
 def run_every(reactor, interval_ms, func, *args):
@@ -490,7 +490,7 @@
     run_every(reactor, discovery.ANNOUNCE_MS, catch_up, state)
     run_every(reactor, discovery.ANNOUNCE_MS, mend_voters, state)
     run_every(reactor, EXPIRE_INTERVAL_MS, expire, state)
-    run_every(reactor, stall.TICK_MS, tick, state)
+    run_every(reactor, suspension.TICK_MS, tick, state)
     local = state.peers.local
     log.info(
         "started",
--- a/dunlinpoint/control/tests/test_evacuation.py
+++ b/dunlinpoint/control/tests/test_evacuation.py
@@ -10,7 +10,7 @@
     discovery,
     evacuation,
     evacuation_orders,
-    stall,
+    suspension,
     voters,
     zones,
 )
@@ -41,7 +41,7 @@
             self.net.peers(host),
             discovery.Controls(self.net.voter(host), [], 0),
             zones.Zones(self.configured, 0),
-            stall.StallDetector(ms_clock.now()),
+            suspension.SuspensionDetector(ms_clock.now()),
         )
 
     def send(self, host, zone, active, accepted_ms=None):
@@ -55,7 +55,7 @@
         for _ in range(steps):
             self.reactor.advance(STEP_S)
             for orders in self.orders_by_host.values():
-                orders.stalls.tick(orders.clock.now())
+                orders.suspensions.tick(orders.clock.now())
 
     def order(self, host, zone, active):
         """The outcome of an order that is sent to *host* and waited for."""
@@ -250,16 +250,16 @@
 def test_orders_that_may_have_waited_in_a_frozen_process(operator, accepted_s, refused):
     # Failure: a frozen control reads a copy of an order when it wakes up, after the
     # opposite order was acknowledged elsewhere, and takes it as a new one.
-    operator.reactor.advance(stall.STALL_MS / 1000 + 0.5)
+    operator.reactor.advance(suspension.SUSPENDED_MS / 1000 + 0.5)
     woke_ms = operator.orders_by_host["c0"].clock.now()
-    operator.orders_by_host["c0"].stalls.tick(woke_ms)
+    operator.orders_by_host["c0"].suspensions.tick(woke_ms)
     operator.advance(20)
     outcome = operator.send("c0", "z1", True, woke_ms + accepted_s * 1000)[0]
     assert (outcome.reason == "order_waited") == refused
 
 
-def test_an_order_read_before_any_timer_has_run_after_a_standstill(operator):
-    operator.reactor.advance(stall.STALL_MS / 1000 + 0.5)
+def test_an_order_read_before_any_timer_has_run_after_a_suspension(operator):
+    operator.reactor.advance(suspension.SUSPENDED_MS / 1000 + 0.5)
     assert operator.send("c0", "z1", True)[0].reason == "order_waited"
 
 
--- a/dunlinpoint/routing/latency.py
+++ b/dunlinpoint/routing/latency.py
@@ -50,10 +50,11 @@
 
 @attrs.define
 class Queue:
-    """Queue of callers past their latency target, ordered by *key*.
+    """Queue of callers, ordered by their keys.
 
-    A key is a tuple: whether the caller has another attempt, when (ms) it would give
-    up, and a unique number.
+    A key is a tuple that is unique among all callers. Of those past their latency
+    target, it is whether the caller has another attempt, when (ms) it would give up,
+    and a unique number.
     """
 
     keys: list = attrs.field(factory=list)
--- a/dunlinpoint/routing/owners.py
+++ b/dunlinpoint/routing/owners.py
@@ -8,11 +8,10 @@
   agent, whose key table ensures that the call runs at most once. The owner is not
   chosen within the entry's zone, because the platform's balancer may send a retry
   to another zone's entry, whose zone-local owner would run the call a second time.
-  While a zone is evacuated, an agent of
-  another zone takes over the keys of its agents (:func:`owner_and_backup`).
-  While a network partition makes the owner unreachable, the call is refused as not
-  run: at-most-once takes precedence over availability. Idempotent calls may go on
-  to the next agent in the same order.
+  While a zone is evacuated, an agent of another zone takes over the keys of its
+  agents (:func:`owner_and_backup`). While a network partition makes the owner
+  unreachable, the call is refused as not run: at-most-once takes precedence over
+  availability. Idempotent calls may go on to the next agent in the same order.
 """
 
 import hashlib
