--- a/dunlinpoint/experts/leader.py
+++ b/dunlinpoint/experts/leader.py
@@ -98,7 +98,6 @@
     following: bool = False
     may_act: bool = True
     acting: bool = False
-    acting_since_ms: int = 0
     settled: bool = False
     held_since_ms: int | None = None
     group_state: tuple | None = None
--- a/dunlinpoint/experts/standby.py
+++ b/dunlinpoint/experts/standby.py
@@ -4,7 +4,7 @@
 because its port refuses connections, or has been silent for ``LEADER_TIMEOUT_MS``. It
 first refuses the leader's queries, then finishes the change of map that the leader
 left, and then runs the leader's iterations itself, with its holds at rank 2. It gives
-way between two iterations once the leader queries it again, but not at once.
+way between two iterations once the leader queries it again.
 
 It leads only if the leader's queries told that the leader can give way, and only in
 groups of at least three ranks. Otherwise it only lifts the hold of a leader that has
@@ -37,9 +37,6 @@
 # After a freeze of its own, the standby first has to read the queries that arrived
 # meanwhile.
 RECHECK_MS = 20
-# Minimum time for which the standby leads. A leader that takes over again first has to
-# learn the map in force and recent demand, and a shift of demand waits meanwhile.
-MIN_ACTING_MS = 3000
 # A leader that waits for its standby to give way queries it at least this often.
 WAITING_LEADER_MS = 500
 
@@ -74,7 +71,8 @@
     if not (yield knows_ranks(leader, own)):
         return False
     if leader.acting:
-        if not may_give_way(leader):
+        refused_ms = leader.group_client.handler.refused_ms
+        if refused_ms is None or leader.clock.now() - refused_ms > WAITING_LEADER_MS:
             leader.group_client.bypass(switch.LEADER)
             yield finish_own_hold(leader, own)
             return True
@@ -100,15 +98,6 @@
     return False
 
 
-def may_give_way(leader):
-    """Whether the leader waits for the acting leader, which has led for long enough."""
-    now = leader.clock.now()
-    refused_ms = leader.group_client.handler.refused_ms
-    if refused_ms is None or now - refused_ms > WAITING_LEADER_MS:
-        return False
-    return now - leader.acting_since_ms >= MIN_ACTING_MS
-
-
 @defer.inlineCallbacks
 def loss_of_leader(leader):
     """Return why the leader counts as lost, or ``None``."""
@@ -137,7 +126,6 @@
     leader.counters.incr("deputised")
     leader.counters.incr(f"deputised.{reason}")
     leader.acting, leader.settled, leader.mapping = True, False, None
-    leader.acting_since_ms = leader.clock.now()
     handler = leader.group_client.handler
     handler.fenced, handler.refused_ms = True, None
     leader.group_client.set_guard(switch.WITNESS)
