Urgency, Retry-After and requests for bodies are worked out in one place each

Cause, found reading the whole change: cold_wait and the priority header repeated admission/urgency.of; the ranges of Retry-After stood in capacity and in admission/retry_after; the jitter stood twice; FollowedControl.requests_bodies could be derived from the zone and the announced round, and was corrected by a special case at each poll; the mean load was worked out for each endpoint while no rank is slow. Change: one definition of each, the derived state is gone. Tests name the moved constants and the derived method; their assertions are the same. Ruled out: carrying out orders and documents with one retry loop (their rules differ).

--- a/dunlinpoint/admission/retry_after.py
+++ b/dunlinpoint/admission/retry_after.py
@@ -1,4 +1,4 @@
-"""The Retry-After of a refusal while callers compete.
+"""The Retry-After of a refusal for want of capacity.
 
 It states when the entry expects capacity, and is spread, so that callers refused at the
 same moment do not return at the same moment. A caller obeys a Retry-After of up to a
@@ -18,15 +18,18 @@
 RECOGNISED_FACTOR = 1.1
 
 
+def draw_ms(is_overload, rng):
+    """A Retry-After (ms) after a refusal at once (*is_overload*) or after a wait."""
+    return rng.uniform(*(OVERLOAD_RANGE_MS if is_overload else WAIT_ENDED_RANGE_MS))
+
+
 def after_refusal_ms(is_overload, left_ms, timeout_ms, rng):
-    """The Retry-After (ms) of a caller that is refused.
+    """The Retry-After (ms) of a competing caller that is refused.
 
     It is refused at once (*is_overload*) or after a wait, and has *left_ms* left of its
     route's *timeout_ms*.
     """
-    wanted_ms = rng.uniform(
-        *(OVERLOAD_RANGE_MS if is_overload else WAIT_ENDED_RANGE_MS)
-    )
+    wanted_ms = draw_ms(is_overload, rng)
     first_attempt_ms = (1 - admission_control.FIRST_ATTEMPT_FRACTION) * timeout_ms
     elapsed_ms = timeout_ms - left_ms
     recognised_ms = RECOGNISED_FACTOR * first_attempt_ms - elapsed_ms
--- a/dunlinpoint/follow/controls.py
+++ b/dunlinpoint/follow/controls.py
@@ -35,7 +35,6 @@
     answered_ms: int | None = None
     node_id: str = ""
     zone: str | None = None
-    requests_bodies: bool = False
     notified_round: int = 0
     reports_revision: int = 0
     is_active: bool = True
--- a/dunlinpoint/follow/tests/test_view.py
+++ b/dunlinpoint/follow/tests/test_view.py
@@ -64,7 +64,7 @@
     entry_view.merge(by_name["a"], reply_from("a", document(1)), 10)
     entry_view.merge(by_name["b"], reply_from("b", document(2, 2, body=None)), 30)
     assert entry_view.confirmed_ms is None
-    assert by_name["b"].requests_bodies
+    assert entry_view.requests_body(by_name["b"])
 
 
 def test_the_body_of_a_document_is_not_needed_for_a_round_with_its_version():
@@ -257,10 +257,10 @@
     entry_view.merge(by_name["a"], reply_from("a", document(1)), 10)
     assert entry_view.document.round == 1
     entry_view.merge(by_name["a"], reply_from("a", document(2, 2, body=None)), 20)
-    assert not by_name["a"].requests_bodies
+    assert not entry_view.requests_body(by_name["a"])
     clock.advance(2)
     entry_view.merge(by_name["a"], reply_from("a", document(3, 3, body=None)), 2030)
-    assert by_name["a"].requests_bodies
+    assert entry_view.requests_body(by_name["a"])
     entry_view.merge(by_name["a"], reply_from("a", document(3, 3)), 2040)
     assert entry_view.document.round == 3
 
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -167,16 +167,14 @@
         if document is not None:
             self._apply_evacuations(document)
         if document is None or document.round <= self.document.round:
-            followed.requests_bodies = followed.zone == self.zone
+            pass
         elif document.body is None and document.version == self.document.version:
             # The round changed only voters or evacuations.
             document.body = self.document.body
-            followed.requests_bodies = followed.zone == self.zone
             self._apply_document(document)
         elif document.body is None:
             # This control holds a newer document than the one in force here, so
             # ``confirmed_ms`` must not advance.
-            followed.requests_bodies = self.wants_body()
             followed.notified_round = document.round
             return
         else:
@@ -209,6 +207,16 @@
             return True
         return self.clock.now() - self.body_received_ms >= self.min_body_interval_ms
 
+    def requests_body(self, followed):
+        """Whether the next poll of *followed* requests the body of a newer document.
+
+        A control of another zone is asked only for one that it has announced and that
+        the own zone's has not sent meanwhile: a poll that waits with such a request
+        returns the next document, which every entry would receive from each zone.
+        """
+        is_behind = followed.notified_round > self.document.round
+        return (followed.zone == self.zone or is_behind) and self.wants_body()
+
     def _drop(self, followed, endpoint_ids, now):
         """Expire members dropped by *followed* that no other control has listed."""
         followed.member_ids.difference_update(endpoint_ids)
@@ -344,15 +352,6 @@
     def poll(self, followed):
         """Poll one control; a Deferred of the delay before its next poll, in ms."""
         requested_ms = self.clock.now()
-        followed.requests_bodies = followed.requests_bodies and self.wants_body()
-        if (
-            followed.zone != self.zone
-            and followed.notified_round <= self.document.round
-        ):
-            # Its own zone's control has sent that body in the meantime. A poll that
-            # still requested bodies would wait and return the next document with its
-            # body, which every entry would then receive from each zone.
-            followed.requests_bodies = False
         try:
             reply = yield followed.link.call(
                 "view",
@@ -362,7 +361,7 @@
                 # sends no evacuations.
                 NO_ROUND if followed.answered_ms is None else self.document.round,
                 self.wait_ms,
-                followed.requests_bodies,
+                self.requests_body(followed),
                 self.follower,
                 followed.reports_revision if self.wants_reports else None,
                 True,
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -193,8 +193,7 @@
     long as it obeys.
     """
     longest_ms = outage.max_retry_after_ms(call.deadline_ms - forwarder.clock.now())
-    jitter = outage.RETRY_AFTER_JITTER * forwarder.rng.random()
-    return longest_ms * (1 - jitter)
+    return outage.with_jitter(longest_ms, forwarder.rng)
 
 
 def give_up(forwarder, call, reason, retry_after_ms=responses.RETRY_AFTER_MS):
--- a/dunlinpoint/forward/capacity.py
+++ b/dunlinpoint/forward/capacity.py
@@ -11,12 +11,6 @@
 
 JoinResult = decision.JoinResult
 
-# Range of Retry-After when the wait for capacity timed out. Streams last a second or
-# two, so enough of them end in that time.
-RETRY_AFTER_RANGE_MS = (500, 1500)
-# The same during a lasting overload. Callers that retry sooner find the same overload,
-# are refused again and have no attempt left.
-OVERLOAD_RETRY_AFTER_RANGE_MS = (1800, 2600)
 # Maximum wait for capacity as a share of the latency target of the first event. Prompt
 # processing takes most of the rest.
 WAIT_SHARE = 0.5
@@ -146,9 +140,7 @@
     is_overload = result is JoinResult.OVERLOADED
     if groups.competition is None:
         cause = result.value
-        retry_after_ms = forwarder.rng.uniform(
-            *(OVERLOAD_RETRY_AFTER_RANGE_MS if is_overload else RETRY_AFTER_RANGE_MS)
-        )
+        retry_after_ms = retry_after.draw_ms(is_overload, forwarder.rng)
     else:
         cause = call.competitor.cause(is_overload)
         retry_after_ms = retry_after.after_refusal_ms(
--- a/dunlinpoint/forward/cold_wait.py
+++ b/dunlinpoint/forward/cold_wait.py
@@ -5,28 +5,22 @@
 has just arrived.
 """
 
+from dunlinpoint.admission import urgency
 from dunlinpoint.routing import latency
 
 # How long a call yields to a more urgent one for which an endpoint is available.
 YIELD_MS = 10
 
 
-def urgency(call):
-    """The sort key of *call*: priority of its workspace, of its route, its arrival."""
-    priority = call.route.priority
-    workspace = call.workspace.priority if call.workspace is not None else None
-    return (
-        priority if workspace is None else workspace,
-        priority,
-        call.arrived_ms,
-        id(call),
-    )
+def queue_key(call):
+    """The sort key of *call*: its urgency, then its arrival."""
+    return *urgency.of(call.route, call.workspace), call.arrived_ms, id(call)
 
 
 def ahead(forwarder, call):
     """The number of more urgent calls that wait for a cold endpoint of its service."""
     queue = forwarder.picker.cold.waiting_by_service.get(call.service)
-    return queue.ahead_of(urgency(call)) if queue is not None and queue.keys else 0
+    return queue.ahead_of(queue_key(call)) if queue is not None and queue.keys else 0
 
 
 def enter(forwarder, call):
@@ -35,8 +29,8 @@
     if call.service not in cold.rule_by_service:
         return
     queue = cold.waiting_by_service.setdefault(call.service, latency.Queue())
-    if urgency(call) not in queue.keys:
-        queue.enter(urgency(call))
+    if queue_key(call) not in queue.keys:
+        queue.enter(queue_key(call))
         forwarder.counters.incr("cold_waited")
 
 
@@ -44,4 +38,4 @@
     """Remove *call* from the calls that wait."""
     queue = forwarder.picker.cold.waiting_by_service.get(call.service)
     if queue is not None and queue.keys:
-        queue.leave(urgency(call))
+        queue.leave(queue_key(call))
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -169,12 +169,10 @@
     *urgencies* are those of its service if callers compete there.
     """
     is_past_target = call.streaming and decision.is_past_latency_target(call, now)
+    own = urgency.of(call.route, call.workspace)
     if urgencies is not None:
-        own = urgency.of(call.route, call.workspace)
         return urgencies.header_priority(own, is_past_target)
-    priority = call.route.priority
-    if call.workspace is not None and call.workspace.priority is not None:
-        priority = call.workspace.priority
+    priority, _ = own
     if is_past_target:
         priority += PAST_TARGET_PRIORITY_PENALTY
     return min(max(priority, 0), LOWEST_PRIORITY)
--- a/dunlinpoint/forward/tests/test_capacity.py
+++ b/dunlinpoint/forward/tests/test_capacity.py
@@ -10,6 +10,7 @@
 from twisted.internet import task
 
 from dunlinpoint import clock, metrics
+from dunlinpoint.admission import retry_after
 from dunlinpoint.config import document as config
 from dunlinpoint.forward import attempts, capacity, condition, exchange, quarantine
 from dunlinpoint.routing import admission_control, endpoint_signals, outage, pick
@@ -135,9 +136,9 @@
     assert (reason, status) == ("no_room", 503)
     assert at_ms <= capacity.WAIT_SHARE * LATENCY_TARGET_MS + capacity.POLL_INTERVAL_MS
     assert (
-        capacity.RETRY_AFTER_RANGE_MS[0]
+        retry_after.WAIT_ENDED_RANGE_MS[0]
         <= retry_after_ms
-        <= capacity.RETRY_AFTER_RANGE_MS[1]
+        <= retry_after.WAIT_ENDED_RANGE_MS[1]
     )
 
 
@@ -160,9 +161,9 @@
     ((reason, at_ms, status, retry_after_ms),) = outcomes
     assert (reason, at_ms, status) == ("overloaded", now, 503)
     assert (
-        capacity.OVERLOAD_RETRY_AFTER_RANGE_MS[0]
+        retry_after.OVERLOAD_RANGE_MS[0]
         <= retry_after_ms
-        <= capacity.OVERLOAD_RETRY_AFTER_RANGE_MS[1]
+        <= retry_after.OVERLOAD_RANGE_MS[1]
     )
     assert forwarder.overloaded_groups == {("s", "g")}
 
--- a/dunlinpoint/routing/outage.py
+++ b/dunlinpoint/routing/outage.py
@@ -188,6 +188,9 @@
     returns too soon is refused again and may have no attempt left.
     """
     outage_ms = max(MIN_OUTAGE_MS, now - outage_start_ms)
-    return min(outage_ms, max_retry_after_ms(left_ms)) * (
-        1 - RETRY_AFTER_JITTER * rng.random()
-    )
+    return with_jitter(min(outage_ms, max_retry_after_ms(left_ms)), rng)
+
+
+def with_jitter(retry_after_ms, rng):
+    """*retry_after_ms* less a random part of up to ``RETRY_AFTER_JITTER``."""
+    return retry_after_ms * (1 - RETRY_AFTER_JITTER * rng.random())
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -197,9 +197,11 @@
         An entry with few requests has none at most ranks. So requests of other entries
         count as well, taken as this entry's *mean_requests* per rank.
         """
-        times = self.paces.of(key)
+        factor = self.paces.of(key)
+        if factor == 1.0:
+            return load
         mean_load = mean_requests / (member.slots or DEFAULT_SLOTS)
-        return load if times == 1.0 else (load + mean_load) * times - mean_load
+        return (load + mean_load) * factor - mean_load
 
     def began(self, key):
         """Count one more request in flight at the endpoint."""
--- a/dunlinpoint/routing/tests/overload.py
+++ b/dunlinpoint/routing/tests/overload.py
@@ -304,9 +304,9 @@
         """The Retry-After of a refusal, before it is cut to what callers obey."""
         return rng.uniform(
             *(
-                capacity.OVERLOAD_RETRY_AFTER_RANGE_MS
+                retry_after.OVERLOAD_RANGE_MS
                 if is_overload
-                else capacity.RETRY_AFTER_RANGE_MS
+                else retry_after.WAIT_ENDED_RANGE_MS
             )
         )
 
