A group's leader logs how many streams the group has; entries log gaps by urgency

Cause: the logs could not tell whether callers come late because a group has too many streams, because its maps are late, or because few ranks take callers. An entry logs its own streams only, and neither the longest gap of an answer nor who it was for. Change: engines' reports have the requests that they run and queue; each rank's state carries their sum (an optional field, 5 to 7 bytes a rank and reading), and the leader writes a group_load line, at most two a second: streams, the busiest rank, imbalance, step time. Nothing decides by it. Answers to competing callers are logged with urgency, whether the caller returned, and the longest gap. Messages: nothing new, 0.5 KB more a reading of 72 ranks, reckoned.

--- a/dunlinpoint/experts/__init__.py
+++ b/dunlinpoint/experts/__init__.py
@@ -5,6 +5,7 @@
 ================  ========================================================
 ``placement``     expert maps, the load they put on ranks, and better maps
 ``benefit``       benefit, size and urgency of a change of map
+``load``          streams in flight in a group
 ``window``        recent expert demand, from cumulative counters
 ``switch``        the change of map: every rank at the same step, or none
 ``commands``      engine commands and their compression between agents
--- a/dunlinpoint/experts/leader.py
+++ b/dunlinpoint/experts/leader.py
@@ -28,6 +28,7 @@
     benefit,
     engine,
     group_client,
+    load,
     placement,
     standby,
     switch,
@@ -87,6 +88,7 @@
     shape: config.Experts | None = None
     urgency: benefit.Urgency = attrs.field(factory=benefit.Urgency)
     window: window.Window = attrs.field(factory=window.Window)
+    load_log: load.LoadLog = attrs.field(factory=load.LoadLog)
     rng: random.Random = attrs.field(factory=random.Random)
     epoch: int | None = None
     mapping: list | None = None
@@ -220,6 +222,8 @@
     if len(states) < own.size or any(s.epoch != own.epoch for s in states.values()):
         leader.counters.incr("turn.incomplete")
         return
+    group_load = load.GroupLoad.from_states(states.values())
+    leader.load_log.update(own.group, group_load, leader.step_ms, leader.clock.now())
     if leader.settled:
         group.min_ahead_steps = switch.URGENT_MIN_AHEAD_STEPS
     is_known = update_mapping(leader, states)
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -159,10 +159,22 @@
         took_ms=took_ms,
         first_ms=call.first_ms,
         events=call.events.count,
+        **competitor_fields(call),
         **log_fields(forwarder, call),
     )
 
 
+def competitor_fields(call):
+    """Log fields that tell a competing caller's outcome by who it is; else none."""
+    if call.competitor is None:
+        return {}
+    return {
+        "urgency": urgency.text(call.competitor.urgency),
+        "returned": call.competitor.is_retry,
+        "longest_gap_ms": call.longest_gap_ms,
+    }
+
+
 def priority_of(call, now, urgencies=None):
     """Return the priority of *call* at *now*, 0 (most urgent) to 9.
 
@@ -345,6 +357,7 @@
         # After a pause, the gaps depend on the caller and not on the endpoint.
         if last_ms is not None and not source.was_paused:
             forwarder.counters.observe_ms("pause", now - last_ms)
+            call.longest_gap_ms = max(call.longest_gap_ms, now - last_ms)
             if groups is not None:
                 groups.record_gap(call.group, now - last_ms, now)
         if call.first_ms is None:
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -315,6 +315,7 @@
     - ``body``: the request's body, once an attempt has read it.
     - ``last_event_ms``: time of the last event, or of the arrival.
     - ``first_ms``: time from the arrival to the first event.
+    - ``longest_gap_ms``: the longest inter-event gap so far.
     - ``in_flight_at_endpoint``: requests of this entry at the endpoint when it was
       chosen.
     - ``waited``: whether it has waited for a stalled group.
@@ -348,6 +349,7 @@
     arrived_ms: int = 0
     last_event_ms: int = 0
     first_ms: int | None = None
+    longest_gap_ms: int = 0
     in_flight_at_endpoint: int = 0
     waited: bool = False
     queue_key: tuple | None = None
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -25,6 +25,8 @@
 # Valid paces of an engine, and their unit on the wire.
 MIN_PACE, MAX_PACE = 0.1, 100
 THOUSANDTHS = 1000
+# Far above what an engine holds.
+MAX_STREAMS = 100_000
 
 
 def _route(raw):
@@ -157,11 +159,20 @@
             "armed": (report["armed"] or {}).get("version", 0),
             "held": report["held"] or 0,
             "pace": _pace(report.get("pace")),
+            "streams": _streams(report),
         },
         lists["mapping"]["experts"] if lists else None,
     )
 
 
+def _streams(report):
+    """The requests that an engine runs or queues, or ``None`` if it is not reported."""
+    counts = [report.get("active"), report.get("queued")]
+    if all(type(count) is int and 0 <= count <= MAX_STREAMS for count in counts):
+        return sum(counts)
+    return None
+
+
 def _pace(value):
     """The *value* of an engine's pace in thousandths, or ``None`` if it is unknown."""
     if value is None:
--- a/dunlinpoint/platform/tests/test_pace.py
+++ b/dunlinpoint/platform/tests/test_pace.py
@@ -1,4 +1,4 @@
-"""The pace in an engine's report."""
+"""The pace and the streams in an engine's report."""
 
 import pytest
 
@@ -21,3 +21,14 @@
 
 def test_a_report_without_a_pace_is_valid():
     assert documents.to_rank_state(REPORT, None).pace is None
+
+
+@pytest.mark.parametrize(
+    ("active", "queued", "streams"),
+    [(4, 1, 5), (0, 0, 0)]
+    + [(4, None, None), (-1, 0, None), (True, 0, None), ("4", 1, None), (1e9, 0, None)],
+)
+def test_streams_are_known_only_from_two_valid_counts(active, queued, streams):
+    # Guards against a rank that is lost to its group for an invalid field.
+    report = REPORT | {"active": active, "queued": queued}
+    assert documents.to_rank_state(report, None).streams == streams
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -90,6 +90,8 @@
   11: list<list<i32>> experts,
   // The engine's own slowdown in thousandths: 1000 at normal speed, more when slower.
   12: i32 pace,
+  // Requests that the engine runs or that wait in its queue; absent if not reported.
+  13: i32 streams,
 }
 
 // Address at which a rank's agent serves the agents of the other ranks.
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -619,11 +619,12 @@
      - held
      - experts
      - pace
+     - streams
 
     """
 
 
-    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None, pace=None,):
+    def __init__(self, group=None, epoch=None, rank=None, size=None, open=None, step=None, map_version=None, prepared=None, armed=None, held=None, experts=None, pace=None, streams=None,):
         self.group = group
         self.epoch = epoch
         self.rank = rank
@@ -636,6 +637,7 @@
         self.held = held
         self.experts = experts
         self.pace = pace
+        self.streams = streams
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -716,6 +718,11 @@
                     self.pace = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.streams = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -780,6 +787,10 @@
             oprot.writeFieldBegin('pace', TType.I32, 12)
             oprot.writeI32(self.pace)
             oprot.writeFieldEnd()
+        if self.streams is not None:
+            oprot.writeFieldBegin('streams', TType.I32, 13)
+            oprot.writeI32(self.streams)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2736,6 +2747,7 @@
     (10, TType.I64, 'held', None, None, ),  # 10
     (11, TType.LIST, 'experts', (TType.LIST, (TType.I32, None, False), False), None, ),  # 11
     (12, TType.I32, 'pace', None, None, ),  # 12
+    (13, TType.I32, 'streams', None, None, ),  # 13
 )
 all_structs.append(Peer)
 Peer.thrift_spec = (
