Entries of competing callers keep to different ranks in all zones

An entry goes round all ranks of its own zone before it uses the nearest of another zone, so the entries of a zone with more callers fill that zone's ranks. Change: where a service's callers compete, each entry that begins its order between this entry's first rank and another one counts as half a request there. No message, no state; other deployments choose as before. Ruled out: long steps, too many streams, priority at engines. Stubs of an entry in two test files get the new method; their checks are unchanged.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -105,6 +105,7 @@
             prefer_own_zone,
             cold_wait.ahead(forwarder, call),
             capacity.wait_limit_ms(call),
+            forwarder.ring_entries(call.service, prefer_own_zone),
         )
         if member is not None:
             cold_wait.leave(forwarder, call)
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -278,6 +278,15 @@
         elif service_groups.competition is None:
             service_groups.competition = competition.Competition()
 
+    def ring_entries(self, service, by_zone):
+        """The number of entries that share a ring of endpoints of *service*.
+
+        0 if its callers do not compete: its endpoints are then chosen by load only.
+        """
+        if service not in self.urgencies_by_service:
+            return 0
+        return self.view.zone_entries if by_zone else self.view.entry_count
+
     def group_of(self, member):
         """Return the rank group of *member*, or ``""`` if none is known."""
         return self.outages.group_by_address.get(outage.address_of(member), "")
--- a/dunlinpoint/forward/tests/test_capacity.py
+++ b/dunlinpoint/forward/tests/test_capacity.py
@@ -49,6 +49,9 @@
     overloaded_groups: set = attrs.field(factory=set)
     quarantine: object = attrs.field(factory=lambda: quarantine.Quarantine(None))
 
+    def ring_entries(self, _service, _by_zone):
+        return 0
+
     def members(self, _service):
         return [MEMBER]
 
--- a/dunlinpoint/forward/tests/test_cold_wait.py
+++ b/dunlinpoint/forward/tests/test_cold_wait.py
@@ -76,6 +76,9 @@
     uneven_groups: set = attrs.field(factory=set)
     quarantine: object = attrs.field(factory=lambda: quarantine.Quarantine(None))
 
+    def ring_entries(self, _service, _by_zone):
+        return 0
+
     def members(self, _service):
         return self.available_groups(None, self.clock.now())["g"]
 
--- a/dunlinpoint/routing/endpoint_order.py
+++ b/dunlinpoint/routing/endpoint_order.py
@@ -37,6 +37,21 @@
     return [m for name in zones for m in rotated(by_zone[name], index, entry_count)]
 
 
+def entries_between(members, by_zone, entry_count):
+    """How many entries begin their orders before each of *members*, in this one's.
+
+    With *by_zone*, the endpoints of each zone form a ring; else all of them form one.
+    *entry_count* entries begin at even distances on each ring.
+    """
+    rings = [member.zone if by_zone else "" for member in members]
+    sizes, seen = collections.Counter(rings), collections.Counter()
+    counts = []
+    for ring in rings:
+        counts.append(seen[ring] * entry_count // sizes[ring])
+        seen[ring] += 1
+    return counts
+
+
 def is_evenly_distributed(members, zone):
     """Whether *members* are distributed evenly over some zones, including *zone*."""
     sizes = collections.Counter(member.zone for member in members)
--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -25,7 +25,13 @@
 
 import attrs
 
-from dunlinpoint.routing import cold, endpoint_signals, incarnations, pace
+from dunlinpoint.routing import (
+    cold,
+    endpoint_order,
+    endpoint_signals,
+    incarnations,
+    pace,
+)
 
 # Handicap, in requests, of endpoints in other zones: the network latency to them is a
 # millisecond or two, the wait in a queue far longer.
@@ -33,6 +39,10 @@
 # Weight, in requests, of the position in the entry's order. Below one request, it only
 # decides between endpoints of the same load.
 ORDER_REQUESTS = 0.9
+# The same for each entry that begins between this entry's first endpoint and the one in
+# question, where streams that meet a full rank are to be avoided. More than this, and
+# an entry fills its first ranks by itself.
+ENTRY_DISTANCE_REQUESTS = 0.5
 AVOID_MS = 400
 AVOID_MAX_MS = 5000
 DEFAULT_SLOTS = 4
@@ -55,6 +65,14 @@
     return {key: at for key, at in cold_times.items() if at > now}
 
 
+def _order_requests(members, by_zone, ring_entries):
+    """The handicap, in requests, of each of *members* by its place in the order."""
+    if not ring_entries:
+        return [ORDER_REQUESTS * i / len(members) for i in range(len(members))]
+    between = endpoint_order.entries_between(members, by_zone, ring_entries)
+    return [ENTRY_DISTANCE_REQUESTS * count for count in between]
+
+
 class Preference(enum.IntEnum):
     """Which endpoints are preferred: those of a lower value."""
 
@@ -107,11 +125,18 @@
         prefer_own_zone=True,
         ahead=0,
         wait_until_ms=0,
+        ring_entries=0,
     ):
         """The endpoint of *members* (in the entry's order) to try, or ``None``.
 
         With *prefer_own_zone*, endpoints in other zones have a handicap.
 
+        *ring_entries* is the number of entries that begin their orders on each ring of
+        endpoints (:func:`endpoint_order.entries_between`). Above 0, the distance from
+        where this entry begins counts in requests, so that entries keep to different
+        ranks in all zones: without it, an entry sends each zone's requests to the
+        zone's own ranks until these are full.
+
         Endpoints whose incarnations are in *exclude* are skipped, as they were tried
         already. Avoided ones are picked only when there is no other: an endpoint that
         failed recently may still serve the request. One whose signals allow no request
@@ -125,8 +150,9 @@
         withheld = _withheld(cold_times, now, ahead)
         is_full = bool(cold_times) and self.cold.is_full(members[0].service_name, now)
         mean_requests = self._mean_requests(members)
+        handicaps = _order_requests(members, prefer_own_zone, ring_entries)
         best, least = None, None
-        for index, member in enumerate(members):
+        for member, handicap in zip(members, handicaps, strict=True):
             key = incarnation_key(member)
             if key in exclude or key in withheld:
                 continue
@@ -136,9 +162,7 @@
             if record.avoid_until_ms > now:
                 rank = Preference.AVOIDED, record.avoid_until_ms
             else:
-                load = self._relative_load(
-                    member, record, index / len(members), prefer_own_zone
-                )
+                load = self._relative_load(member, record, handicap, prefer_own_zone)
                 load = self._count_pace(key, member, load, mean_requests)
                 is_usable = not is_full or key in cold_times
                 rank = Preference.USABLE if is_usable else Preference.FULL, load
@@ -178,11 +202,11 @@
                 times.append(at)
         return sorted(times)[min(ahead, len(times) - 1)] if times else None
 
-    def _relative_load(self, member, record, position, prefer_own_zone):
+    def _relative_load(self, member, record, handicap, prefer_own_zone):
         requests = max(record.in_flight, member.load or 0)
         if prefer_own_zone and member.zone != self.zone:
             requests += OTHER_ZONE_REQUESTS
-        return (requests + ORDER_REQUESTS * position) / (member.slots or DEFAULT_SLOTS)
+        return (requests + handicap) / (member.slots or DEFAULT_SLOTS)
 
     def _mean_requests(self, members):
         """This entry's mean requests in flight at *members*, if some rank is slow."""
