--- a/dunlinpoint/routing/pick.py
+++ b/dunlinpoint/routing/pick.py
@@ -134,8 +134,8 @@
         *ring_entries* is the number of entries that begin their orders on each ring of
         endpoints (:func:`endpoint_order.entries_between`). Above 0, the distance from
         where this entry begins counts in requests, so that entries keep to different
-        ranks in all zones: without it, an entry sends each zone's requests to the
-        zone's own ranks until these are full.
+        ranks in all zones. Without it, an entry sends to every rank of its own zone
+        before the nearest of another, and many callers in one zone fill its ranks.
 
         Endpoints whose incarnations are in *exclude* are skipped, as they were tried
         already. Avoided ones are picked only when there is no other: an endpoint that
