Logs tell which requests a crash is attributed to, with the parts of their prompts

Whether the requests under which endpoints crashed had a part in common, or whether some ends of connections were never checked, could not be told from logs or metrics.

Change: crash_attributed names each request with its prompt parts, try_ended says whether the endpoint is checked for a crash, and a counter tells of streams that end with their connection. Nothing is decided by them yet.

Tested: 253 tests of forward/, platform/, suspects/, test_suspects and test_explain pass.

--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -54,6 +54,7 @@
         arrived_ms=arrived_ms,
         last_event_ms=arrived_ms,
         caller=request.channel.transport.buffer,
+        prompt_parts=forwarder.read_prompt_parts(request.requestHeaders),
     )
 
 
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -207,7 +207,7 @@
         forwarder.counters.incr("gave_up.stream_broken")
         log.warning(
             "stream_broken",
-            request=exchange.header_text(call.request_id),
+            request=responses.header_text(call.request_id),
             reason=reason,
             events=call.events.count,
             **exchange.log_fields(forwarder, call),
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -39,11 +39,6 @@
 UNREAD = "unread"
 
 
-def header_text(value):
-    """Return header bytes as ``str`` for a log line."""
-    return value.decode("latin-1") if value is not None else None
-
-
 def log_fields(forwarder, call):
     """Return the log fields of *call* other than its id."""
     return {
@@ -65,20 +60,24 @@
     outcome = yield send_to(forwarder, call, member)
     took_ms = forwarder.clock.now() - began_ms
     forwarder.counters.observe_ms("try", took_ms)
+    may_have_crashed = (
+        outcome == BROKEN and not call.is_over and call.events.count == events_before
+    )
     if outcome == DONE:
         quarantine.request_served(forwarder, call)
-    elif outcome == BROKEN and not call.is_over and call.events.count == events_before:
+    elif may_have_crashed:
         quarantine.connection_ended(forwarder, call, member)
     if outcome != DONE:
         log.warning(
             "try_ended",
-            request=header_text(call.request_id),
+            request=responses.header_text(call.request_id),
             outcome=outcome,
             endpoint_id=member.endpoint_id,
             at_endpoint=call.in_flight_at_endpoint,
             generation=forwarder.view.generation,
             took_ms=took_ms,
             events=call.events.count - events_before,
+            checked=may_have_crashed,
             **log_fields(forwarder, call),
         )
     return outcome
@@ -149,7 +148,7 @@
     forwarder.counters.observe_ms("answer", took_ms)
     log.info(
         "answered",
-        request=header_text(call.request_id),
+        request=responses.header_text(call.request_id),
         workspace=call.workspace.name if call.workspace else None,
         endpoint_id=member.endpoint_id,
         at_endpoint=call.in_flight_at_endpoint,
@@ -370,10 +369,12 @@
         request.write(out)
 
     try:
-        yield pool.read(connection, head, on_data)
+        has_marked_end = yield pool.read(connection, head, on_data)
     finally:
         end_reading(forwarder, call)
         caller.hold(-partial_bytes, forwarder.clock.now())
+    if not has_marked_end:
+        forwarder.counters.incr("endpoint.stream_without_length")
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -137,7 +137,8 @@
 class Reader(protocol.Protocol):
     """Passes the body of a response to *on_data*.
 
-    ``done`` fires with ``None`` at the end, or with ``Broken`` if it is incomplete.
+    ``done`` fires at the end with whether the end was marked, by a length or a last
+    chunk, or with ``Broken`` if the body is incomplete.
     """
 
     def __init__(self, connection, on_data):
@@ -149,11 +150,12 @@
         self.on_data(data)
 
     def connectionLost(self, reason=protocol.connectionDone):
-        is_complete = reason.check(client.ResponseDone) or (
+        if reason.check(client.ResponseDone):
+            self.done.callback(True)
+        elif (
             reason.check(_newclient.PotentialDataLoss) and not self.connection.was_reset
-        )
-        if is_complete:
-            self.done.callback(None)
+        ):
+            self.done.callback(False)
         else:
             self.done.errback(Broken(f"response is incomplete: {reason.value!r}"))
 
@@ -283,7 +285,8 @@
 def read(connection, head, on_data):
     """Pass the body to *on_data*.
 
-    Returns a Deferred that fires when the body is complete, or fails with ``Broken``.
+    Returns a Deferred that fires when the body is complete, with whether its end was
+    marked (``False``: it ended with its connection), or fails with ``Broken``.
     """
     reader = Reader(connection, on_data)
     head.deliverBody(reader)
--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -33,16 +33,25 @@
 SUSPECT_RETRY_AFTER_MS = 1000
 
 
+@attrs.frozen
+class EndedAttempt:
+    """A request that was running at an endpoint, and its prompt's parts."""
+
+    request_id: bytes | None
+    parts: tuple
+
+
 @attrs.define
 class PendingCheck:
     """An endpoint whose connection ended, and the requests that were running there.
 
-    ``connection_ended_ms`` is the time of the local clock at which it ended.
+    ``connection_ended_ms`` is the time of the local clock at which it ended;
+    ``attempt_by_digest`` holds an ``EndedAttempt`` for each of the requests.
     """
 
     member: object
     connection_ended_ms: int
-    digests: set = attrs.field(factory=set)
+    attempt_by_digest: dict = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -157,7 +166,7 @@
         return
     request_digest = digest_of(call)
     for pending in quarantine.pending_by_incarnation.values():
-        pending.digests.discard(request_digest)
+        pending.attempt_by_digest.pop(request_digest, None)
     suspect = quarantine.known.suspect_by_digest.get(request_digest)
     if suspect is not None and suspect.crashed_ms_by_incarnation:
         quarantine.record_local(
@@ -176,7 +185,9 @@
             member, forwarder.clock.now()
         )
         check_endpoint(forwarder, incarnation, pending).addErrback(_failed)
-    pending.digests.add(digest_of(call))
+    pending.attempt_by_digest[digest_of(call)] = EndedAttempt(
+        call.request_id, call.prompt_parts
+    )
 
 
 def _failed(failure):
@@ -219,13 +230,25 @@
     pending = forwarder.quarantine.pending_by_incarnation.pop(incarnation, None)
     if pending is None:
         return
-    log.info("endpoint_ended", endpoint_id=incarnation, requests=len(pending.digests))
+    log.info(
+        "endpoint_ended",
+        endpoint_id=incarnation,
+        requests=len(pending.attempt_by_digest),
+    )
+    for request_digest, attempt in pending.attempt_by_digest.items():
+        log.info(
+            "crash_attributed",
+            request=responses.header_text(attempt.request_id),
+            endpoint_id=incarnation,
+            digest=request_digest.hex(),
+            parts=attempt.parts,
+        )
     forwarder.quarantine.record_local(
         forwarder,
         [
             sharing.PendingReport(
                 request_digest, incarnation, pending.connection_ended_ms
             )
-            for request_digest in pending.digests
+            for request_digest in pending.attempt_by_digest
         ],
     )
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -33,6 +33,11 @@
 STARTING_MS = 4000
 
 
+def no_prompt_parts(_headers):
+    """The prompt parts of a request where callers list none."""
+    return ()
+
+
 @attrs.define
 class Forwarder:
     """State shared by all requests of this entry."""
@@ -46,6 +51,7 @@
     quarantine: quarantine.Quarantine
     names: names.HeaderNames = names.DEFAULT
     read_signal: object = endpoint_signals.no_signal
+    read_prompt_parts: object = no_prompt_parts
     budget: budget.Budget = attrs.field(factory=budget.Budget)
     table: routes.Table = attrs.field(factory=routes.Table)
     limits: config.Limits = attrs.field(factory=config.Limits)
@@ -78,6 +84,7 @@
         read_signal,
         key_lease_ms=0,
         memory_bytes=0,
+        read_prompt_parts=no_prompt_parts,
     ):
         """Create the state of the entry with the view *entry_view*.
 
@@ -85,6 +92,8 @@
         response. If *key_lease_ms* is above 0, requests with a key are refused once
         no majority of controls has confirmed the document for that time.
         *memory_bytes* is the entry's memory, 0 for no bound.
+        ``read_prompt_parts(headers)`` returns the ids (``str``) of the parts that a
+        request's prompt consists of.
         """
         ms_clock = clock.Clock(reactor)
         forwarder = cls(
@@ -98,6 +107,7 @@
             quarantine=quarantine.Quarantine(sharing.Sharing(entry_view, ms_clock)),
             names=header_names,
             read_signal=read_signal,
+            read_prompt_parts=read_prompt_parts,
             key_lease_ms=key_lease_ms,
             buffers=backpressure.EntryBuffers(memory_bytes),
         )
@@ -322,6 +332,7 @@
     - ``is_isolated``: whether it runs as the only execution of a suspect.
     - ``last_failure``: head and body of the last 5xx response of an endpoint.
     - ``body``: the request's body, once an attempt has read it.
+    - ``prompt_parts``: ids (``str``) of the parts of its prompt, in order.
     - ``last_event_ms``: time of the last event, or of the arrival.
     - ``first_ms``: time from the arrival to the first event.
     - ``longest_gap_ms``: the longest inter-event gap so far.
@@ -355,6 +366,7 @@
     is_isolated: bool = False
     last_failure: tuple | None = None
     body: bytes | None = None
+    prompt_parts: tuple = ()
     arrived_ms: int = 0
     last_event_ms: int = 0
     first_ms: int | None = None
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -11,6 +11,7 @@
     addresses,
     commands,
     endpoint_signals,
+    prompt_parts,
     protocol,
     ready,
     settings,
@@ -71,6 +72,7 @@
         endpoint_signals.from_response,
         lease_ms,
         memory_mb * BYTES_PER_MB,
+        prompt_parts.from_request,
     )
     forwarder.picker.cold.bounds = cold_bounds(command)
     entry_view.follow(reactor)
