A failing test of requests that share one part of their prompts and crash endpoints

Seen: 16 requests with the part, no two alike, crash 16 endpoints; five may end and three more requests be sent. None becomes a suspect, as evidence is kept by the whole request. Where the stream has neither length nor chunks and the endpoint ends after the head, callers get a whole answer without events.

The test also asks that sound requests of the same caller with the shared part are served afterwards.

--- a/tests/integration/test_suspects.py
+++ b/tests/integration/test_suspects.py
@@ -6,6 +6,8 @@
 entry.
 """
 
+import http.client
+import itertools
 import json
 import subprocess
 import sys
@@ -23,11 +25,20 @@
 ENTRIES = 2
 RESTART_DELAY_S = 1.0
 HEARTBEAT_INTERVAL_S = 0.3
+# Events of a whole stream.
+EVENTS = 3
 # Body of the request that crashes endpoints, sent on a new connection each time.
 CRASHING_BODY = b'{"ends": "whoever runs it"}'
-# Program of an endpoint: signs its answers, and exits when it reads CRASHING_BODY.
+# Parts of prompts: one that crashes endpoints, one that sound requests share with it.
+CRASHING_PART, SHARED_PART = "f00d", "5a1e"
+# Path segments that select how the answer to a stream ends: marked by a last chunk, or
+# with its connection.
+CHUNKED, WITHOUT_LENGTH = "chunked", "without-length"
+# Program of an endpoint: signs its answers. It exits when it reads CRASHING_BODY, and
+# when it has sent the head of an answer to a prompt with CRASHING_PART.
 ENDPOINT = f"""
 import http.server, os, sys
+ATTEMPT, SIGNATURE = {platform_lab.ATTEMPT!r}, {platform_lab.SIGNATURE!r}
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     def log_message(self, *args):
@@ -35,12 +46,32 @@
     def do_POST(self):
         if self.rfile.read(int(self.headers["Content-Length"])) == {CRASHING_BODY!r}:
             os._exit(1)
+        if self.path.startswith("/stream/"):
+            self.stream(self.path.endswith("{CHUNKED}"))
+            return
+        self.begin()
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+    def begin(self):
         self.send_response(200)
-        for name in ("{platform_lab.ATTEMPT}", "Content-Length"):
-            value = "0" if name == "Content-Length" else self.headers[name]
-            self.send_header(name, value)
-        self.send_header("{platform_lab.SIGNATURE}", sys.argv[2])
+        self.send_header(ATTEMPT, self.headers[ATTEMPT])
+        self.send_header(SIGNATURE, sys.argv[2])
+    def stream(self, is_chunked):
+        self.begin()
+        self.send_header("Content-Type", "text/event-stream")
+        if is_chunked:
+            self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+        if "{CRASHING_PART}:" in self.headers["X-Dunlinpoint-Prefix-Hash"]:
+            os._exit(1)
+        for number in range(1, {EVENTS} + 1):
+            data = b"id: %d\\ndata: piece\\n\\n" % number
+            if is_chunked:
+                data = b"%x\\r\\n%s\\r\\n" % (len(data), data)
+            self.wfile.write(data)
+        if is_chunked:
+            self.wfile.write(b"0\\r\\n\\r\\n")
+        self.close_connection = True
 address = "127.0.0.1", int(sys.argv[1])
 http.server.ThreadingHTTPServer(address, Handler).serve_forever()
 """
@@ -113,6 +144,27 @@
         status, _, text = platform_lab.ask(port, "POST", prefix + "x", body, headers)
         return status, text
 
+    def ask_stream(self, entry, number, parts, ending):
+        """Send a stream request unlike all others; return its status and its body.
+
+        Its prompt consists of *parts* and a part of its own. The body is ``None`` if it
+        is broken off.
+        """
+        parts = [*parts, f"{number:08x}"]
+        headers = {
+            platform_lab.ATTEMPT: f"stream-{number}",
+            "X-Dunlinpoint-Deadline-Ms": "3000",
+            "X-Dunlinpoint-Prefix-Hash": ",".join(f"{part}:40" for part in parts),
+            "Authorization": "Bearer key-1",
+        }
+        port = self.entry_ports[entry][0]
+        path, body = f"/stream/{ending}", f"prompt {number}"
+        try:
+            status, _, text = platform_lab.ask(port, "POST", path, body, headers)
+        except http.client.IncompleteRead:
+            return 200, None
+        return status, text
+
     def admin(self, path, body):
         return platform_lab.ask(self.admin_port, "POST", path, json.dumps(body))[0]
 
@@ -134,6 +186,10 @@
                 except OSError:
                     return
 
+    def is_any_down(self):
+        """Whether an endpoint has crashed and not restarted yet."""
+        return any(endpoint.popen.poll() is not None for endpoint in self.endpoints)
+
     def crash_count(self):
         """Number of endpoint crashes so far."""
         return sum(endpoint.crashes for endpoint in self.endpoints)
@@ -230,3 +286,34 @@
     before = lab.crash_count()
     lab.ask(0, "b", CRASHING_BODY, "/once/", key="key-2")
     wait_for(lambda: lab.crash_count() == before + 1)
+
+
+# Most endpoints that may end under one part, and most requests with it that may be sent
+# to endpoints afterwards, as the users' rules state them.
+MAX_ENDED, MAX_SENT_AFTERWARDS = 5, 3
+
+
+@pytest.mark.parametrize("ending", [CHUNKED, WITHOUT_LENGTH])
+def test_a_prompt_part_that_crashes_endpoints_is_refused_and_sound_requests_served(
+    lab, ending
+):
+    # Guards against requests that share one part of their prompts and crash endpoint
+    # after endpoint, as no two of them are alike, and sound requests of the same
+    # caller with the other part that are refused for it.
+    numbers = itertools.count()
+
+    def ask(parts):
+        number = next(numbers)
+        return lab.ask_stream(number % ENTRIES, number, parts, ending)
+
+    whole = ask([SHARED_PART, "b0"])
+    assert whole[0] == 200 and whole[1].count(b"data:") == EVENTS
+    faulty = []
+    for _ in range(2 * (MAX_ENDED + MAX_SENT_AFTERWARDS)):
+        faulty.append(ask([SHARED_PART, CRASHING_PART])[0])
+        if lab.is_any_down():
+            time.sleep(RESTART_DELAY_S + 3 * HEARTBEAT_INTERVAL_S)
+    sound = [ask([SHARED_PART, f"b{number}"]) for number in range(10)]
+    assert lab.crash_count() <= MAX_ENDED + MAX_SENT_AFTERWARDS, faulty
+    assert set(faulty[-MAX_ENDED:]) == {503}
+    assert sound.count(whole) >= len(sound) / 2, sound
