A crash is noticed at once although a connection to its endpoint ended shortly before

Cause: one check was kept for each endpoint for ten seconds. When a connection ended within that time after another had ended while the endpoint went on listening, as they do when a group of ranks stalls, no new check was made; the crash was confirmed only by the endpoint's next incarnation, and then blamed on the earlier requests, too.

Change: once the endpoint was found to listen, the end of another connection begins a check of its own.

The test fails before (nothing is published) and passes now.

--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -45,12 +45,14 @@
 class PendingCheck:
     """An endpoint whose connection ended, and the requests that were running there.
 
-    ``connection_ended_ms`` is the time of the local clock at which it ended;
+    ``connection_ended_ms`` is the time of the local clock at which it ended, and
+    ``is_listening`` whether the endpoint was found to listen afterwards;
     ``attempt_by_digest`` holds an ``EndedAttempt`` for each of the requests.
     """
 
     member: object
     connection_ended_ms: int
+    is_listening: bool = False
     attempt_by_digest: dict = attrs.field(factory=dict)
 
 
@@ -180,7 +182,7 @@
     quarantine = forwarder.quarantine
     incarnation = pick.incarnation_key(member)
     pending = quarantine.pending_by_incarnation.get(incarnation)
-    if pending is None:
+    if pending is None or pending.is_listening:
         pending = quarantine.pending_by_incarnation[incarnation] = PendingCheck(
             member, forwarder.clock.now()
         )
@@ -201,8 +203,11 @@
     if (yield forwarder.pool.refuses_connections(pending.member)):
         endpoint_crashed(forwarder, incarnation)
         return
+    pending.is_listening = True
     yield forwarder.clock.sleep(RESTART_WINDOW_MS)
-    forwarder.quarantine.pending_by_incarnation.pop(incarnation, None)
+    pending_by_incarnation = forwarder.quarantine.pending_by_incarnation
+    if pending_by_incarnation.get(incarnation) is pending:
+        del pending_by_incarnation[incarnation]
 
 
 def detect_restarts(forwarder):
--- a/dunlinpoint/forward/tests/test_quarantine.py
+++ b/dunlinpoint/forward/tests/test_quarantine.py
@@ -119,6 +119,21 @@
     assert forwarder.quarantine.pending_by_incarnation == {}
 
 
+def test_a_crash_soon_after_a_connection_that_only_ended_is_noticed_at_once(entry):
+    # Guards against a crash that is reported seconds late, and blamed on requests from
+    # before it: a connection to the endpoint ended shortly before for another reason.
+    reactor, forwarder, _ = entry
+    harmless, crashing = make_call(), make_call()
+    harmless.request.uri = b"/a/harmless"
+    quarantine.connection_ended(forwarder, harmless, member("a"))
+    reactor.pump([0.1, 3])
+    forwarder.pool.closed.add("a")
+    quarantine.connection_ended(forwarder, crashing, member("a"))
+    reactor.advance(2 * quarantine.CRASH_CHECK_DELAY_MS / 1000)
+    published = forwarder.quarantine.sharing.published
+    assert [report.digest for report in published] == [quarantine.digest_of(crashing)]
+
+
 @pytest.mark.parametrize(
     "now_there",
     [member("a", incarnation=7), member("b"), member("b", incarnation=2)],
