A stream without a length that ends after its head is broken off

Seen: an endpoint that crashes right after the head of a stream with neither length nor chunks gave its caller a whole answer without an event, and the request counted as served, which clears it of earlier crashes.

Cause: the end of the connection marks the end of such an answer, and it was taken as whole whenever no event was incomplete.

Change: without a marked end and without an event it is broken: tried again where the route allows it, else a failure, and its endpoint is checked for a crash. One that ends within an event, or by a reset, was broken before.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -341,14 +341,15 @@
     source, caller = call.source, call.caller
     source.begin(connection)
     caller.source = source
-    partial_bytes = 0
+    partial_bytes, has_begun = 0, False
 
     def on_data(data):
-        nonlocal last_ms, partial_bytes
+        nonlocal last_ms, partial_bytes, has_begun
         now = forwarder.clock.now()
         forwarder.picker.data_received(pick.incarnation_key(member), now)
         forwarder.outages.data_received(member)
         out = call.events.feed(data)
+        has_begun = has_begun or bool(out)
         caller.hold(len(call.events.partial) - partial_bytes, now)
         partial_bytes = len(call.events.partial)
         if not out or call.is_over:
@@ -375,6 +376,9 @@
         caller.hold(-partial_bytes, forwarder.clock.now())
     if not has_marked_end:
         forwarder.counters.incr("endpoint.stream_without_length")
+        if not has_begun:
+            # An endpoint that crashes after the head ends the answer in the same way.
+            raise close_as_broken(connection, "stream ended after its head")
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
--- /dev/null
+++ b/dunlinpoint/forward/tests/test_stream_ends.py
@@ -0,0 +1,81 @@
+"""Ends of streams that have neither a length nor chunks: whole, or broken off."""
+
+import types
+
+import pytest
+from twisted.internet import error, task
+from twisted.internet.testing import StringTransport
+from twisted.python import failure
+from twisted.web import http_headers
+
+from dunlinpoint import clock, metrics
+from dunlinpoint.forward import events, exchange, pool, quarantine, state
+from dunlinpoint.routing import outage, pick
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+EVENT = b"id: 1\ndata: piece\n\n"
+CLOSED, RESET = error.ConnectionDone(), error.ConnectionLost()
+
+
+class Request:
+    """A caller's request that keeps what is written to it."""
+
+    def __init__(self):
+        self.responseHeaders, self.written = http_headers.Headers(), b""
+
+    def setResponseCode(self, code, phrase):
+        pass
+
+    def write(self, data):
+        self.written += data
+
+
+def relay(sent, ended):
+    """Relay a stream of the bytes *sent*, whose connection then ends with *ended*.
+
+    Returns the bytes that the caller got, and the ``Broken`` or ``None``.
+    """
+    forwarder = types.SimpleNamespace(
+        clock=clock.Clock(task.Clock()),
+        counters=metrics.Counters(None),
+        picker=pick.Picker("z"),
+        outages=outage.Outages(),
+        quarantine=quarantine.Quarantine(None),
+        groups=lambda call: None,
+    )
+    request = Request()
+    stream = events.EventStream()
+    call = state.Call(request, None, "s", None, 0, None, stream, streaming=True)
+    connection = pool.Connection(lambda _: None)
+    connection.makeConnection(StringTransport())
+    headers = http_headers.Headers({b"host": [b"h"]})
+    heads, results = [], []
+    pool.send(connection, pool.Message(b"POST", b"/a/b", headers, b"x")).addCallback(
+        heads.append
+    )
+    connection.dataReceived(HEAD + sent)
+    member = ttypes.Member(endpoint_id="a", host="h", port=1)
+    exchange.relay(forwarder, call, member, connection, heads[0]).addBoth(
+        results.append
+    )
+    connection.connectionLost(failure.Failure(ended))
+    (result,) = results
+    return request.written, None if result is None else result.value
+
+
+def test_a_stream_that_ends_with_its_connection_is_whole():
+    assert relay(EVENT, CLOSED) == (EVENT, None)
+
+
+@pytest.mark.parametrize(
+    "sent, ended", [(b"", CLOSED), (EVENT + EVENT[:7], CLOSED), (EVENT, RESET)]
+)
+def test_a_stream_cut_after_its_head_within_an_event_or_by_a_reset_is_broken(
+    sent, ended
+):
+    # Guards against callers that get the beginning of an answer, or none of it, as a
+    # whole one: the end of the connection is all that marks the end of the answer, and
+    # an endpoint that crashes ends its connections.
+    _, broken = relay(sent, ended)
+    assert isinstance(broken, pool.Broken)
