Crashes are recorded for the parts of prompts, and compared before anything is refused

Cause: the unit of evidence was the whole request.

Change: a crash is recorded for the request, its caller and each part of its prompt, in one message. The first event clears, not the end of the answer. Suspects are judged before each sending, not only on arrival, as calls wait for a stalled group. A suspect that an endpoint turned away unrun may go on to another. Without the list of parts nothing is recorded but the request, as before.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -14,9 +14,9 @@
   ``dunlinctl restore ZONE --controls ...`` lets them get requests again.
 - ``dunlinctl outcome KEY --controls ...`` prints the outcome of a
   non-idempotent call, from the agents that hold its key.
-- ``dunlinctl suspects --controls ...`` lists the requests during which
-  endpoints crashed; ``dunlinctl lift DIGEST --controls ...`` clears the crash
-  reports of one of them.
+- ``dunlinctl suspects --controls ...`` lists the requests, parts of prompts and
+  workspaces under which endpoints crashed; ``dunlinctl lift DIGEST --controls ...``
+  clears the crash reports of one of them.
 - ``dunlinctl explain REQUEST_ID FILES...`` prints a request's history from the
   logs of several processes.
 
@@ -356,7 +356,7 @@
 
 @dataclass
 class Suspects:
-    """List the requests during which endpoints crashed, as reported to each control."""
+    """List what endpoints crashed under, as reported to each control."""
 
     controls: Annotated[str, controls_flag()]
 
@@ -373,6 +373,7 @@
                 found.apply_report(report, 0)
             for digest, suspect in found.suspect_by_digest.items():
                 line = {"control": address, "digest": digest.hex()}
+                line["subject"] = suspect.subject or "request"
                 line["standing"] = suspect.suspect_status().value
                 line["age_ms_by_endpoint"] = {
                     key: -crashed_ms
@@ -384,7 +385,7 @@
 
 @dataclass
 class Lift:
-    """Clear all crash reports of a request, by its digest."""
+    """Clear all crash reports of a request, prompt part or workspace by digest."""
 
     digest: str
     controls: Annotated[str, controls_flag()]
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -24,7 +24,7 @@
 @defer.inlineCallbacks
 def run(forwarder, call):
     """Try endpoints until one answers or no further attempt is permitted."""
-    if not quarantine.enter(forwarder, call):
+    if quarantine.is_refused(forwarder, call):
         return
     try:
         yield run_attempts(forwarder, call)
@@ -49,6 +49,9 @@
         if result is not decision.JoinResult.JOINED:
             capacity.refuse(forwarder, call, result)
             return
+        if quarantine.must_wait(forwarder, call):
+            yield forwarder.clock.sleep(quarantine.TURN_POLL_INTERVAL_MS)
+            continue
         member = next_member(forwarder, call, by_group, now)
         if member is None and not by_group and forwarder.is_evacuated(call.service):
             give_up(
@@ -75,9 +78,12 @@
         if call.deadline_ms - now < MIN_REMAINING_MS:
             give_up(forwarder, call, "too_late")
             return
+        if not may_send(forwarder, call):
+            return
         forwarder.outages.probe(member, now)
         call.tried.add(pick.incarnation_key(member))
         outcome = yield exchange.make_attempt(forwarder, call, member)
+        quarantine.leave(forwarder, call, outcome == exchange.BROKEN)
         if outcome == exchange.DONE or call.disconnected:
             return
         if outcome == exchange.NOT_RUN and not (
@@ -90,6 +96,19 @@
         forwarder.counters.retried(outcome)
 
 
+def may_send(forwarder, call):
+    """Whether *call* may be sent now; if not, its final response has been sent.
+
+    Endpoints may have crashed under such requests while it waited.
+    """
+    if not call.may_have_run:
+        return quarantine.enter(forwarder, call)
+    if quarantine.suspect_status(forwarder, call) is registry.SuspectStatus.CLEAR:
+        return True
+    give_up(forwarder, call, exchange.BROKEN)
+    return False
+
+
 def next_member(forwarder, call, by_group, now):
     """Return the endpoint to try next, or ``None``.
 
@@ -164,7 +183,11 @@
         return False
     if call.attempts >= call.route.max_attempts:
         return False
-    if quarantine.suspect_status(forwarder, call) is not registry.SuspectStatus.CLEAR:
+    if (
+        outcome != exchange.NOT_RUN
+        and quarantine.suspect_status(forwarder, call)
+        is not registry.SuspectStatus.CLEAR
+    ):
         # A retry could crash one more endpoint within the same attempt of the caller.
         return False
     return call.attempts == 0 or forwarder.budget.spend(call.service)
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -63,7 +63,7 @@
     may_have_crashed = (
         outcome == BROKEN and not call.is_over and call.events.count == events_before
     )
-    if outcome == DONE:
+    if outcome == DONE and call.has_marked_end:
         quarantine.request_served(forwarder, call)
     elif may_have_crashed:
         quarantine.connection_ended(forwarder, call, member)
@@ -291,7 +291,7 @@
             source.pause(now)
 
     try:
-        yield pool.read(connection, head, on_data)
+        call.has_marked_end = yield pool.read(connection, head, on_data)
     except pool.Broken:
         call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
         # The failure's traceback keeps the pieces until the next garbage collection.
@@ -349,7 +349,9 @@
         forwarder.picker.data_received(pick.incarnation_key(member), now)
         forwarder.outages.data_received(member)
         out = call.events.feed(data)
-        has_begun = has_begun or bool(out)
+        if out and not has_begun:
+            has_begun = True
+            quarantine.request_served(forwarder, call)
         caller.hold(len(call.events.partial) - partial_bytes, now)
         partial_bytes = len(call.events.partial)
         if not out or call.is_over:
@@ -370,11 +372,11 @@
         request.write(out)
 
     try:
-        has_marked_end = yield pool.read(connection, head, on_data)
+        call.has_marked_end = yield pool.read(connection, head, on_data)
     finally:
         end_reading(forwarder, call)
         caller.hold(-partial_bytes, forwarder.clock.now())
-    if not has_marked_end:
+    if not call.has_marked_end:
         forwarder.counters.incr("endpoint.stream_without_length")
         if not has_begun:
             # An endpoint that crashes after the head ends the answer in the same way.
--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -7,11 +7,17 @@
 connection reset, the endpoint still listens and is not announced anew, so none of
 these count.
 
-A request under which two endpoints have crashed is a suspect: at most one execution of
-it runs at a time at this entry, without retries. A request under which three have
-crashed is convicted and refused at once. It has not run, so the status is 503; a 4xx
-would blame the caller for a fault of the endpoints. ``Retry-After`` is the time until
-the conviction expires.
+A crash is recorded for the request as a whole and, if the parts of its prompt are
+known, for each of them and for its caller; :mod:`~dunlinpoint.suspects.cause` compares
+them. A request under which two endpoints have crashed is a suspect: it is not sent
+again once it may have run, and at most one execution of it runs at a time at this
+entry. A request under which three have crashed is convicted and refused at once. It
+has not run, so the status is 503; a 4xx would blame the caller for a fault of the
+endpoints.
+``Retry-After`` is the time until the conviction expires.
+
+An endpoint crashes when it begins to answer, so the first event of a stream clears what
+the request consists of.
 """
 
 import attrs
@@ -20,25 +26,34 @@
 from dunlinpoint import logs
 from dunlinpoint.forward import responses
 from dunlinpoint.routing import pick
-from dunlinpoint.suspects import digest, registry, sharing
+from dunlinpoint.suspects import cause, digest, registry, sharing
 
 log = logs.logger("entry")
 
 # Delay between the end of a connection and the check of whether its endpoint still
 # listens. A crashed process stops listening at once and takes seconds to restart.
 CRASH_CHECK_DELAY_MS = 50
+# How long others wait for the outcome of that check.
+RELEASE_DELAY_MS = 2 * CRASH_CHECK_DELAY_MS
 # How long after the end of a connection a new incarnation still confirms a crash.
 RESTART_WINDOW_MS = 10_000
 # Retry-After of a suspect while another execution of it is in progress.
 SUSPECT_RETRY_AFTER_MS = 1000
+# How long a suspect waits for another execution: a first event takes a fraction of it.
+MAX_TURN_WAIT_MS = 500
+TURN_POLL_INTERVAL_MS = 25
 
 
 @attrs.frozen
 class EndedAttempt:
-    """A request that was running at an endpoint, and its prompt's parts."""
+    """A request that was running at an endpoint.
+
+    ``subject_by_digest`` holds the digests that identify it, and what each names.
+    """
 
     request_id: bytes | None
-    parts: tuple
+    prompt_parts: tuple
+    subject_by_digest: dict
 
 
 @attrs.define
@@ -46,14 +61,22 @@
     """An endpoint whose connection ended, and the requests that were running there.
 
     ``connection_ended_ms`` is the time of the local clock at which it ended, and
-    ``is_listening`` whether the endpoint was found to listen afterwards;
-    ``attempt_by_digest`` holds an ``EndedAttempt`` for each of the requests.
+    ``is_listening`` whether the endpoint was found to listen afterwards. ``served``
+    holds the digests of requests that were served since.
     """
 
     member: object
     connection_ended_ms: int
     is_listening: bool = False
-    attempt_by_digest: dict = attrs.field(factory=dict)
+    attempts: list = attrs.field(factory=list)
+    served: set = attrs.field(factory=set)
+
+    def subject_by_digest(self):
+        """The digests that the crash may be due to, and what each names."""
+        found = {}
+        for attempt in self.attempts:
+            found |= attempt.subject_by_digest
+        return {d: subject for d, subject in found.items() if d not in self.served}
 
 
 @attrs.define
@@ -84,6 +107,7 @@
             log.warning(
                 after.value if report.life else "lifted",
                 digest=report.digest.hex(),
+                subject=report.subject,
                 before=before.value,
                 endpoint_id=report.life,
                 age_ms=report.age_ms,
@@ -113,32 +137,79 @@
     return call.digest
 
 
-def suspect_status(forwarder, call):
-    """Return the ``SuspectStatus`` of *call*.
+def shared_subject_by_digest(call):
+    """Return the digests that *call* shares with other requests, and what each names.
+
+    Its caller is one of them only if the parts of its prompt are known.
+    """
+    if call.shared_subject_by_digest is None:
+        subjects = [digest.part_subject(part) for part in call.prompt_parts]
+        if subjects and call.workspace is not None:
+            subjects.append(digest.caller_subject(call.workspace.name))
+        call.shared_subject_by_digest = {
+            digest.of_subject(subject): subject for subject in subjects
+        }
+    return call.shared_subject_by_digest
+
+
+def subject_by_digest(call):
+    """Return all digests that identify *call*, and what each names (``str``).
+
+    The name of the request as a whole, which comes first, is empty.
+    """
+    return {digest_of(call): ""} | shared_subject_by_digest(call)
+
+
+def judge(forwarder, call):
+    """Return the ``cause.Verdict`` on *call*.
 
     Digests are computed only while there are suspects.
     """
     known = forwarder.quarantine.known
     if not len(known):
-        return registry.SuspectStatus.CLEAR
-    return known.suspect_status(digest_of(call), forwarder.clock.now())
+        return cause.CLEAR
+    return cause.judge(known, subject_by_digest(call), forwarder.clock.now())
+
+
+def suspect_status(forwarder, call):
+    """Return the ``SuspectStatus`` of *call*."""
+    return judge(forwarder, call).status
+
+
+def is_refused(forwarder, call):
+    """Whether *call* is convicted; its final response has been sent then."""
+    if suspect_status(forwarder, call) is not registry.SuspectStatus.CONVICTED:
+        return False
+    refuse(forwarder, call, "convicted", registry.EXPIRY_MS)
+    return True
+
+
+def must_wait(forwarder, call):
+    """Whether *call* is a suspect of which another execution is in progress.
+
+    It waits for that one's first event for ``MAX_TURN_WAIT_MS`` at most.
+    """
+    verdict = judge(forwarder, call)
+    if not verdict.isolated & forwarder.quarantine.running_suspects:
+        return False
+    now = forwarder.clock.now()
+    if call.turn_limit_ms is None:
+        call.turn_limit_ms = min(now + MAX_TURN_WAIT_MS, call.deadline_ms)
+    return now < call.turn_limit_ms
 
 
 def enter(forwarder, call):
-    """Whether *call* may run; if not, its final response has been sent."""
-    status = suspect_status(forwarder, call)
-    if status is registry.SuspectStatus.CLEAR:
-        return True
+    """Whether *call* may be sent now; if not, its final response has been sent."""
+    if is_refused(forwarder, call):
+        return False
+    verdict = judge(forwarder, call)
     running = forwarder.quarantine.running_suspects
-    if status is registry.SuspectStatus.CONVICTED:
-        refuse(forwarder, call, "convicted", registry.EXPIRY_MS)
-    elif call.digest in running:
+    if verdict.isolated & running:
         refuse(forwarder, call, "suspect_at_work", SUSPECT_RETRY_AFTER_MS)
-    else:
-        running.add(call.digest)
-        call.is_isolated = True
-        return True
-    return False
+        return False
+    running |= verdict.isolated
+    call.isolated = verdict.isolated
+    return True
 
 
 def refuse(forwarder, call, reason, retry_after_ms):
@@ -150,31 +221,44 @@
         reason,
         retry_after_ms,
         digest=call.digest.hex(),
+        parts=call.prompt_parts,
         service=call.service,
     )
 
 
-def leave(forwarder, call):
-    """Release the isolation of *call*, which has ended."""
-    if call.is_isolated:
-        forwarder.quarantine.running_suspects.discard(call.digest)
-        call.is_isolated = False
+def leave(forwarder, call, may_have_crashed=False):
+    """Release the isolation of *call*, whose attempt has ended or is served.
+
+    If its endpoint may have crashed, others wait until that has been checked.
+    """
+    digests, call.isolated = call.isolated, frozenset()
+    running = forwarder.quarantine.running_suspects
+    if digests and may_have_crashed:
+        forwarder.clock.call_later(RELEASE_DELAY_MS, running.difference_update, digests)
+    else:
+        running -= digests
 
 
 def request_served(forwarder, call):
-    """Clear *call*, which an endpoint has served without crashing."""
+    """Clear *call*, which an endpoint has begun to answer without crashing."""
     quarantine = forwarder.quarantine
+    now = forwarder.clock.now()
+    for shared in shared_subject_by_digest(call):
+        quarantine.known.record_served(shared, now)
     if not len(quarantine.known) and not quarantine.pending_by_incarnation:
         return
-    request_digest = digest_of(call)
+    found = subject_by_digest(call)
     for pending in quarantine.pending_by_incarnation.values():
-        pending.attempt_by_digest.pop(request_digest, None)
-    suspect = quarantine.known.suspect_by_digest.get(request_digest)
-    if suspect is not None and suspect.crashed_ms_by_incarnation:
-        quarantine.record_local(
-            forwarder,
-            [sharing.PendingReport(request_digest, "", forwarder.clock.now())],
-        )
+        pending.served |= found.keys()
+    quarantine.record_local(
+        forwarder,
+        [
+            sharing.PendingReport(served, "", now, subject)
+            for served, subject in found.items()
+            if quarantine.known.has_crashes(served)
+        ],
+    )
+    leave(forwarder, call)
 
 
 def connection_ended(forwarder, call, member):
@@ -187,8 +271,8 @@
             member, forwarder.clock.now()
         )
         check_endpoint(forwarder, incarnation, pending).addErrback(_failed)
-    pending.attempt_by_digest[digest_of(call)] = EndedAttempt(
-        call.request_id, call.prompt_parts
+    pending.attempts.append(
+        EndedAttempt(call.request_id, call.prompt_parts, subject_by_digest(call))
     )
 
 
@@ -235,25 +319,21 @@
     pending = forwarder.quarantine.pending_by_incarnation.pop(incarnation, None)
     if pending is None:
         return
-    log.info(
-        "endpoint_ended",
-        endpoint_id=incarnation,
-        requests=len(pending.attempt_by_digest),
-    )
-    for request_digest, attempt in pending.attempt_by_digest.items():
+    log.info("endpoint_ended", endpoint_id=incarnation, requests=len(pending.attempts))
+    for attempt in pending.attempts:
         log.info(
             "crash_attributed",
             request=responses.header_text(attempt.request_id),
             endpoint_id=incarnation,
-            digest=request_digest.hex(),
-            parts=attempt.parts,
+            digest=next(iter(attempt.subject_by_digest)).hex(),
+            parts=attempt.prompt_parts,
         )
     forwarder.quarantine.record_local(
         forwarder,
         [
             sharing.PendingReport(
-                request_digest, incarnation, pending.connection_ended_ms
+                crashed, incarnation, pending.connection_ended_ms, subject
             )
-            for request_digest in pending.attempt_by_digest
+            for crashed, subject in pending.subject_by_digest().items()
         ],
     )
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -329,7 +329,12 @@
     - ``started``: whether the response to the caller has begun.
     - ``group``: the rank group at which the stream is counted.
     - ``admission_draw``: random number (0 to 1) compared with the admitted share.
-    - ``is_isolated``: whether it runs as the only execution of a suspect.
+    - ``digest``: that of the request as a whole, once it is needed.
+    - ``shared_subject_by_digest``: the digests that it shares with others, see there.
+    - ``isolated``: the digests of which it runs as the only execution.
+    - ``turn_limit_ms``: until when it waits for another execution of a suspect.
+    - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
+      with its connection, as one that a crash cuts short may do.
     - ``last_failure``: head and body of the last 5xx response of an endpoint.
     - ``body``: the request's body, once an attempt has read it.
     - ``prompt_parts``: ids (``str``) of the parts of its prompt, in order.
@@ -363,7 +368,10 @@
     group: str | None = None
     admission_draw: float | None = None
     digest: bytes | None = None
-    is_isolated: bool = False
+    shared_subject_by_digest: dict | None = None
+    isolated: frozenset = frozenset()
+    turn_limit_ms: int | None = None
+    has_marked_end: bool = False
     last_failure: tuple | None = None
     body: bytes | None = None
     prompt_parts: tuple = ()
--- a/dunlinpoint/forward/tests/test_capacity.py
+++ b/dunlinpoint/forward/tests/test_capacity.py
@@ -79,7 +79,7 @@
     streaming: bool = True
     group: str | None = None
     admission_draw: float | None = None
-    is_isolated: bool = False
+    isolated: frozenset = frozenset()
     tried: set = attrs.field(factory=set)
     disconnected: bool = False
     request: object = None
--- a/dunlinpoint/forward/tests/test_cold_wait.py
+++ b/dunlinpoint/forward/tests/test_cold_wait.py
@@ -110,7 +110,7 @@
     may_have_run: bool = False
     disconnected: bool = False
     is_over: bool = False
-    is_isolated: bool = False
+    isolated: frozenset = frozenset()
 
 
 @attrs.define
--- a/dunlinpoint/forward/tests/test_exchange.py
+++ b/dunlinpoint/forward/tests/test_exchange.py
@@ -9,7 +9,7 @@
 
 from dunlinpoint import clock, metrics
 from dunlinpoint.config import document as config
-from dunlinpoint.forward import events, exchange, state
+from dunlinpoint.forward import events, exchange, quarantine, state
 from dunlinpoint.routing import backpressure, outage, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -107,6 +107,7 @@
         counters=metrics.Counters(None),
         picker=pick.Picker("z"),
         outages=outage.Outages(),
+        quarantine=quarantine.Quarantine(None),
         groups=lambda call: gaps,
     )
     call = state.Call(
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -52,6 +52,7 @@
     "events": "number of events forwarded",
     "digest": "identifies a request's content, the same for every retry",
     "parts": "ids of the parts of a request's prompt",
+    "subject": "what a digest identifies, if not a whole request",
     "checked": "whether the endpoint is checked for a crash under the request",
     "age_ms": "time since it was observed",
     "requests": "number of requests that were in progress",
--- a/dunlinpoint/suspects/sharing.py
+++ b/dunlinpoint/suspects/sharing.py
@@ -28,15 +28,21 @@
 
 @attrs.frozen
 class PendingReport:
-    """A report that no control has accepted yet, of an event at ``at_ms``."""
+    """A report that no control has accepted yet, of an event at ``at_ms``.
+
+    ``subject`` names what *digest* identifies, unless that is a whole request.
+    """
 
     digest: bytes
     incarnation: str
     at_ms: int
+    subject: str = ""
 
     def to_message(self, now):
         """The report as a ``CrashReport``."""
-        return ttypes.CrashReport(self.digest, self.incarnation, now - self.at_ms)
+        return ttypes.CrashReport(
+            self.digest, self.incarnation, now - self.at_ms, self.subject
+        )
 
 
 @attrs.define
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -247,14 +247,17 @@
   3: list<Voter> controls,
 }
 
-// One observation, age_ms old, about a request that may crash every endpoint that runs
-// it; digest identifies the request. life is the incarnation key of an endpoint that
-// ended while it ran the request. An empty life clears all earlier observations: the
-// request was served, or an operator released it.
+// One observation, age_ms old, about something that may crash every endpoint: digest
+// identifies a request, a part of prompts or a workspace. life is the incarnation key of
+// an endpoint that ended while it ran such a request. An empty life clears all earlier
+// observations: such a request was served, or an operator released it. subject names a
+// part or a workspace; it is absent or empty for a whole request. The observations of one
+// event are sent in one message, so that none of them is lost alone.
 struct CrashReport {
   1: binary digest,
   2: string life,
   3: i64 age_ms,
+  4: string subject,
 }
 
 // One control instance's members and document. revision identifies the member list
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -2169,14 +2169,16 @@
      - digest
      - life
      - age_ms
+     - subject
 
     """
 
 
-    def __init__(self, digest=None, life=None, age_ms=None,):
+    def __init__(self, digest=None, life=None, age_ms=None, subject=None,):
         self.digest = digest
         self.life = life
         self.age_ms = age_ms
+        self.subject = subject
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2202,6 +2204,11 @@
                     self.age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.subject = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2224,6 +2231,10 @@
             oprot.writeFieldBegin('age_ms', TType.I64, 3)
             oprot.writeI64(self.age_ms)
             oprot.writeFieldEnd()
+        if self.subject is not None:
+            oprot.writeFieldBegin('subject', TType.STRING, 4)
+            oprot.writeString(self.subject.encode('utf-8') if sys.version_info[0] == 2 else self.subject)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2872,6 +2883,7 @@
     (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
     (2, TType.STRING, 'life', 'UTF8', None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.STRING, 'subject', 'UTF8', None, ),  # 4
 )
 all_structs.append(View)
 View.thrift_spec = (
