--- a/dunlinpoint/forward/tests/shared_parts.py
+++ b/dunlinpoint/forward/tests/shared_parts.py
@@ -1,10 +1,10 @@
 """A model of entries whose callers send prompts with a part that crashes endpoints.
 
 The entries' quarantines are the product's own. Endpoints crash as they begin to
-answer a prompt with the faulty part and are back after some seconds; all requests there
-end.
-Where endpoints are ranks of one group, a crash also stalls the others, and what they run
-ends later without an answer. Reports reach the other entries by way of a control, late.
+answer a prompt with the faulty part and are back after some seconds; all requests at
+them end. Where endpoints are ranks of one group, a crash also stalls the others, and
+what they run ends later without an answer. Reports reach the other entries by way of a
+control, late.
 """
 
 import io
