Entries report known crashes again to a control that has started without them

Seen: after the only control had been killed and started again, an entry that started then ran a request that had been refused everywhere else.

Cause: controls keep crash reports in memory. A control that starts knows none, and an entry that starts asks only the controls.

Change: an entry notices by the revision of its reports that a control has started, and reports the crashes that it knows again; what is known changes nothing.

The new case of test_suspects fails before (the request runs, 502) and passes now (503, no endpoint crashes).

--- a/dunlinpoint/control/membership.py
+++ b/dunlinpoint/control/membership.py
@@ -29,6 +29,8 @@
 # another endpoint.
 DEPARTED_RETENTION_MS = 120_000
 REVISION_BITS = 40
+# Changes of one start of a process: far more than any makes.
+FIRST_REVISION_SHIFT = 20
 # An endpoint has turned cold if it stays so for this much longer than it last reported.
 # Below this, its heartbeat was delayed.
 TURNED_COLD_MS = 500
@@ -55,7 +57,12 @@
 
 def first_revision():
     """A random first ``revision``, unlike those of earlier starts of the process."""
-    return random.SystemRandom().getrandbits(REVISION_BITS) << 20
+    return random.SystemRandom().getrandbits(REVISION_BITS) << FIRST_REVISION_SHIFT
+
+
+def is_same_start(revision, earlier):
+    """Whether *revision* and *earlier* are of the same start of a process."""
+    return revision >> FIRST_REVISION_SHIFT == earlier >> FIRST_REVISION_SHIFT
 
 
 def routing_fields(heartbeat):
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -80,7 +80,8 @@
     """Members by endpoint id, and the document in force.
 
     The callables in ``on_document`` are called with each new document, those in
-    ``on_reports`` with a list of crash reports, those in ``on_members`` with a list of
+    ``on_reports`` with a list of crash reports, those in ``on_reports_lost`` without
+    arguments when a control has lost its own, those in ``on_members`` with a list of
     ``Member`` messages and the time of their receipt, those in ``on_restored`` with a
     ``frozenset`` of the zones whose evacuation has ended, those in ``on_change``
     without arguments after each answer of a control. Times (``_ms``) are of this
@@ -99,6 +100,7 @@
     on_document: list = attrs.field(factory=list)
     on_change: list = attrs.field(factory=list)
     on_reports: list = attrs.field(factory=list)
+    on_reports_lost: list = attrs.field(factory=list)
     on_members: list = attrs.field(factory=list)
     on_restored: list = attrs.field(factory=list)
     evacuations: tuple = ()
@@ -159,10 +161,7 @@
             for callback in self.on_members:
                 callback(reply.members, now)
         if reply.reports_revision is not None:
-            followed.reports_revision = reply.reports_revision
-        if reply.reports:
-            for callback in self.on_reports:
-                callback(reply.reports)
+            self._receive_reports(followed, reply)
         document = reply.document
         if document is not None:
             self._apply_evacuations(document)
@@ -183,6 +182,17 @@
         if reply.settled:
             followed.confirmed_ms = requested_ms
 
+    def _receive_reports(self, followed, reply):
+        """Pass on crash reports; notice that a control has started without any."""
+        known = followed.reports_revision
+        followed.reports_revision = reply.reports_revision
+        if reply.reports:
+            for callback in self.on_reports:
+                callback(reply.reports)
+        if known and not membership.is_same_start(reply.reports_revision, known):
+            for callback in self.on_reports_lost:
+                callback()
+
     def _update_entry_position(self, reply, now):
         """Update this entry's position among the entries of all zones.
 
--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -125,6 +125,21 @@
         if new_reports:
             self.sharing.publish(new_reports)
 
+    def republish(self, now):
+        """Share all known crashes again.
+
+        Entries that start get the reports from the controls, and the controls keep
+        them in memory only.
+        """
+        reports = self.known.reports(registry.NO_REVISION, now)
+        crashes = [
+            sharing.PendingReport(r.digest, r.life, now - r.age_ms, r.subject)
+            for r in reports
+            if r.life
+        ]
+        if crashes:
+            self.sharing.publish(crashes)
+
 
 def digest_of(call):
     """Return the digest of *call*'s request."""
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -117,12 +117,17 @@
         entry_view.on_restored.append(forwarder.handle_restored)
         entry_view.wants_reports = True
         entry_view.on_reports.append(forwarder.receive_reports)
+        entry_view.on_reports_lost.append(forwarder.republish_reports)
         return forwarder
 
     def receive_reports(self, reports):
         """Handle crash reports of other entries, received from a control."""
         self.quarantine.receive_reports(self, reports)
 
+    def republish_reports(self):
+        """Report all known crashes again: a control has started without them."""
+        self.quarantine.republish(self.clock.now())
+
     def apply_document(self, document):
         """Apply a newer document."""
         doc = config.parse(packed.unpack(document.body))
--- a/dunlinpoint/suspects/sharing.py
+++ b/dunlinpoint/suspects/sharing.py
@@ -5,9 +5,10 @@
 An entry in a zone that is partitioned reports to its own zone's controls, which forward
 the reports to the entries of other zones once they are reachable.
 
-Nothing is stored on disk: an entry that starts gets the reports from the controls. If
-all controls that knew a report are killed at once, the request has to crash some
-endpoints again before it is convicted.
+Nothing is stored on disk: an entry that starts gets the reports from the controls, and
+a control that starts gets them from the entries. If all processes that knew a report
+are killed at once, the request has to crash some endpoints again before it is
+convicted.
 """
 
 import attrs
--- a/tests/integration/test_suspects.py
+++ b/tests/integration/test_suspects.py
@@ -25,6 +25,8 @@
 ENTRIES = 2
 RESTART_DELAY_S = 1.0
 HEARTBEAT_INTERVAL_S = 0.3
+# More than entries take to poll a control that has started again.
+REPUBLISH_S = 2.0
 # Events of a whole stream.
 EVENTS = 3
 # Body of the request that crashes endpoints, sent on a new connection each time.
@@ -134,6 +136,19 @@
             lambda: platform_lab.ask(ready, "GET", "/api/readyz")[0] == 200,
         )
 
+    def restart_control(self):
+        """Kill the control and start it again on its disk."""
+        self.control.kill()
+        self.control.wait(10)
+        self.control = start_control(self.folder, self.common)
+        wait_for(lambda: deploy.listening(self.admin_port))
+
+    def restart_entry(self, index):
+        """Kill entry number *index* and start it again."""
+        self.entries[index].kill()
+        self.entries[index].wait(10)
+        self.start_entry(index)
+
     def ask(self, entry, attempt, body, prefix="/often/", key="key-1"):
         headers = {
             platform_lab.ATTEMPT: attempt,
@@ -184,7 +199,8 @@
                 try:
                     self.admin(path, endpoint.heartbeat_body())
                 except OSError:
-                    return
+                    # The control is being restarted, or the test is over.
+                    continue
 
     def is_any_down(self):
         """Whether an endpoint has crashed and not restarted yet."""
@@ -204,20 +220,24 @@
             endpoint.popen.wait(10)
 
 
+def start_control(folder, common, **settings):
+    return platform_lab.start(
+        folder,
+        "control",
+        ip="127.0.0.1",
+        listen=common["seeds"],
+        data=folder / "control",
+        **settings,
+        **common,
+    )
+
+
 @pytest.fixture
 def lab(tmp_path):
     admin_port, inner = deploy.free_port(), deploy.free_port()
     seeds = f"127.0.0.1:{admin_port}"
     common = {"zone": "z1", "seeds": seeds, "inner_ports": inner, "revoke_ms": 5000}
-    control = platform_lab.start(
-        tmp_path,
-        "control",
-        ip="127.0.0.1",
-        listen=seeds,
-        data=tmp_path / "control",
-        bootstrap="true",
-        **common,
-    )
+    control = start_control(tmp_path, common, bootstrap="true")
     endpoints = [Endpoint(f"i-{n}", deploy.free_port()) for n in range(ENDPOINTS)]
     found = Lab(tmp_path, admin_port, common, control, endpoints)
     for endpoint in endpoints:
@@ -269,14 +289,28 @@
     for number in range(3):
         send_crashing_request(lab, 0, number)
     assert lab.crash_count() == 3
-    lab.entries[1].kill()
-    lab.entries[1].wait(10)
-    lab.start_entry(1)
+    lab.restart_entry(1)
     wait_for(lambda: lab.ask(1, "warm", b"{}")[0] == 200)
     assert send_crashing_request(lab, 1, 3) == (503, b"convicted")
     assert lab.crash_count() == 3
 
 
+def test_an_entry_receives_convictions_after_all_controls_and_it_have_started_again(
+    lab,
+):
+    # Guards against a request that crashes three more endpoints because the controls
+    # have been killed since its conviction, and an entry starts that asks them.
+    for number in range(3):
+        send_crashing_request(lab, 0, number)
+    lab.restart_control()
+    wait_for(lambda: lab.ask(1, "warm-control", b"{}")[0] == 200)
+    time.sleep(REPUBLISH_S)
+    lab.restart_entry(1)
+    wait_for(lambda: lab.ask(1, "warm-entry", b"{}")[0] == 200)
+    assert send_crashing_request(lab, 1, 3) == (503, b"convicted")
+    assert lab.crash_count() == 3
+
+
 def test_another_caller_is_not_refused_for_the_same_request(lab):
     # Guards against a caller that gets the requests of others refused by sending the
     # same request.
