Entries divide a named limit by the demand that each has, not by their number only

Seen in a load of ours: with nine in ten callers at one of several entries, an endpoint's named limit left most of them unserved while most of the limit was unused.

Cause: an entry's share of the limit was the same whoever had the callers.

Change: entries send the number of requests of the last two seconds with their polls; a control answers with each one's part of all. A third of a limit is divided by number as before, two thirds by demand; without an answer of the last 3 s all of it by number. Only endpoints that name a limit are concerned; entries and controls of earlier builds do without.

Not changed: slots for callers past their target after an outage, bounds of cold endpoints, and the ring of endpoints still go by the number of entries.

--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -162,7 +162,9 @@
     found = []
     for link in links(reactor, controls):
         try:
-            view = yield link.call("view", "", 0, -1, 0, bodies, "", 0, False, None)
+            view = yield link.call(
+                "view", "", 0, -1, 0, bodies, "", 0, False, None, None
+            )
         except errors.WireError as exc:
             view = exc
         found.append((link.address, view))
--- a/dunlinpoint/control/followers.py
+++ b/dunlinpoint/control/followers.py
@@ -1,9 +1,12 @@
-"""The entries that poll this control instance, and their positions.
+"""The entries that poll this control instance, their positions and their demand.
 
 An entry's position determines where it starts in the list of endpoints, so that
 entries with the same view do not all choose the same endpoint. All controls order
 the entries by name, so their positions mostly agree; while they do not, two
 entries may start at the same endpoint, which only makes the load less even.
+
+Each entry sends its demand with its polls and gets its part of the demand of all, by
+which entries divide what endpoints take from all of them together.
 """
 
 import collections
@@ -39,6 +42,7 @@
     """
 
     polled_ms_by_entry: dict = attrs.field(factory=dict)
+    demand_by_entry: collections.Counter = attrs.field(factory=collections.Counter)
     position_by_entry: dict = attrs.field(factory=dict)
     pruned_ms: int = 0
 
@@ -53,6 +57,11 @@
             self._assign_positions()
         return self.position_by_entry[zone, name]
 
+    def demand_share(self, zone, name):
+        """The part (0 to 1) of all demand at entry *name* of *zone*, or ``None``."""
+        total = self.demand_by_entry.total()
+        return self.demand_by_entry[zone, name] / total if total else None
+
     def _prune(self, now):
         """Drop entries that have not polled for ``ENTRY_TIMEOUT_MS``."""
         self.pruned_ms = now
@@ -63,6 +72,7 @@
         ]
         for entry in silent:
             del self.polled_ms_by_entry[entry]
+            self.demand_by_entry.pop(entry, None)
         if silent:
             self.position_by_entry = {}
 
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -184,16 +184,21 @@
         reports_known=None,
         changes_only=False,
         version=None,
+        demand=None,
     ):
         """This instance's ``View`` for a follower at *revision* and round *number*.
 
         It contains the crash reports after *reports_known* unless that is ``None``,
         and with *changes_only* only the members that changed since *revision*. A
         newer document has its text only with *bodies*, and if the follower does not
-        have that of the same *version*.
+        have that of the same *version*. *demand* is that of an entry.
         """
         now = self.clock.now()
         position = self.followers.position_of(zone, follower, now)
+        demand_share = None
+        if follower and demand is not None:
+            self.followers.demand_by_entry[zone, follower] = demand
+            demand_share = self.followers.demand_share(zone, follower)
         local = self.peers.local
         unchanged = revision == self.membership.revision
         changes = None
@@ -230,6 +235,7 @@
             places=position.zone_entries,
             entry=position.entry_index,
             entries=position.entry_count,
+            demand_share=demand_share,
         )
 
     def known_controls(self):
@@ -276,6 +282,7 @@
         reports_known=None,
         changes_only=False,
         version=None,
+        demand=None,
     ):
         state = self.state
         query = (
@@ -287,6 +294,7 @@
             reports_known,
             changes_only,
             version,
+            demand,
         )
         reply = state.make_view(*query)
         has_changes = not reply.unchanged or reply.document is not None or reply.reports
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -59,6 +59,8 @@
 # The number of entries is reduced only after no control has reported as many for
 # this time: controls drop an entry 4 s after its last poll.
 ENTRY_COUNT_HOLD_MS = 5000
+# Several polls: how long the part of the demand holds that a control has told.
+MAX_DEMAND_AGE_MS = 3000
 
 
 @attrs.define
@@ -85,7 +87,8 @@
     ``Member`` messages and the time of their receipt, those in ``on_restored`` with a
     ``frozenset`` of the zones whose evacuation has ended, those in ``on_change``
     without arguments after each answer of a control. Times (``_ms``) are of this
-    process's clock. ``evacuations`` are the records of round ``evacuations_round``
+    process's clock. ``read_demand()`` returns an entry's demand, for the controls.
+    ``evacuations`` are the records of round ``evacuations_round``
     (``None``: of no round yet).
     """
 
@@ -117,6 +120,9 @@
     entry_index: int = 0
     entry_count: int = 1
     entry_count_ms: int = 0
+    read_demand: object = None
+    demand_share: float | None = None
+    demand_share_ms: int = 0
     generation: int = 0
     last_expiry_ms: int = 0
     live_by_kind: dict = attrs.field(factory=dict)
@@ -204,6 +210,13 @@
         ):
             self.entry_index, self.entry_count = reply.entry, reply.entries
             self.entry_count_ms = now
+            if reply.demand_share is not None:
+                self.demand_share, self.demand_share_ms = reply.demand_share, now
+
+    def current_demand_share(self):
+        """This entry's part (0 to 1) of the demand of all, or ``None`` if unknown."""
+        is_current = self.clock.now() - self.demand_share_ms <= MAX_DEMAND_AGE_MS
+        return self.demand_share if is_current else None
 
     def wants_body(self):
         """Whether to fetch the body of a newer document now.
@@ -376,6 +389,7 @@
                 followed.reports_revision if self.wants_reports else None,
                 True,
                 self.document.version,
+                None if self.read_demand is None else self.read_demand(),
                 timeout_ms=self.wait_ms + controls.CONTROL_TIMEOUT_MS,
             )
         except errors.WireError:
--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -105,6 +105,7 @@
         shed(forwarder, request)
         return
     arrived_ms = forwarder.clock.now()
+    forwarder.demand.record(arrived_ms)
     disconnected = []
     request.notifyFinish().addErrback(disconnected.append)
     forwarder.in_flight += 1
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -17,6 +17,7 @@
 from dunlinpoint.routing import (
     backpressure,
     budget,
+    demand,
     endpoint_order,
     endpoint_signals,
     groups,
@@ -53,6 +54,7 @@
     read_signal: object = endpoint_signals.no_signal
     read_prompt_parts: object = no_prompt_parts
     budget: budget.Budget = attrs.field(factory=budget.Budget)
+    demand: demand.Demand = attrs.field(factory=demand.Demand)
     table: routes.Table = attrs.field(factory=routes.Table)
     limits: config.Limits = attrs.field(factory=config.Limits)
     rng: random.Random = attrs.field(factory=random.Random)
@@ -115,6 +117,7 @@
         entry_view.on_change.append(forwarder.handle_change)
         entry_view.on_members.append(forwarder.picker.cold.receive)
         entry_view.on_restored.append(forwarder.handle_restored)
+        entry_view.read_demand = lambda: forwarder.demand.count(ms_clock.now())
         entry_view.wants_reports = True
         entry_view.on_reports.append(forwarder.receive_reports)
         entry_view.on_reports_lost.append(forwarder.republish_reports)
@@ -191,7 +194,12 @@
         """Update the lists of members if the members have changed."""
         live = self.view.live("service")
         view = self.view
-        self.picker.signals.update(view.entry_index, view.entry_count, self.clock.now())
+        self.picker.signals.update(
+            view.entry_index,
+            view.entry_count,
+            self.clock.now(),
+            view.current_demand_share(),
+        )
         self.update_cold_position()
         order_key = view.generation, view.zone_index, view.zone_entries
         if view.evacuated_zones:
--- a/dunlinpoint/routing/endpoint_signals.py
+++ b/dunlinpoint/routing/endpoint_signals.py
@@ -22,6 +22,8 @@
 # How long signals are kept after the last response of an endpoint that is no longer a
 # member: a network partition may remove it from the list and bring it back.
 RETENTION_MS = 120_000
+# Smaller changes of an entry's part of the demand change nothing.
+DEMAND_SHARE_DIGITS = 2
 
 
 @attrs.frozen
@@ -72,19 +74,25 @@
 class Signals:
     """The signals in force, by the incarnation of those endpoints that sent any.
 
-    ``index`` is the index (from 0) of this entry among the ``entry_count`` entries.
+    ``index`` is the index (from 0) of this entry among the ``entry_count`` entries,
+    ``demand_share`` its part (0 to 1) of their demand, if known.
     """
 
     index: int = 0
     entry_count: int = 1
+    demand_share: float | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     state_by_incarnation: dict = attrs.field(factory=dict)
 
-    def update(self, index, entry_count, now):
-        """Set the index of this entry and the number of entries."""
-        if (index, entry_count) == (self.index, self.entry_count) or entry_count < 1:
+    def update(self, index, entry_count, now, demand_share=None):
+        """Set this entry's index, the number of entries and its part of the demand."""
+        if demand_share is not None:
+            demand_share = round(demand_share, DEMAND_SHARE_DIGITS)
+        known = self.index, self.entry_count, self.demand_share
+        if (index, entry_count, demand_share) == known or entry_count < 1:
             return
         self.index, self.entry_count = index, entry_count
+        self.demand_share = demand_share
         for incarnation, state in self.state_by_incarnation.items():
             if state.limiter is not None:
                 state.limiter.set_share(
@@ -140,7 +148,9 @@
         )
 
     def _share(self, per_s, incarnation):
-        return rate.Share.of(per_s, incarnation, self.index, self.entry_count)
+        return rate.Share.of(
+            per_s, incarnation, self.index, self.entry_count, self.demand_share
+        )
 
     def available_ms(self, incarnation, now):
         """When (ms) the endpoint may get the next request; infinite if never."""
--- a/dunlinpoint/routing/rate.py
+++ b/dunlinpoint/routing/rate.py
@@ -1,7 +1,8 @@
 """An entry's share of an endpoint's rate limit, which holds for all entries together.
 
 No entry sees what the others send. They divide the rate by what each of them knows: the
-number of entries, its own index among them, and the rate. A low rate is assigned to a
+number of entries, its own index among them, its part of the demand of all, and the
+rate. A low rate is assigned to a
 few entries, selected by a hash of the endpoint's incarnation key, and each of these
 spaces out its requests. Divided among all, thirty entries with one unused request each
 could send all of them in the same second.
@@ -28,6 +29,9 @@
 PROBE_FRACTION = 0.2
 # How long one of these may send its request once it is due.
 DUE_WINDOW_MS = 1000
+# The fraction of the rate that is divided by the number of entries where their demand
+# is known: what an entry may send before controls know that callers have come to it.
+BY_NUMBER_FRACTION = 1 / 3
 # Minimum rate (requests a second): an endpoint that gets no request can't lift its
 # limit.
 MIN_PER_S = 0.1
@@ -50,9 +54,23 @@
     due_window_ms: float = math.inf
 
     @classmethod
-    def of(cls, per_s, incarnation, index, entry_count):
-        """The share of *per_s* for the entry with *index* (from 0) of *entry_count*."""
+    def of(cls, per_s, incarnation, index, entry_count, demand_share=None):
+        """The share of *per_s* for the entry with *index* (from 0) of *entry_count*.
+
+        *demand_share* is its part (0 to 1) of the demand of all entries, if known.
+        """
         per_s = max(per_s, MIN_PER_S)
+        share = cls._by_number(per_s, incarnation, index, entry_count)
+        if demand_share is None:
+            return share
+        own_per_s = (
+            BY_NUMBER_FRACTION * clock.MS_PER_SECOND / share.interval_ms
+            + (1 - BY_NUMBER_FRACTION) * demand_share * per_s
+        )
+        return cls(clock.MS_PER_SECOND / own_per_s, share.due_window_ms)
+
+    @classmethod
+    def _by_number(cls, per_s, incarnation, index, entry_count):
         users = min(entry_count, BURST_REQUESTS + int(BURST_S * per_s))
         others = entry_count - users
         if (index + zlib.crc32(incarnation.encode())) % entry_count < users:
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -288,6 +288,9 @@
   // The follower's index, from 0, and the number of following entries in all zones.
   16: i32 entry,
   17: i32 entries,
+  // The follower's part, 0 to 1, of the demand of all following entries; absent if there
+  // is none.
+  18: double demand_share,
 }
 
 struct ApplyResult {
@@ -315,8 +318,9 @@
   // follower is the id of an entry that requests its index among the entries.
   // reports_known is the last reports_revision that it received; absent, no reports are
   // returned. version is that of the document whose body the asker has: a decision with
-  // the same version is returned without its body.
-  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known, 8: bool changes_only, 9: i64 version),
+  // the same version is returned without its body. demand is the number of requests that
+  // arrived at the entry within the last two seconds.
+  View view(1: string zone, 2: i64 revision, 3: i64 round, 4: i32 wait_ms, 5: bool bodies, 6: string follower, 7: i64 reports_known, 8: bool changes_only, 9: i64 version, 10: i32 demand),
   // Publishes an entry's observations of requests that endpoints crashed under.
   void report(1: list<CrashReport> reports),
   ApplyResult apply(1: i64 expected_version, 2: string change_id, 3: string body_json) throws (1: Refused refused),
--- a/dunlinpoint/wire/gen/dunlin/Control.py
+++ b/dunlinpoint/wire/gen/dunlin/Control.py
@@ -30,7 +30,7 @@
         """
         pass
 
-    def view(zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version):
+    def view(zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version, demand):
         """
         Parameters:
          - zone
@@ -42,6 +42,7 @@
          - reports_known
          - changes_only
          - version
+         - demand
 
         """
         pass
@@ -172,7 +173,7 @@
             return d.errback(result.refused)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "heartbeat failed: unknown result"))
 
-    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version):
+    def view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version, demand):
         """
         Parameters:
          - zone
@@ -184,12 +185,13 @@
          - reports_known
          - changes_only
          - version
+         - demand
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version)
+        d = defer.maybeDeferred(self.send_view, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version, demand)
         d.addCallbacks(
             callback=self.cb_send_view,
             callbackArgs=(seqid,),
@@ -205,7 +207,7 @@
         d.errback(f)
         return d
 
-    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version):
+    def send_view(self, zone, revision, round, wait_ms, bodies, follower, reports_known, changes_only, version, demand):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('view', TMessageType.CALL, self._seqid)
         args = view_args()
@@ -218,6 +220,7 @@
         args.reports_known = reports_known
         args.changes_only = changes_only
         args.version = version
+        args.demand = demand
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -671,7 +674,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = view_result()
-        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known, args.changes_only, args.version)
+        d = defer.maybeDeferred(self._handler.view, args.zone, args.revision, args.round, args.wait_ms, args.bodies, args.follower, args.reports_known, args.changes_only, args.version, args.demand)
         d.addCallback(self.write_results_success_view, result, seqid, oprot)
         d.addErrback(self.write_results_exception_view, result, seqid, oprot)
         return d
@@ -1108,11 +1111,12 @@
      - reports_known
      - changes_only
      - version
+     - demand
 
     """
 
 
-    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None, changes_only=None, version=None,):
+    def __init__(self, zone=None, revision=None, round=None, wait_ms=None, bodies=None, follower=None, reports_known=None, changes_only=None, version=None, demand=None,):
         self.zone = zone
         self.revision = revision
         self.round = round
@@ -1122,6 +1126,7 @@
         self.reports_known = reports_known
         self.changes_only = changes_only
         self.version = version
+        self.demand = demand
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1177,6 +1182,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I32:
+                    self.demand = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1223,6 +1233,10 @@
             oprot.writeFieldBegin('version', TType.I64, 9)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.I32, 10)
+            oprot.writeI32(self.demand)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1251,6 +1265,7 @@
     (7, TType.I64, 'reports_known', None, None, ),  # 7
     (8, TType.BOOL, 'changes_only', None, None, ),  # 8
     (9, TType.I64, 'version', None, None, ),  # 9
+    (10, TType.I32, 'demand', None, None, ),  # 10
 )
 
 
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -2273,11 +2273,12 @@
      - dropped
      - entry
      - entries
+     - demand_share
 
     """
 
 
-    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None, partial=None, dropped=None, entry=None, entries=None,):
+    def __init__(self, members=None, document=None, control_id=None, revision=None, unchanged=None, settled=None, lease_ms=None, zone=None, node_id=None, place=None, places=None, reports=None, reports_revision=None, partial=None, dropped=None, entry=None, entries=None, demand_share=None,):
         self.members = members
         self.document = document
         self.control_id = control_id
@@ -2295,6 +2296,7 @@
         self.dropped = dropped
         self.entry = entry
         self.entries = entries
+        self.demand_share = demand_share
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2408,6 +2410,11 @@
                     self.entries = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.DOUBLE:
+                    self.demand_share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2495,6 +2502,10 @@
             oprot.writeFieldBegin('entries', TType.I32, 17)
             oprot.writeI32(self.entries)
             oprot.writeFieldEnd()
+        if self.demand_share is not None:
+            oprot.writeFieldBegin('demand_share', TType.DOUBLE, 18)
+            oprot.writeDouble(self.demand_share)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2905,6 +2916,7 @@
     (15, TType.LIST, 'dropped', (TType.STRING, 'UTF8', False), None, ),  # 15
     (16, TType.I32, 'entry', None, None, ),  # 16
     (17, TType.I32, 'entries', None, None, ),  # 17
+    (18, TType.DOUBLE, 'demand_share', None, None, ),  # 18
 )
 all_structs.append(ApplyResult)
 ApplyResult.thrift_spec = (
