--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -13,11 +13,10 @@
 again once it may have run, and at most one execution of it runs at a time at this
 entry. A request under which three have crashed is convicted and refused at once. It
 has not run, so the status is 503; a 4xx would blame the caller for a fault of the
-endpoints.
-``Retry-After`` is the time until the conviction expires.
+endpoints. ``Retry-After`` is the time until the conviction expires.
 
-An endpoint crashes when it begins to answer, so the first event of a stream clears what
-the request consists of.
+An endpoint crashes when it begins to answer, so the first event of a stream clears
+what the request consists of.
 """
 
 import attrs
