The soak's streams end with their connection one time in five; its proxy keeps their order

Cause: no soak ended a stream by its connection. Traced: the entry had got 7 of 8 events; the soak's proxy closed its connection to the entry at once when the back end closed its own, and dropped the chunks that it was delaying, which TCP never does. Nothing of the product was at fault.

Change: one stream in five, chosen by request, has neither length nor chunks; the proxy passes on the end of a connection after what was sent before, and a reset as a reset.

--- a/dunlinpoint/faults/proxy.py
+++ b/dunlinpoint/faults/proxy.py
@@ -29,7 +29,7 @@
 
 import attrs
 from klein import Klein
-from twisted.internet import endpoints, protocol
+from twisted.internet import endpoints, error, protocol
 
 from dunlinpoint import clock
 
@@ -67,13 +67,17 @@
 
 @attrs.define(eq=False)
 class Pipe:
-    """One direction of one proxied connection, with its held and delayed chunks."""
+    """One direction of one proxied connection, with its held and delayed chunks.
+
+    ``has_ended`` tells that its sender has closed the connection.
+    """
 
     direction: str
     receiver: object = None
     held: list = attrs.field(factory=list)
     delayed: collections.deque = attrs.field(factory=collections.deque)
     release_ms: int = 0
+    has_ended: bool = False
 
 
 @attrs.define
@@ -99,6 +103,7 @@
                     held, pipe.held = pipe.held, []
                     for data in held:
                         self.send(pipe, data)
+                    self.close_if_ended(pipe)
 
     def forward(self, pipe, data):
         """Apply the current fault to *data* going through *pipe*."""
@@ -129,6 +134,26 @@
     def release(self, pipe):
         """Send the oldest delayed chunk."""
         self.send(pipe, pipe.delayed.popleft())
+        self.close_if_ended(pipe)
+
+    def end(self, pipe, reason):
+        """Pass on that the sender of *pipe* has closed or reset its connection.
+
+        The end of a connection does not overtake what was sent before: an answer that
+        ends with its connection would look whole without its last bytes.
+        """
+        if reason.check(error.ConnectionDone):
+            pipe.has_ended = True
+            self.close_if_ended(pipe)
+        elif pipe.receiver is not None and pipe.receiver.transport is not None:
+            pipe.receiver.transport.abortConnection()
+
+    def close_if_ended(self, pipe):
+        """Close the connection to the receiver once all of *pipe* has been sent."""
+        if not pipe.has_ended or pipe.held or pipe.delayed:
+            return
+        if pipe.receiver is not None and pipe.receiver.transport is not None:
+            pipe.receiver.transport.loseConnection()
 
     def send(self, pipe, data):
         if pipe.receiver is not None and pipe.receiver.transport is not None:
@@ -146,8 +171,7 @@
         self.inbound.proxy.forward(self.inbound.down, data)
 
     def connectionLost(self, reason):
-        if self.inbound.transport is not None:
-            self.inbound.transport.loseConnection()
+        self.inbound.proxy.end(self.inbound.down, reason)
 
 
 class Inbound(protocol.Protocol):
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -10,6 +10,7 @@
 import socket
 import threading
 import time
+import zlib
 
 import attrs
 
@@ -28,6 +29,9 @@
 LARGE_STREAM_PREFIX = "/large/"
 LARGE_EVENT_PADDING = b"x" * 128 * 1024
 UNREAD_TIMEOUT_S = 1.0
+# The share of streams that have neither a length nor chunks and end with their
+# connection, chosen by request.
+WITHOUT_LENGTH_PERCENT = 20
 # How a backend responds to a request, with weights in percent.
 RESPONSE_MODE_WEIGHTS = {
     "serve": 88,
@@ -132,6 +136,7 @@
 
     protocol_version = "HTTP/1.1"
     signal = None
+    is_chunked = True
 
     def log_message(self, *args):
         pass
@@ -210,13 +215,16 @@
         self.end_headers()
         self.wfile.write(data[:sent])
 
-    def begin_stream(self, request_id):
-        """Send the head of a stream."""
+    def begin_stream(self, request_id, is_chunked=True):
+        """Send the head of a stream, of chunks or ended by its connection."""
         self.send_status(200)
         self.send_header(ATTEMPT_ID_HEADER, request_id)
         self.send_header(SIGNATURE_HEADER, self.server.backend.server_id)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        self.is_chunked = is_chunked
+        self.close_connection = not is_chunked
+        if is_chunked:
+            self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
 
     def send_large_stream(self, execution, last):
@@ -234,7 +242,8 @@
 
     def send_stream(self, request_id, last, truncated):
         """Send the events after *last*; if *truncated*, stop within the third one."""
-        self.begin_stream(request_id)
+        draw = zlib.crc32(request_id.encode()) % 100
+        self.begin_stream(request_id, draw >= WITHOUT_LENGTH_PERCENT)
         for number in range(last + 1, EVENT_COUNT + 1):
             time.sleep(EVENT_INTERVAL_S)
             data = event(request_id, number)
@@ -247,4 +256,7 @@
 
     def send_chunk(self, data):
         """Send one chunk of the body; an empty one ends it."""
+        if not self.is_chunked:
+            self.wfile.write(data)
+            return
         self.wfile.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
