--- a/dunlinpoint/suspects/cause.py
+++ b/dunlinpoint/suspects/cause.py
@@ -47,7 +47,12 @@
 
 
 def judge(known, digests, now):
-    """The ``Verdict`` on a request with *digests* by the ``Registry`` *known*."""
+    """The ``Verdict`` on a request with *digests* by the ``Registry`` *known*.
+
+    A suspect runs alone if it is one as a whole, if it has some of the possible causes
+    of a conviction, or if nothing but what is proven may be the cause. Otherwise it is
+    only not sent again.
+    """
     digests = frozenset(digests)
     isolated, is_suspected = set(), False
     for digest in digests:
