--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -343,7 +343,7 @@
     - ``group``: the rank group at which the stream is counted.
     - ``admission_draw``: random number (0 to 1) compared with the admitted share.
     - ``digest``: that of the request as a whole, once it is needed.
-    - ``shared_subject_by_digest``: the digests that it shares with others, see there.
+    - ``shared_subject_by_digest``: the digests that it shares with other requests.
     - ``isolated``: the digests of which it runs as the only execution.
     - ``turn_limit_ms``: until when it waits for another execution of a suspect.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
--- a/dunlinpoint/routing/rate.py
+++ b/dunlinpoint/routing/rate.py
@@ -2,10 +2,10 @@
 
 No entry sees what the others send. They divide the rate by what each of them knows: the
 number of entries, its own index among them, its part of the demand of all, and the
-rate. A low rate is assigned to a
-few entries, selected by a hash of the endpoint's incarnation key, and each of these
-spaces out its requests. Divided among all, thirty entries with one unused request each
-could send all of them in the same second.
+rate. A low rate is assigned to a few entries, selected by a hash of the endpoint's
+incarnation key, and each of these spaces out its requests. Divided among all, thirty
+entries with one unused request each could send all of them in the same second. So much
+of a rate as is divided by demand goes to the entries that have the callers.
 
 The other entries send a request now and then, or they would not learn that the limit
 has ended. They do not accumulate the requests that they do not use.
--- a/dunlinpoint/routing/tests/test_one_entry.py
+++ b/dunlinpoint/routing/tests/test_one_entry.py
@@ -16,7 +16,6 @@
 
 ENDPOINTS = [f"i-{n}" for n in range(4)]
 LIMIT_PER_S = 10.0
-LIMIT = endpoint_signals.Signal(LIMIT_PER_S)
 REQUESTS_PER_S = 20
 # The share of requests that come to one entry, and from when on.
 SHARE_AT_ONE = 0.9
@@ -35,8 +34,8 @@
 class Entry:
     """One entry: its signals and its demand, of which a control is told late."""
 
-    def __init__(self, index, count, rng):
-        self.index, self.count = index, count
+    def __init__(self, index, count, signal, rng):
+        self.index, self.count, self.signal = index, count, signal
         self.signals = endpoint_signals.Signals(
             index=index, entry_count=count, rng=random.Random(rng.random())
         )
@@ -60,22 +59,23 @@
         if sent_ms > now + WAIT_MS:
             return False
         self.signals.sent(endpoint, sent_ms)
-        self.signals.apply(endpoint, LIMIT, sent_ms, sent_ms)
+        self.signals.apply(endpoint, self.signal, sent_ms, sent_ms)
         sent_ms_by_endpoint[endpoint].append(sent_ms)
         return True
 
 
-def play(count, seed):
+def play(count, seed, limit_per_s=LIMIT_PER_S):
     """The share served of requests spread over *count* entries, and of the later ones.
 
-    The later ones come mostly to one entry, and count from ``SETTLE_MS`` on. Also
+    Each endpoint names *limit_per_s*. The later ones come mostly to one entry, and count from ``SETTLE_MS`` on. Also
     returns the most requests that any endpoint got in a window.
     """
     rng, control = random.Random(seed), followers.Followers()
-    entries = [Entry(index, count, rng) for index in range(count)]
+    signal = endpoint_signals.Signal(limit_per_s)
+    entries = [Entry(index, count, signal, rng) for index in range(count)]
     for entry in entries:
         for endpoint in ENDPOINTS:
-            entry.signals.apply(endpoint, LIMIT, 0, 0)
+            entry.signals.apply(endpoint, signal, 0, 0)
     busy = rng.choice(entries)
     spread, at_one, sent = [], [], collections.defaultdict(list)
     for now in range(0, SPREAD_MS + ONE_ENTRY_MS + SPREAD_MS, STEP_MS):
@@ -107,9 +107,13 @@
         assert at_one >= MIN_RATIO * spread, seed
 
 
-@pytest.mark.parametrize("count", [6, 30])
-def test_a_named_limit_holds_while_callers_move_to_one_entry_and_back(count):
+@pytest.mark.parametrize("limit_per_s", [0.3, 1.0, 2.5, LIMIT_PER_S])
+@pytest.mark.parametrize("count", [6, 30, 99])
+def test_a_named_limit_holds_while_callers_move_to_one_entry_and_back(
+    count, limit_per_s
+):
     # Guards against entries that exceed a limit together, as each of them still has the
     # part of those callers that have moved to another.
     for seed in range(1, 7):
-        assert play(count, seed)[2] <= LIMIT_PER_S * WINDOW_MS / 1000 + ALLOWANCE
+        most = play(count, seed, limit_per_s)[2]
+        assert most <= limit_per_s * WINDOW_MS / 1000 + ALLOWANCE, seed
