--- a/dunlinpoint/routing/tests/test_one_entry.py
+++ b/dunlinpoint/routing/tests/test_one_entry.py
@@ -67,8 +67,9 @@
 def play(count, seed, limit_per_s=LIMIT_PER_S):
     """The share served of requests spread over *count* entries, and of the later ones.
 
-    Each endpoint names *limit_per_s*. The later ones come mostly to one entry, and count from ``SETTLE_MS`` on. Also
-    returns the most requests that any endpoint got in a window.
+    Each endpoint names *limit_per_s*. The later ones come mostly to one entry, and
+    count from ``SETTLE_MS`` on. Also returns the most requests that any endpoint got in
+    a window.
     """
     rng, control = random.Random(seed), followers.Followers()
     signal = endpoint_signals.Signal(limit_per_s)
