Controls catch up with each other again

A control with an empty disk did not vote within 15 s.

Cause: the generated client of view takes one more argument since entries send their demand, and the catch-up of controls called it without; the call failed each time.

Change: the call passes the argument. test_control_faults: 2 of 3 fail before, 3 pass now (33 s).

--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -381,6 +381,7 @@
             None,
             False,
             None,
+            None,
         )
         for address in addresses
     ]
