--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -4,9 +4,12 @@
 that are meant for it and records each run. Servers of this module never fail.
 """
 
+import http.client
 import http.server
 import itertools
 import json
+import socket
+import struct
 import threading
 import time
 
@@ -14,6 +17,16 @@
 
 HEARTBEAT_S = 1.2
 WORK_S = 0.015
+STREAM_PREFIX = "/draft/"
+EVENTS = 8
+EVENT_S = 0.01
+# A server that breaks off a stream does so this long after its last event.
+BREAK_OFF_S = 0.05
+
+
+def event_of(attempt, number):
+    """The bytes of one event of a stream; they name the request and the position."""
+    return f"id: {number}\ndata: piece {number} of {attempt}\n\n".encode()
 
 
 class QuietServer(http.server.ThreadingHTTPServer):
@@ -31,8 +44,12 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, deployed, service, number, zone):
+    def __init__(self, deployed, service, number, zone, faults=None):
+        """*faults* draws what is wrong with an answer: it has ``breaks_off()`` and
+        ``fails()``. Without it, nothing is.
+        """
         self.deployed = deployed
+        self.faults = faults
         self.service, self.zone = service, zone
         self.server_id = f"i-{next(self.numbers):08x}"
         self.runs = []
@@ -136,10 +153,48 @@
         owner.deployed.record.write(
             f"{owner.server_id} runs {attempt}, tenant {tenant}, {self.path}"
         )
+        faults = owner.faults
+        if faults is not None and faults.fails():
+            owner.deployed.record.write(f"{owner.server_id} fails {attempt}")
+            signature = f"{owner.server_id}.{attempt}"
+            self.answer(404, b"no such draft", Server_Signature=signature)
+            return
+        if self.path.startswith(STREAM_PREFIX):
+            self.send_stream(attempt, int(self.headers.get("Last-Event-Id", 0)))
+            return
         time.sleep(WORK_S)
         body = f"answer to {attempt} ".encode() * 20
         self.answer(200, body, Server_Signature=f"{owner.server_id}.{attempt}")
 
+    def send_stream(self, attempt, last):
+        """Send the events after *last*, in chunks."""
+        owner = self.server.owner
+        breaks_off = owner.faults is not None and owner.faults.breaks_off()
+        self.send_response(200)
+        self.send_header("X-Dunlinpoint-Attempt-Id", attempt)
+        signature = f"{owner.server_id}.{attempt}"
+        self.send_header("X-Dunlinpoint-Server-Signature", signature)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for number in range(last + 1, EVENTS + 1):
+            time.sleep(EVENT_S)
+            if breaks_off and number == EVENTS // 2 + 1:
+                time.sleep(BREAK_OFF_S)
+                owner.deployed.record.write(f"{owner.server_id} breaks off {attempt}")
+                self.reset()
+                return
+            event = event_of(attempt, number)
+            self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        self.wfile.write(b"0\r\n\r\n")
+
+    def reset(self):
+        """Reset the connection."""
+        linger = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close_connection = True
+        self.connection.close()
+
 
 class Client:
     """Sends requests to entries, each with its own id."""
@@ -180,3 +235,29 @@
                 if time.monotonic() > until_s:
                     raise deployment.CannotRun("nothing is served")
                 time.sleep(0.3)
+
+    def stream(self, node, key):
+        """Ask for a stream; its id, the status and the body if it came whole.
+
+        The body is ``None`` if the connection ended before the last chunk.
+        """
+        attempt = f"{next(self.numbers):016x}"
+        host, port = node.host, self.deployed.front_port
+        connection = http.client.HTTPConnection(host, port, timeout=8)
+        headers = {
+            "Host": "desk.example",
+            "X-Dunlinpoint-Attempt-Id": attempt,
+            "X-Dunlinpoint-Deadline-Ms": "8000",
+            "Authorization": f"Bearer {key}",
+        }
+        status, body = None, None
+        try:
+            connection.request("POST", f"{STREAM_PREFIX}x", b"{}", headers)
+            answer = connection.getresponse()
+            status = answer.status
+            body = answer.read()
+        except (OSError, http.client.HTTPException):
+            body = None
+        finally:
+            connection.close()
+        return attempt, status, body
