--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -349,6 +349,8 @@
 
     *play* returns what broke a rule, or ``None``. Exit code 2: it could not run.
     """
+    # A run that is stopped from outside ends its processes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("with the disruption" if trouble else "without the disruption")
