--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -190,7 +190,32 @@
     ):
         # A retry could crash one more endpoint within the same attempt of the caller.
         return False
-    return call.attempts == 0 or forwarder.budget.spend(call.service)
+    return call.attempts == 0 or may_spend(forwarder, call, outcome)
+
+
+def may_spend(forwarder, call, outcome):
+    """Take a retry of *call* out of its service's budget; ``False`` if it has none."""
+    is_allowed = forwarder.budget.spend(call.service)
+    credit = round(forwarder.budget.credit_by_service.get(call.service, 0.0), 2)
+    forwarder.counters.set_level(f"retry_credit.{call.service}", credit)
+    if is_allowed:
+        forwarder.counters.incr(f"retry_allowed.{call.service}")
+        log.info("retry_allowed", **retry_fields(call, outcome, credit))
+    else:
+        forwarder.counters.incr(f"retry_denied.{call.service}")
+        log.warning("retry_denied", **retry_fields(call, outcome, credit))
+    return is_allowed
+
+
+def retry_fields(call, outcome, credit):
+    """Log fields of a decision about a retry after an attempt that ended so."""
+    return {
+        "request": responses.header_text(call.request_id),
+        "service": call.service,
+        "tries": call.attempts,
+        "outcome": outcome,
+        "credit": credit,
+    }
 
 
 def is_stalled(forwarder, call):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -104,6 +104,9 @@
         call.attempts += 1
         if call.attempts == 1:
             forwarder.budget.earn(call.service)
+            forwarder.counters.incr(f"sent.first.{call.service}")
+        else:
+            forwarder.counters.incr(f"sent.repeat.{call.service}")
         watchdog = watchdogs.start(forwarder, call, member, connection)
         outcome = yield exchange(forwarder, call, member, connection)
     except pool.NotSent:
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -50,6 +50,7 @@
     "longest_gap_ms": "longest gap between two events",
     "tries": "number of endpoints the request was sent to",
     "events": "number of events forwarded",
+    "credit": "retries that the service's budget still allows this entry",
     "digest": "identifies a request's content, the same for every retry",
     "parts": "ids of the parts of a request's prompt",
     "subject": "what a digest identifies, if not a whole request",
--- a/dunlinpoint/metrics.py
+++ b/dunlinpoint/metrics.py
@@ -37,10 +37,14 @@
 
 @attrs.define(eq=False)
 class Counters:
-    """Counters with local counts by name, sent to statsd, and histograms by name."""
+    """Counters with local counts by name, sent to statsd, and histograms by name.
+
+    ``level_by_name`` holds the current values of what rises and falls.
+    """
 
     client: statsd.StatsClient | None
     by_name: collections.Counter = attrs.field(factory=collections.Counter)
+    level_by_name: dict = attrs.field(factory=dict)
     sent_by_name: collections.Counter = attrs.field(factory=collections.Counter)
     registry: object = attrs.field(factory=prometheus_client.CollectorRegistry)
     histogram_by_name: dict = attrs.field(factory=dict)
@@ -63,6 +67,10 @@
         """Add *count* to counter *name*."""
         self.by_name[name] += count
 
+    def set_level(self, name, value):
+        """Set the level *name* to *value*."""
+        self.level_by_name[name] = value
+
     def refused(self, reason):
         """Count one refusal for *reason*."""
         self.incr(f"refused.{reason}")
@@ -88,7 +96,7 @@
         return dict(self.by_name)
 
     def collect(self):
-        """Yield the counters as a Prometheus metric family.
+        """Yield the counters and the levels as Prometheus metric families.
 
         Called by the registry (``prometheus_client`` collector protocol).
         """
@@ -98,6 +106,12 @@
         for name, count in self.by_name.items():
             family.add_metric([name], count)
         yield family
+        levels = core.GaugeMetricFamily(
+            "dunlinpoint_level", "Values that rise and fall", labels=["name"]
+        )
+        for name, value in self.level_by_name.items():
+            levels.add_metric([name], value)
+        yield levels
 
     def render(self):
         """Counters and histograms in the Prometheus text format (``bytes``)."""
--- a/dunlinpoint/tests/test_logs.py
+++ b/dunlinpoint/tests/test_logs.py
@@ -82,6 +82,8 @@
     counters = metrics.Counters(None)
     counters.refused("no_room")
     counters.observe_ms("first_event", 130)
+    counters.set_level("retry_credit.s", 7.5)
     text = counters.render().decode()
     assert 'dunlinpoint_events_total{name="refused.no_room"} 1.0' in text
     assert 'dunlinpoint_first_event_ms_bucket{le="200.0"} 1.0' in text
+    assert 'dunlinpoint_level{name="retry_credit.s"} 7.5' in text
