--- /dev/null
+++ b/dunlinpoint/routing/tests/test_budget.py
@@ -0,0 +1,120 @@
+"""The retries of all entries together, and those of a service with few requests."""
+
+import pytest
+
+from dunlinpoint.routing.tests import retry_load
+
+SEEDS = range(3)
+FAILING_MS = retry_load.TRAFFIC_MS + 4000
+DISRUPTED_MS = FAILING_MS + 5000
+# Some seconds after this time, all entries have known each other for a window.
+SETTLED_MS = retry_load.TRAFFIC_MS + 2000
+
+
+def all_fail(_service, now):
+    return float(now >= FAILING_MS)
+
+
+def half_fail(_service, now):
+    return 0.5 * (now >= FAILING_MS)
+
+
+def zone_cut(entry, control_zone, now):
+    """The first zone's entries and controls are cut off from all others."""
+    return now < DISRUPTED_MS or (entry.zone == "z0") == (control_zone == "z0")
+
+
+def each_zone_alone(entry, control_zone, now):
+    return now < DISRUPTED_MS - 8000 or entry.zone == control_zone
+
+
+def some_reach_no_control(entry, _control_zone, now):
+    is_cut = FAILING_MS <= now < DISRUPTED_MS + 12_000
+    return not (is_cut and hash_share(entry) < 0.3)
+
+
+def hash_share(entry):
+    return int(entry.name[1:]) * 37 % 100 / 100
+
+
+def callers_move(entry, now):
+    """All callers come to few entries, and to others every 3 s."""
+    return 1.0 if (int(entry.name[1:]) + now // 3000) % 5 == 0 else 0.01
+
+
+def demand_jumps(now):
+    return 1.7 if FAILING_MS <= now < DISRUPTED_MS else 1.0
+
+
+PLANS = {
+    "all_fail": retry_load.Plan(all_fail),
+    "half_start_again": retry_load.Plan(half_fail, ((DISRUPTED_MS, 0.55),)),
+    "half_start_again_and_more_are_added": retry_load.Plan(
+        all_fail, ((DISRUPTED_MS, 0.55),), added_ms=DISRUPTED_MS - 1000
+    ),
+    "many_start_again_in_series": retry_load.Plan(
+        all_fail, tuple((DISRUPTED_MS + 2500 * i, 0.5) for i in range(8))
+    ),
+    "more_are_added_in_a_zone_that_is_cut_off": retry_load.Plan(
+        all_fail,
+        ((DISRUPTED_MS + 1000, 0.3),),
+        added_ms=DISRUPTED_MS + 2000,
+        reaches=zone_cut,
+    ),
+    "no_zone_sees_another_one": retry_load.Plan(all_fail, reaches=each_zone_alone),
+    "some_reach_no_control_for_a_while": retry_load.Plan(
+        all_fail, reaches=some_reach_no_control
+    ),
+    "the_callers_move": retry_load.Plan(all_fail, weight=callers_move),
+    "demand_jumps_while_half_start_again": retry_load.Plan(
+        all_fail, ((DISRUPTED_MS, 0.55),), demand=demand_jumps
+    ),
+}
+
+
+@pytest.mark.parametrize("plan", PLANS)
+@pytest.mark.parametrize("site", ["6_entries", "42_entries", "99_entries"])
+def test_all_entries_together_keep_to_the_retry_budget(site, plan):
+    # Guards against retries that pass the deployment's budget because each entry has a
+    # part of its own that does not depend on how many there are, or gets it again with
+    # each start.
+    site = retry_load.SITES[site]
+    for seed in SEEDS:
+        played = retry_load.play(site, PLANS[plan], seed)
+        for service in site.per_s_by_service:
+            assert retry_load.highest_use(played, site, service) <= 1.0
+
+
+def test_hundreds_of_entries_keep_to_the_retry_budget():
+    # Guards against a part of each entry that is small, but too large for 570 of them.
+    site = retry_load.SITES["570_entries"]
+    plan = PLANS["half_start_again_and_more_are_added"]
+    played = retry_load.play(site, plan, 0)
+    for service in site.per_s_by_service:
+        assert retry_load.highest_use(played, site, service) <= 1.0
+
+
+def one_in_twenty_fails(_service, _now):
+    return 0.05
+
+
+def at_one_entry(entry, _now):
+    return 1.0 if entry.name == "e0" else 0.0
+
+
+FEW_FAILURES = {
+    "callers_at_all_entries": retry_load.Plan(one_in_twenty_fails),
+    "callers_at_one_entry": retry_load.Plan(one_in_twenty_fails, weight=at_one_entry),
+}
+
+
+@pytest.mark.parametrize("plan", FEW_FAILURES)
+@pytest.mark.parametrize("site", ["6_entries", "42_entries", "99_entries"])
+def test_few_failures_at_a_service_with_few_requests_are_retried(site, plan):
+    # Guards against a budget that keeps to its bound by refusing nearly all retries
+    # where each entry gets a request of the service every few seconds only.
+    site = retry_load.SITES[site]
+    plays = [retry_load.play(site, FEW_FAILURES[plan], seed) for seed in SEEDS]
+    failed = sum(played.failed["desk"] for played in plays)
+    retried = sum(played.retried["desk"] for played in plays)
+    assert retried >= 0.9 * failed
