--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -85,9 +85,11 @@
     ``on_reports`` with a list of crash reports, those in ``on_reports_lost`` without
     arguments when a control has lost its own, those in ``on_members`` with a list of
     ``Member`` messages and the time of their receipt, those in ``on_restored`` with a
-    ``frozenset`` of the zones whose evacuation has ended, those in ``on_change``
-    without arguments after each answer of a control. Times (``_ms``) are of this
-    process's clock. ``read_demand()`` returns an entry's demand, for the controls.
+    ``frozenset`` of the zones whose evacuation has ended, those in ``on_zone_entries``
+    with the number of entries that a control counts in this zone and the time at which
+    it was asked, those in ``on_change`` without arguments after each answer of a
+    control. Times (``_ms``) are of this process's clock. ``read_demand()`` returns an
+    entry's demand, for the controls.
     ``evacuations`` are the records of round ``evacuations_round``
     (``None``: of no round yet).
     """
@@ -106,6 +108,7 @@
     on_reports_lost: list = attrs.field(factory=list)
     on_members: list = attrs.field(factory=list)
     on_restored: list = attrs.field(factory=list)
+    on_zone_entries: list = attrs.field(factory=list)
     evacuations: tuple = ()
     evacuations_round: int | None = None
     evacuated_zones: frozenset = frozenset()
@@ -151,6 +154,9 @@
         if reply.places and (reply.zone == self.zone or self.zone_entries == 1):
             self.zone_index, self.zone_entries = reply.place, reply.places
         self._update_entry_position(reply, now)
+        if reply.places:
+            for callback in self.on_zone_entries:
+                callback(reply.places, requested_ms)
         if reply.unchanged:
             self._extend_leases(followed, now + reply.lease_ms)
         else:
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -37,6 +37,7 @@
 @defer.inlineCallbacks
 def run_attempts(forwarder, call):
     """Make the attempts of *call*; it is counted at a rank group meanwhile."""
+    outcome = None
     while not call.disconnected:
         if not (yield wait_while_stalled(forwarder, call)):
             return
@@ -80,6 +81,10 @@
             return
         if not may_send(forwarder, call):
             return
+        # It may have waited since its last attempt, while others used up the budget.
+        if call.attempts and not spend_retry(forwarder, call, outcome):
+            give_up(forwarder, call, outcome, available_retry_after_ms(forwarder, call))
+            return
         forwarder.outages.probe(member, now)
         call.tried.add(pick.incarnation_key(member))
         outcome = yield exchange.make_attempt(forwarder, call, member)
@@ -190,32 +195,39 @@
     ):
         # A retry could crash one more endpoint within the same attempt of the caller.
         return False
-    return call.attempts == 0 or may_spend(forwarder, call, outcome)
+    if call.attempts == 0:
+        return True
+    is_allowed = forwarder.budget.may_retry(call.service, forwarder.clock.now())
+    if not is_allowed:
+        record_retry(forwarder, call, outcome, is_allowed)
+    return is_allowed
 
 
-def may_spend(forwarder, call, outcome):
+def spend_retry(forwarder, call, outcome):
     """Take a retry of *call* out of its service's budget; ``False`` if it has none."""
-    is_allowed = forwarder.budget.spend(call.service)
-    credit = round(forwarder.budget.credit_by_service.get(call.service, 0.0), 2)
-    forwarder.counters.set_level(f"retry_credit.{call.service}", credit)
-    if is_allowed:
-        forwarder.counters.incr(f"retry_allowed.{call.service}")
-        log.info("retry_allowed", **retry_fields(call, outcome, credit))
-    else:
-        forwarder.counters.incr(f"retry_denied.{call.service}")
-        log.warning("retry_denied", **retry_fields(call, outcome, credit))
+    is_allowed = forwarder.budget.spend(call.service, forwarder.clock.now())
+    record_retry(forwarder, call, outcome, is_allowed)
     return is_allowed
 
 
-def retry_fields(call, outcome, credit):
-    """Log fields of a decision about a retry after an attempt that ended so."""
-    return {
-        "request": responses.header_text(call.request_id),
-        "service": call.service,
-        "tries": call.attempts,
-        "outcome": outcome,
-        "credit": credit,
-    }
+def record_retry(forwarder, call, outcome, is_allowed):
+    """Count and log a decision about a retry after an attempt with *outcome*."""
+    now = forwarder.clock.now()
+    credit = round(forwarder.budget.left(call.service, now), 2)
+    event = "retry_allowed" if is_allowed else "retry_denied"
+    forwarder.counters.set_level(f"retry_credit.{call.service}", credit)
+    forwarder.counters.incr(f"{event}.{call.service}")
+    write = log.info if is_allowed else log.warning
+    write(
+        event,
+        request=responses.header_text(call.request_id),
+        service=call.service,
+        tries=call.attempts,
+        outcome=outcome,
+        credit=credit,
+        slack_part=round(forwarder.budget.slack_part(now), 2),
+        entries=forwarder.budget.zone_entries.most(),
+    )
 
 
 def is_stalled(forwarder, call):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -103,7 +103,7 @@
             return NOT_RUN
         call.attempts += 1
         if call.attempts == 1:
-            forwarder.budget.earn(call.service)
+            forwarder.budget.first_attempt(call.service, forwarder.clock.now())
             forwarder.counters.incr(f"sent.first.{call.service}")
         else:
             forwarder.counters.incr(f"sent.repeat.{call.service}")
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -117,6 +117,11 @@
         entry_view.on_change.append(forwarder.handle_change)
         entry_view.on_members.append(forwarder.picker.cold.receive)
         entry_view.on_restored.append(forwarder.handle_restored)
+        entry_view.on_zone_entries.append(
+            lambda count, asked_ms: forwarder.budget.learn(
+                count, asked_ms, ms_clock.now()
+            )
+        )
         entry_view.read_demand = lambda: forwarder.demand.count(ms_clock.now())
         entry_view.wants_reports = True
         entry_view.on_reports.append(forwarder.receive_reports)
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -51,6 +51,7 @@
     "tries": "number of endpoints the request was sent to",
     "events": "number of events forwarded",
     "credit": "retries that the service's budget still allows this entry",
+    "slack_part": "this entry's part of the retries that need no first attempt",
     "digest": "identifies a request's content, the same for every retry",
     "parts": "ids of the parts of a request's prompt",
     "subject": "what a digest identifies, if not a whole request",
--- a/dunlinpoint/platform/commands.py
+++ b/dunlinpoint/platform/commands.py
@@ -33,6 +33,16 @@
     cold_tolerance: Annotated[
         str, flags.flag("DUNLIN_COLD_TOLERANCE", "requests above a cold rate, or 0", "")
     ]
+    zones: Annotated[str, flags.flag("DUNLIN_ZONES", "zones, a JSON object", "")]
+    retry_ratio: Annotated[
+        str, flags.flag("DUNLIN_RETRY_RATIO", "retries a request, or 0.2", "")
+    ]
+    retry_window_s: Annotated[
+        str, flags.flag("DUNLIN_RETRY_WINDOW_S", "window of the ratio, s, or 10", "")
+    ]
+    retry_slack: Annotated[
+        str, flags.flag("DUNLIN_RETRY_SLACK", "retries above it in a window", "")
+    ]
     memory_mb: Annotated[
         str, flags.flag("DUNLIN_MEMORY_MB", "memory in MB; empty: no bound", "")
     ]
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -16,7 +16,7 @@
     ready,
     settings,
 )
-from dunlinpoint.routing import cold
+from dunlinpoint.routing import budget, cold
 
 log = logs.logger("entry")
 
@@ -32,6 +32,9 @@
 KEY_LEASE_SHARE = 0.8
 MAX_COLD_OVERAGE = 100
 MAX_COLD_TOLERANCE = 100_000
+MAX_RETRY_RATIO = 100
+MAX_RETRY_WINDOW_S = 3600
+MAX_RETRY_SLACK = 1_000_000
 
 
 def deferred_function(coroutine):
@@ -49,6 +52,25 @@
     )
 
 
+def retry_bounds(command):
+    """The ``budget.Bounds`` of the settings in *command*."""
+    ratio = addresses.number(
+        command.retry_ratio, "retry-ratio", budget.DEFAULT_RATIO, MAX_RETRY_RATIO
+    )
+    default_s = budget.DEFAULT_WINDOW_MS / clock.MS_PER_SECOND
+    window_s = addresses.number(
+        command.retry_window_s, "retry-window-s", default_s, MAX_RETRY_WINDOW_S
+    )
+    window_ms = round(window_s * clock.MS_PER_SECOND)
+    if window_ms < 1:
+        raise checks.SettingError("retry-window-s: must be above 0")
+    slack = addresses.number(command.retry_slack, "retry-slack", None, MAX_RETRY_SLACK)
+    zones = len(addresses.zone_names(command.zones))
+    if slack is not None and not zones:
+        raise checks.SettingError("retry-slack: needs zones")
+    return budget.Bounds(ratio, window_ms, slack, max(1, zones))
+
+
 def run(command: commands.PlatformEntry):
     """Run an entry until it is stopped."""
     zone = checks.name(command.zone, "zone")
@@ -75,6 +97,7 @@
         prompt_parts.from_request,
     )
     forwarder.picker.cold.bounds = cold_bounds(command)
+    forwarder.budget.bounds = retry_bounds(command)
     entry_view.follow(reactor)
     settings.watch(
         reactor,
--- a/dunlinpoint/routing/tests/test_budget.py
+++ b/dunlinpoint/routing/tests/test_budget.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from dunlinpoint.routing import budget
 from dunlinpoint.routing.tests import retry_load
 
 SEEDS = range(3)
@@ -37,6 +38,10 @@
     return int(entry.name[1:]) * 37 % 100 / 100
 
 
+def none_reaches_a_control(_entry, _control_zone, now):
+    return not FAILING_MS <= now < DISRUPTED_MS + 6000
+
+
 def callers_move(entry, now):
     """All callers come to few entries, and to others every 3 s."""
     return 1.0 if (int(entry.name[1:]) + now // 3000) % 5 == 0 else 0.01
@@ -65,6 +70,9 @@
     "some_reach_no_control_for_a_while": retry_load.Plan(
         all_fail, reaches=some_reach_no_control
     ),
+    "none_reaches_a_control_for_a_while": retry_load.Plan(
+        all_fail, ((DISRUPTED_MS, 0.55),), reaches=none_reaches_a_control
+    ),
     "the_callers_move": retry_load.Plan(all_fail, weight=callers_move),
     "demand_jumps_while_half_start_again": retry_load.Plan(
         all_fail, ((DISRUPTED_MS, 0.55),), demand=demand_jumps
@@ -118,3 +126,57 @@
     failed = sum(played.failed["desk"] for played in plays)
     retried = sum(played.retried["desk"] for played in plays)
     assert retried >= 0.9 * failed
+
+
+def test_without_a_named_slack_retries_are_a_ratio_and_a_few_more():
+    # Guards against an unbounded number of retries where a deployment names no slack
+    # and all endpoints of a service fail.
+    own = budget.Budget()
+    allowed = 0
+    for now in range(400):
+        own.first_attempt("s", now)
+        allowed += own.spend("s", now)
+    ratio = budget.RATIO_FRACTION * budget.DEFAULT_RATIO
+    assert allowed <= budget.DEFAULT_ENTRY_SLACK + 400 * ratio
+    assert allowed > 300 * ratio
+
+
+def test_an_entry_that_starts_has_no_part_of_the_slack_for_a_window():
+    # Guards against a part that a killed entry used and its successor uses again.
+    bounds = budget.Bounds(slack=100, zones=1)
+    own = budget.Budget(bounds)
+    for now in range(0, bounds.window_ms, 500):
+        own.learn(2, now, now)
+        assert own.slack_part(now) == 0
+    for now in range(bounds.window_ms, 2 * bounds.window_ms, 500):
+        own.learn(2, now, now)
+    assert own.slack_part(now) > 0
+
+
+def test_a_part_without_contact_is_smaller_and_holds_for_a_window_after_it():
+    # Guards against parts that add up to more than the slack: others may have divided
+    # the part of an entry that no control had heard of.
+    bounds = budget.Bounds(slack=100, zones=1)
+    own = budget.Budget(bounds)
+    for now in range(0, 20_000, 500):
+        own.learn(2, now, now)
+    full = own.slack_part(now)
+    isolated_ms = now + budget.ISOLATED_MS + 1
+    assert 0 < own.slack_part(isolated_ms) < full
+    own.learn(2, isolated_ms, isolated_ms)
+    assert own.slack_part(isolated_ms) < full
+
+
+def test_a_lower_number_of_entries_counts_after_a_window():
+    # Guards against an entry that takes over the part of one that has just used it.
+    bounds = budget.Bounds(slack=100, zones=1)
+    own = budget.Budget(bounds)
+    for now in range(0, 20_000, 500):
+        own.learn(4, now, now)
+    before = own.slack_part(now)
+    for later in range(now + 500, now + bounds.window_ms, 500):
+        own.learn(2, later, later)
+        assert own.slack_part(later) == before
+    later += 1000
+    own.learn(2, later, later)
+    assert own.slack_part(later) == 2 * before
