--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -45,10 +45,10 @@
 
     Its state is kept in attributes of the HTTP server: ``runs`` lists the executed
     requests as (server id, request id), ``zone`` the zone that is announced,
-    ``arrivals`` the monotonic times (s) of all
-    requests, ``extra_headers`` the headers added to every answer. While ``retry_after``
-    is set, every request is refused with it as Retry-After (s). ``flooded`` counts the
-    events of "flood" streams that were sent.
+    ``arrivals`` the monotonic times (s) of all requests, ``arrived_ids`` their ids,
+    ``extra_headers`` the headers added to every answer. While ``retry_after`` is set,
+    every request is refused with it as Retry-After (s). ``flooded`` counts the events
+    of "flood" streams that were sent.
     """
 
     protocol_version = "HTTP/1.1"
@@ -76,6 +76,7 @@
     def do_POST(self):
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         self.server.arrivals.append(time.monotonic())
+        self.server.arrived_ids.append(self.headers[ATTEMPT])
         kind = self.path.rsplit("/", 1)[1]
         if self.server.retry_after is not None:
             refusal = {
@@ -259,7 +260,7 @@
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
         server.id, server.runs, server.zone = f"i-{number}", runs, zone
         server.extra_headers, server.arrivals, server.retry_after = {}, [], None
-        server.flooded = 0
+        server.flooded, server.arrived_ids = 0, []
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
     running = Platform(
