--- a/dunlinpoint/forward/admission.py
+++ b/dunlinpoint/forward/admission.py
@@ -24,7 +24,7 @@
         responses.deny(forwarder, request, 404, "no_route")
         return None
     workspace = None
-    if table.has_keys and not route.public:
+    if table.requires_key and not route.public:
         if forwarder.key_lease_ended():
             # Contact with the controls is lost, usually for seconds, so the longest
             # Retry-After that the caller obeys is sent.
--- a/dunlinpoint/forward/routes.py
+++ b/dunlinpoint/forward/routes.py
@@ -17,12 +17,13 @@
 class Table:
     """Routes by host and prefix, and workspaces by key.
 
-    ``has_keys`` tells whether any workspace has a key; ``version`` is the document's.
+    ``requires_key`` tells whether requests need a key, on routes that are not public;
+    ``version`` is the document's.
     """
 
     route_by_host_and_prefix: dict = attrs.field(factory=dict)
     workspace_by_key: dict = attrs.field(factory=dict)
-    has_keys: bool = False
+    requires_key: bool = False
     version: int = 0
 
     @classmethod
@@ -32,8 +33,10 @@
             route_by_host_and_prefix={
                 (r.host.lower(), r.prefix): r for r in doc.routes
             },
-            workspace_by_key={key: w for w in doc.workspaces for key in w.keys},
-            has_keys=any(w.keys for w in doc.workspaces),
+            workspace_by_key={k: w for w in doc.workspaces for k in w.keys if k},
+            # Not whether any key is left: the document that takes the last one away
+            # would open all routes.
+            requires_key=bool(doc.workspaces),
             version=version,
         )
 
--- a/dunlinpoint/forward/tests/test_routes.py
+++ b/dunlinpoint/forward/tests/test_routes.py
@@ -47,6 +47,27 @@
         assert TABLE.workspace(value) is None
 
 
+def test_a_document_with_workspaces_requires_a_key_although_none_is_left():
+    # Guards against routes that are open to anybody once the last key is taken away.
+    workspaces = [config.Workspace("w"), config.Workspace("v", keys=[])]
+    table = routes.Table.from_document(
+        config.Document(1, "d", routes=[route("/a/")], workspaces=workspaces), 7
+    )
+    assert table.requires_key
+    for value in (None, "", "Bearer", "Bearer ", "Bearer k1"):
+        assert table.workspace(value) is None
+
+
+def test_an_empty_key_is_held_by_nobody():
+    # Guards against a caller without a key that counts as the holder of an empty one.
+    workspaces = [config.Workspace("w", keys=[""])]
+    table = routes.Table.from_document(
+        config.Document(1, "d", workspaces=workspaces), 7
+    )
+    for value in (None, "", "Bearer", "Bearer ", "Bearer   "):
+        assert table.workspace(value) is None
+
+
 def test_services_are_drawn_by_weight():
     split = [config.Share("a", 90), config.Share("b", 10), config.Share("c", 0)]
     rng = random.Random(1)
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -100,6 +100,17 @@
     }
 
 
+def _workspaces(raw):
+    """The workspaces of an operator's body; an absent field stands for none.
+
+    ``null`` is invalid: taken for an absent field, it would open all routes.
+    """
+    tenants = raw.get("tenants", [])
+    if not isinstance(tenants, list):
+        raise TypeError(f"tenants must be a list, not {tenants!r}")
+    return [_workspace(tenant) for tenant in tenants]
+
+
 def _limits(raw):
     limits = config.Limits()
     return {
@@ -125,7 +136,7 @@
             "origin": text,
             "services": [_service(s) for s in raw["services"]],
             "routes": [_route(r) for r in raw["routes"]],
-            "workspaces": [_workspace(t) for t in raw.get("tenants") or []],
+            "workspaces": _workspaces(raw),
             "limits": _limits(raw.get("limits") or {}),
         }
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -75,6 +75,22 @@
     wait_for(lambda: platform.call("plain", "k-3")[0] == 200)
 
 
+def test_taking_the_last_key_away_opens_nothing(platform):
+    # Guards against routes that are open to anybody because no key is left.
+    put = json.dumps(document(13, keys=()))
+    assert platform.admin("POST", "/api/config/replace", put)[0] == 200
+    wait_for(lambda: platform.call("plain", "n-1")[0] == 401)
+    for number, key in enumerate(("key-2", "other", "")):
+        answer = platform.call("plain", f"n-2{number}", Authorization=f"Bearer {key}")
+        assert answer[0] == 401
+    assert platform.servers_that_ran("n-20") == []
+    without_tenants = json.dumps(document(15) | {"tenants": None})
+    assert platform.admin("POST", "/api/config/replace", without_tenants)[0] == 400
+    put = json.dumps(document(17, keys=("key-1",)))
+    assert platform.admin("POST", "/api/config/replace", put)[0] == 200
+    wait_for(lambda: platform.call("plain", "n-3")[0] == 200)
+
+
 def test_invalid_config_is_refused(platform):
     bad = document(20)
     bad["routes"][0]["timeoutMs"] = 0
