--- a/dunlinpoint/cli/ctl.py
+++ b/dunlinpoint/cli/ctl.py
@@ -252,7 +252,7 @@
         if not newest.version:
             print(json.dumps({"accepted": False, "reason": "no document in force"}))
             return 1
-        doc = config.parse(packed.unpack(newest.body))
+        doc = config.parse_accepted(packed.unpack(newest.body))
         leaving = set(doc.leaving) - {self.endpoint}
         if not self.back:
             leaving.add(self.endpoint)
--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -32,7 +32,7 @@
 
 import attrs
 import cattrs
-from cattrs import gen
+from cattrs import cols, gen
 
 FORMAT = 1
 # Operations that must not be repeated when no document lists any.
@@ -48,7 +48,7 @@
 MAX_COLD_REQUESTS_PER_S = 100_000
 MAX_COLD_START_MS = 3_600_000
 
-# A finite JSON number; numbers in strings and booleans are invalid.
+# A finite JSON number, kept as an ``int`` where it is written as one.
 Number = typing.NewType("Number", float)
 
 
@@ -203,17 +203,47 @@
     origin: str = ""
 
 
-def _structure_number(value, _type):
+def _structure_number(value, _type=None):
     """*value* if it is a finite number; raises ``ValueError``."""
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f"{value!r} is not a number")
+        raise ValueError(f"a {type(value).__name__} is not a number")
     if not math.isfinite(value):
         raise ValueError(f"{value!r} is not finite")
     return value
 
 
+def _structure_exactly(value, expected):
+    """*value* if it is of the type *expected*; raises ``ValueError``."""
+    if not isinstance(value, expected):
+        raise ValueError(f"a {type(value).__name__} is not a {expected.__name__}")
+    return value
+
+
+def _list_hook(list_type, list_converter):
+    structure_items = cols.list_structure_factory(list_type, list_converter)
+
+    def structure_list(value, _type):
+        # A text would be taken for a list of its characters.
+        if not isinstance(value, list):
+            raise ValueError(f"a {type(value).__name__} is not a list")
+        return structure_items(value, list_type)
+
+    return structure_list
+
+
 converter = cattrs.Converter(forbid_extra_keys=True)
 converter.register_structure_hook(Number, _structure_number)
+converter.register_structure_hook(int, lambda v, _: int(_structure_number(v)))
+converter.register_structure_hook(float, lambda v, _: float(_structure_number(v)))
+converter.register_structure_hook(str, _structure_exactly)
+converter.register_structure_hook(bool, _structure_exactly)
+converter.register_structure_hook_factory(
+    lambda hinted: typing.get_origin(hinted) is list, _list_hook
+)
+# For documents in force, which an earlier version may have accepted with a text for a
+# number or a boolean: an entry that refused such a document would serve nobody.
+accepted_converter = cattrs.Converter(forbid_extra_keys=True)
+accepted_converter.register_structure_hook(Number, _structure_number)
 # Processes of earlier versions refuse a document with a field that they don't know, so
 # the field is left out where it is not used.
 converter.register_unstructure_hook(
@@ -300,11 +330,11 @@
                 problems.append(
                     FieldError(f"{at}.split", f"unknown service {share.service!r}")
                 )
-        if (route.host, route.prefix) in seen:
+        if (host_key(route.host), route.prefix) in seen:
             problems.append(
                 FieldError(at, f"{route.host}{route.prefix} is routed twice")
             )
-        seen.add((route.host, route.prefix))
+        seen.add((host_key(route.host), route.prefix))
     return problems
 
 
@@ -322,26 +352,62 @@
     return problems
 
 
-def parse(text):
-    """The ``Document`` in JSON *text*; raises ``DocumentError`` if invalid."""
+def host_key(host):
+    """The name by which the *host* of a route or a request is looked up.
+
+    Letter case, a trailing dot and the port make no difference.
+    """
+    name, _, port = host.rpartition(":")
+    if name and (port.isdigit() or not port):
+        host = name
+    return host.lower().removesuffix(".")
+
+
+def parse(text, convert=None):
+    """The ``Document`` in JSON *text*; raises ``DocumentError`` if invalid.
+
+    ``convert(raw)`` makes the parsed text (of any JSON type) one of the format of this
+    module, and raises ``DocumentError`` if it cannot.
+    """
+    # Python's parser takes NaN and Infinity, which are no JSON. They are refused after
+    # the check of the fields, which names the path of a field that has one.
+    constants = []
+
+    def take_constant(name):
+        constants.append(name)
+        return float(name)
+
     try:
-        raw = json.loads(text)
+        raw = json.loads(text, parse_constant=take_constant)
     except ValueError as exc:
         raise DocumentError([FieldError("$", f"not JSON: {exc}")]) from None
+    except RecursionError:
+        raise DocumentError([FieldError("$", "is nested too deep")]) from None
     if not isinstance(raw, dict):
         raise DocumentError([FieldError("$", "must be a JSON object")])
+    doc = _structure(converter, raw if convert is None else convert(raw))
+    problems = _check(doc)
+    if constants:
+        problems.append(FieldError("$", f"not JSON: {constants[0]}"))
+    if problems:
+        raise DocumentError(problems)
+    return doc
+
+
+def parse_accepted(text):
+    """The ``Document`` in JSON *text* that controls have accepted."""
+    return _structure(accepted_converter, json.loads(text))
+
+
+def _structure(chosen_converter, raw):
     try:
-        doc = converter.structure(raw, Document)
+        return chosen_converter.structure(raw, Document)
     except cattrs.BaseValidationError as exc:
         problems = []
         for line in cattrs.transform_error(exc, path="$"):
             problem, _, path = line.rpartition(" @ ")
             problems.append(FieldError(path.removeprefix("$.") or "$", problem))
         raise DocumentError(problems) from None
-    problems = _check(doc)
-    if problems:
-        raise DocumentError(problems)
-    return doc
 
 
 def parse_for_ranks(text, service):
@@ -355,7 +421,9 @@
     """
     raw = json.loads(text)
     found = [s for s in raw["services"] if s["name"] == service and s.get("experts")]
-    experts = converter.structure(found[0]["experts"], Experts) if found else None
+    experts = None
+    if found:
+        experts = accepted_converter.structure(found[0]["experts"], Experts)
     gaps = [
         route["pause_ms"]
         for route in raw["routes"]
--- a/dunlinpoint/config/tests/test_document.py
+++ b/dunlinpoint/config/tests/test_document.py
@@ -95,3 +95,12 @@
         func(*args)
         took.append(time.process_time() - began)
     return min(took)
+
+
+def test_a_document_in_force_of_an_earlier_version_is_still_read():
+    # Guards against entries that serve nobody after an upgrade, because the document in
+    # force was accepted with a text for a number.
+    text = large_document(2).replace('"timeout_ms": 8000', '"timeout_ms": "8000"')
+    with pytest.raises(config.DocumentError):
+        config.parse(text)
+    assert config.parse_accepted(text).routes[0].timeout_ms == 8000
--- a/dunlinpoint/entry/app.py
+++ b/dunlinpoint/entry/app.py
@@ -73,7 +73,7 @@
 
     def apply_document(self, document):
         """Apply the workspace limits of a newer document."""
-        doc = config.parse(packed.unpack(document.body))
+        doc = config.parse_accepted(packed.unpack(document.body))
         self.workspace_limiter.limit_by_name = {
             w.name: w.max_in_flight for w in doc.workspaces
         }
--- a/dunlinpoint/forward/routes.py
+++ b/dunlinpoint/forward/routes.py
@@ -31,7 +31,7 @@
         """Return the table of *doc*, whose document version is *version*."""
         return cls(
             route_by_host_and_prefix={
-                (r.host.lower(), r.prefix): r for r in doc.routes
+                (config.host_key(r.host), r.prefix): r for r in doc.routes
             },
             workspace_by_key={k: w for w in doc.workspaces for k in w.keys if k},
             # Not whether any key is left: the document that takes the last one away
@@ -46,7 +46,7 @@
         *host* may include a port; *path* has no query string. Returns ``None`` if
         no route matches.
         """
-        host = host.rsplit(":", 1)[0].lower()
+        host = config.host_key(host)
         end = path.rfind("/")
         while end >= 0:
             route = self.route_by_host_and_prefix.get((host, path[: end + 1]))
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -138,7 +138,7 @@
 
     def apply_document(self, document):
         """Apply a newer document."""
-        doc = config.parse(packed.unpack(document.body))
+        doc = config.parse_accepted(packed.unpack(document.body))
         self.table = routes.Table.from_document(doc, document.version)
         self.picker.cold.apply_document(doc)
         self.limits = doc.limits
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -128,8 +128,15 @@
     """
     try:
         text = body.decode()
-        raw = json.loads(text)
-        converted = {
+    except UnicodeDecodeError as exc:
+        raise config.DocumentError([config.FieldError("$", str(exc))]) from None
+    return config.parse(text, functools.partial(_converted, text))
+
+
+def _converted(text, raw):
+    """The operator's body *text*, parsed as *raw*, in the document's format."""
+    try:
+        return {
             "format": config.FORMAT,
             "name": "platform",
             "number": raw["version"],
@@ -141,7 +148,6 @@
         }
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise config.DocumentError([config.FieldError("$", repr(exc))]) from None
-    return config.parse(json.dumps(converted))
 
 
 def origin(decision):
