--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -257,11 +257,14 @@
         return DONE
     pieces = yield read_plain(forwarder, call, connection, head)
     length = sum(map(len, pieces))
-    if head.code >= 500 or call.is_over:
+    if head.code >= 500 or call.is_over or call.started:
         call.caller.hold(-length, forwarder.clock.now())
     if head.code >= 500:
         call.last_failure = head, b"".join(pieces)
         return FAILED
+    if call.started:
+        # The caller, who has the head of another answer, would take this for events.
+        return FAILED
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     forwarder.counters.incr("answered.plain")
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -93,7 +93,9 @@
             self.answer(200, b"unsigned", signed=False)
         elif kind == "foreign":
             self.answer(200, b"another's", attempt="someone-else")
-        elif kind in ("stream", "broken"):
+        elif kind == "gone" and "Last-Event-Id" in self.headers:
+            self.answer(404, b"no such stream")
+        elif kind in ("stream", "broken", "gone"):
             last = int(self.headers.get("Last-Event-Id", 0))
             self.stream(last, always=kind == "broken")
         elif kind == "big":
