--- a/dunlinpoint/forward/channel.py
+++ b/dunlinpoint/forward/channel.py
@@ -40,6 +40,10 @@
 
     body_bytes = 0
 
+    def __init__(self, *args, **kwargs):
+        # Twisted would answer 400 to a malformed form itself.
+        super().__init__(*args, parsePOSTFormSubmission=False, **kwargs)
+
     def handleContentChunk(self, data):
         """Add *data* to the body. Raises ``Refused``."""
         self.channel.body_received(self, len(data))
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -1,12 +1,20 @@
 """Callers' HTTP requests through a real entry and control, as on the platform."""
 
+import http.client
 import json
 import signal
 import socket
 
 import pytest
 
-from tests.integration.platform_lab import EVENT_COUNT, SIGNATURE, ask, document, event
+from tests.integration.platform_lab import (
+    ATTEMPT,
+    EVENT_COUNT,
+    SIGNATURE,
+    ask,
+    document,
+    event,
+)
 from tests.integration.waits import wait_for
 
 
@@ -59,6 +67,43 @@
     assert sorted(platform.servers_that_ran("s-1")) == ["i-0", "i-1"]
 
 
+def test_a_stream_whose_resumption_is_denied_ends_as_incomplete(platform):
+    # Guards against the text of a failure that is passed on as the rest of a stream: a
+    # second server answers 404 once the caller has the head of the first one's answer.
+    with pytest.raises(http.client.IncompleteRead) as raised:
+        platform.call("gone", "g-1", prefix="/stream/")
+    events = b"".join(event(number) for number in range(1, 4))
+    assert raised.value.partial == events
+    assert sorted(platform.servers_that_ran("g-1")) == ["i-0", "i-1"]
+
+
+@pytest.mark.parametrize(
+    "content_type, body",
+    [
+        ("multipart/form-data; boundary=b", b"--b--"),
+        ("multipart/form-data", b"--b--"),
+        (
+            "multipart/form-data; boundary=b",
+            b"--b\r\nContent-Disposition: form-data; name*=x\r\n\r\n1\r\n--b--\r\n",
+        ),
+        ("application/x-www-form-urlencoded", b"a=%zz&&;=\xff"),
+    ],
+)
+def test_a_form_reaches_its_server_unread(platform, content_type, body):
+    # Guards against an entry that parses bodies and answers a malformed form itself.
+    headers = {
+        ATTEMPT: f"f-{len(platform.runs)}",
+        "X-Dunlinpoint-Deadline-Ms": "4000",
+        "Authorization": "Bearer key-1",
+        "Content-Type": content_type,
+    }
+    answer = ask(platform.entry_port, "POST", "/once/plain", body, headers)
+    assert answer[0] == 200
+    seen = json.loads(answer[2])
+    assert seen["content-type"] == content_type
+    assert seen["content-length"] == str(len(body))
+
+
 def test_config_revokes_keys_and_never_reverts(platform):
     # Guards against a revoked key that becomes valid again: version 9 revokes key-1,
     # and the delayed version 5 arrives after it.
