--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -254,10 +254,14 @@
 )
 
 
+def _check_format(doc):
+    if doc.format == FORMAT:
+        return []
+    return [FieldError("format", f"must be {FORMAT}, not {doc.format}")]
+
+
 def _check(doc):
-    problems = []
-    if doc.format != FORMAT:
-        problems.append(FieldError("format", f"must be {FORMAT}, not {doc.format}"))
+    problems = _check_format(doc)
     if not doc.name:
         problems.append(FieldError("name", "must not be empty"))
     for field, items in (
@@ -366,8 +370,8 @@
 def parse(text, convert=None):
     """The ``Document`` in JSON *text*; raises ``DocumentError`` if invalid.
 
-    ``convert(raw)`` makes the parsed text (of any JSON type) one of the format of this
-    module, and raises ``DocumentError`` if it cannot.
+    ``convert(raw)`` makes an object of another format one of this module's, and raises
+    ``DocumentError`` if it cannot.
     """
     # Python's parser takes NaN and Infinity, which are no JSON. They are refused after
     # the check of the fields, which names the path of a field that has one.
@@ -395,8 +399,15 @@
 
 
 def parse_accepted(text):
-    """The ``Document`` in JSON *text* that controls have accepted."""
-    return _structure(accepted_converter, json.loads(text))
+    """The ``Document`` in JSON *text* that controls have accepted.
+
+    Raises ``DocumentError`` if its format is not known here.
+    """
+    doc = _structure(accepted_converter, json.loads(text))
+    problems = _check_format(doc)
+    if problems:
+        raise DocumentError(problems)
+    return doc
 
 
 def _structure(chosen_converter, raw):
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -203,6 +203,21 @@
         )
 
 
+def start_another_entry(platform, port, ready, **settings):
+    """Start one more entry of *platform* that serves callers at *port*."""
+    return start(
+        platform.folder,
+        "entry",
+        zone="z1",
+        seeds=f"127.0.0.1:{platform.admin_port}",
+        inner_ports=platform.inner_port,
+        listen=f"127.0.0.1:{port}",
+        ready=f"127.0.0.1:{ready}",
+        grace_s=GRACE_S,
+        **settings,
+    )
+
+
 def route(prefix, kind, attempts=2):
     return {
         "name": prefix.strip("/"),
--- a/tests/integration/test_one_entry.py
+++ b/tests/integration/test_one_entry.py
@@ -27,18 +27,7 @@
     try:
         for _ in range(OTHER_ENTRIES):
             port, ready = deploy.free_port(), deploy.free_port()
-            entries.append(
-                platform_lab.start(
-                    platform.folder,
-                    "entry",
-                    zone="z1",
-                    seeds=f"127.0.0.1:{platform.admin_port}",
-                    inner_ports=platform.inner_port,
-                    listen=f"127.0.0.1:{port}",
-                    ready=f"127.0.0.1:{ready}",
-                    grace_s=platform_lab.GRACE_S,
-                )
-            )
+            entries.append(platform_lab.start_another_entry(platform, port, ready))
             wait_for(lambda ready=ready: is_ready(ready))
             found.append(port)
         yield found
--- a/tests/integration/test_retry_budget.py
+++ b/tests/integration/test_retry_budget.py
@@ -32,20 +32,6 @@
     yield from platform_lab.run(tmp_path, **BOUNDS)
 
 
-def start_entry(bounded, port, ready):
-    return platform_lab.start(
-        bounded.folder,
-        "entry",
-        zone="z1",
-        seeds=f"127.0.0.1:{bounded.admin_port}",
-        inner_ports=bounded.inner_port,
-        listen=f"127.0.0.1:{port}",
-        ready=f"127.0.0.1:{ready}",
-        grace_s=platform_lab.GRACE_S,
-        **BOUNDS,
-    )
-
-
 def send(port, name):
     headers = {
         platform_lab.ATTEMPT: name,
@@ -91,7 +77,9 @@
     try:
         for _ in range(OTHER_ENTRIES):
             port, ready = deploy.free_port(), deploy.free_port()
-            started[port, ready] = start_entry(bounded, port, ready)
+            started[port, ready] = platform_lab.start_another_entry(
+                bounded, port, ready, **BOUNDS
+            )
             wait_for(lambda ready=ready: is_ready(ready))
             ports.append(port)
         time.sleep(SETTLE_S)
@@ -100,7 +88,9 @@
         def restart():
             started[port, ready].kill()
             started[port, ready].wait(10)
-            started[port, ready] = start_entry(bounded, port, ready)
+            started[port, ready] = platform_lab.start_another_entry(
+                bounded, port, ready, **BOUNDS
+            )
 
         requests, repeats = repeats_of_refused_requests(bounded, ports, restart)
     finally:
