Review case 6: after two planned replacements one lost disk ends the core

Tried: a script with the deploy file's commands; two new core machines run for 8 s beside three old ones, two old ones get SIGTERM, 8 s later a new one loses its disk.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # dependencies.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q standins2 4 5
+python3 -m compileall -q standins2 4 5 6
