Control: an instance that is stopped gives up its vote before it ends

Cause: an instance that got SIGTERM left without a word and stayed a voter. The others replaced it after 2.5 s of silence and removed it without a candidate after 15 s; until then its absence added up with the next one, and two of five or one of three voters can't change the set any more.

Change: SIGTERM is announced (`draining` of the heartbeat, which controls did not use). A leaving voter counts as absent at once: it is replaced by a candidate, or two that leave are removed from a set of more than three. The leaving instance proposes this itself and ends when no change is wanted any more and a majority of the new voters hold the decision, after 3 s at the latest; without a candidate it ends at once and stays a voter, as before, for it may start again on its disk. Added voters are sent the decision that added them with its body, in place of fetching it up to 0.5 s later.

The changes of voters move from control/server.py to control/voter_changes.py.

Conclusion: losses no longer add up with planned stops. Removals without SIGTERM still do, for 2.5 s with a candidate and 15 s without one.

--- a/dunlinpoint/control/acceptor.py
+++ b/dunlinpoint/control/acceptor.py
@@ -271,11 +271,13 @@
     def learn(self, chosen, ballot):
         """Commit the decision accepted under *ballot*, which was chosen.
 
-        *chosen* is its ``Document`` message without the body. A decision
-        accepted here under another ballot may differ, so it is not committed;
-        the next catch-up fetches the chosen one.
+        *chosen* is its ``Document`` message, to added voters with the body. Without
+        it, a decision accepted here under another ballot may differ, so it is not
+        committed; the next catch-up fetches the chosen one.
         """
-        if self.round == chosen.round and self.accepted:
+        if chosen.body is not None:
+            self.commit(self.read_message(chosen))
+        elif self.round == chosen.round and self.accepted:
             if self.accepted_ballot == ballot:
                 self.commit(self.accepted)
 
--- a/dunlinpoint/control/agreement.py
+++ b/dunlinpoint/control/agreement.py
@@ -121,6 +121,17 @@
         known = self.local.committed.round
         return self._quorum(voting, "inspect", (known,), lambda state: state.ok)
 
+    @defer.inlineCallbacks
+    def is_held(self):
+        """Whether a majority of the voters hold the decision committed here."""
+        voting, known = self.voters, self.local.committed.round
+
+        def holds(state):
+            return state.ok and state.committed.round >= known
+
+        states = yield self._quorum(voting, "inspect", (known,), holds)
+        return sum(1 for s in states if holds(s)) >= voters.majority(voting)
+
     def prepare(self, voting, number, ballot):
         """The promises of the voters that answered (Deferred list)."""
         return self._quorum(voting, "prepare", (number, ballot), lambda p: p.ok)
@@ -133,11 +144,18 @@
         return sum(1 for ok in answers if ok)
 
     def learn(self, decision, ballot):
-        """Notify all instances that *decision* was chosen, without waiting."""
+        """Notify all instances that *decision* was chosen, without waiting.
+
+        Added voters get it with its body: they did not accept it, and until they hold
+        it, the instances that accepted it must not be lost.
+        """
+        added = {v.address for v in set(decision.voters) - set(self.voters)}
         self.local.commit(decision)
         chosen = decision.to_message(with_body=False)
+        complete = decision.to_message()
         for address in self.known_addresses():
-            self.link_to(*address).call("learn", chosen, ballot).addErrback(
+            message = complete if address in added else chosen
+            self.link_to(*address).call("learn", message, ballot).addErrback(
                 lambda failure: failure.trap(errors.WireError)
             )
 
--- a/dunlinpoint/control/discovery.py
+++ b/dunlinpoint/control/discovery.py
@@ -4,8 +4,8 @@
 seeds, the voters, the instances that announced themselves here, and those in
 other instances' member lists. So one seed that answers is enough, and the known
 instances remain known when all seeds are lost. An announcement also carries the
-sender's last round, which determines whether it may become a voter, and the optional
-features of agreement that it supports.
+sender's last round, which determines whether it may become a voter, the optional
+features of agreement that it supports, and whether its process is about to end.
 """
 
 import zlib
@@ -38,18 +38,21 @@
     round: int
     received_ms: int
     features: int = 0
+    leaving: bool = False
 
 
 @attrs.define
 class Controls:
     """Other control instances by id, and the addresses to call.
 
-    Times (*now*, ``_ms``) are of this process's clock, in ms.
+    Times (*now*, ``_ms``) are of this process's clock, in ms. ``leaving`` tells whether
+    this process is about to end.
     """
 
     own: voters.Voter
     seeds: list
     started_ms: int
+    leaving: bool = False
     announcement_by_id: dict = attrs.field(factory=dict)
     listed_ms_by_address: dict = attrs.field(factory=dict)
 
@@ -63,7 +66,11 @@
             heartbeat.endpoint_id, heartbeat.host, heartbeat.port, heartbeat.zone
         )
         self.announcement_by_id[voter.node_id] = Announcement(
-            voter, heartbeat.round or 0, now, heartbeat.features or 0
+            voter,
+            heartbeat.round or 0,
+            now,
+            heartbeat.features or 0,
+            bool(heartbeat.draining),
         )
 
     def record_listed(self, members, now):
@@ -99,14 +106,20 @@
             announcement.received_ms if announcement is not None else self.started_ms
         )
 
+    def leaving_ids(self, now):
+        """The ids of instances, this one included, whose processes are to end."""
+        leaving = {a.voter.node_id for a in self.recent(now) if a.leaving}
+        return leaving | {self.own.node_id} if self.leaving else leaving
+
     def candidates(self, committed, now):
-        """Live instances that do not vote and hold recent decisions."""
+        """Live instances that do not vote, hold recent decisions and do not leave."""
         voting = {v.node_id for v in committed.voters}
         min_round = committed.round - voters.MAX_LAG_ROUNDS
         return [
             a.voter
             for a in self.recent(now)
             if a.voter.node_id not in voting
+            and not a.leaving
             and now - a.received_ms <= voters.UNRESPONSIVE_MS
             and a.round >= min_round
         ]
@@ -137,7 +150,7 @@
             port=self.own.port,
             kind=KIND,
             load=0,
-            draining=False,
+            draining=self.leaving,
             config_version=committed.version,
             incarnation=0,
             group="",
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -29,6 +29,7 @@
     followers,
     membership,
     suspension,
+    voter_changes,
     voters,
     zones,
 )
@@ -428,35 +429,6 @@
             log.error("announce_failed", error=str(failure.value))
 
 
-@defer.inlineCallbacks
-def mend_voters(state):
-    """Propose another set of voters if the current one should change."""
-    local = state.peers.local
-    now = state.clock.now()
-
-    def silent_ms(node_id):
-        return state.controls.silent_ms(node_id, now)
-
-    voting = local.committed.voters
-    if not local.is_voter or not voters.is_proposer(local.node_id, voting, silent_ms):
-        return
-    candidates = state.controls.candidates(local.committed, now)
-    next_voters = voters.next_set(list(voting), candidates, silent_ms)
-    if next_voters is None:
-        return
-    done = yield agreement.change_voters(state.peers, next_voters)
-    state.counters.incr("voters_changed" if done else "voters_kept")
-    log.info(
-        "voters_change",
-        done=done,
-        round=local.committed.round,
-        before=[v.node_id for v in voting],
-        after=[v.node_id for v in next_voters],
-        silent_ms={v.node_id: silent_ms(v.node_id) for v in voting},
-        waiting=[v.node_id for v in candidates],
-    )
-
-
 def expire(state):
     """Drop members whose lease expired."""
     expired = state.membership.expire(state.clock.now())
@@ -491,15 +463,23 @@
     return loop
 
 
-def run(reactor, settings, counters):
-    """Start a control instance; returns its ``State``."""
-    state = State.from_config(settings, reactor, counters)
-    rpc.serve(reactor, Control.Processor(Handler(state)), settings.port, settings.host)
+def start_loops(reactor, state):
+    """Start the background loops of a control instance."""
     run_every(reactor, discovery.ANNOUNCE_MS, announce, state)
     run_every(reactor, discovery.ANNOUNCE_MS, catch_up, state)
-    run_every(reactor, discovery.ANNOUNCE_MS, mend_voters, state)
+    run_every(reactor, discovery.ANNOUNCE_MS, voter_changes.mend, state)
     run_every(reactor, EXPIRE_INTERVAL_MS, expire, state)
     run_every(reactor, suspension.TICK_MS, tick, state)
+
+
+def run(reactor, settings, counters):
+    """Start a control instance; returns its ``State``."""
+    state = State.from_config(settings, reactor, counters)
+    rpc.serve(reactor, Control.Processor(Handler(state)), settings.port, settings.host)
+    start_loops(reactor, state)
+    reactor.addSystemEventTrigger(
+        "before", "shutdown", voter_changes.leave, state, announce
+    )
     local = state.peers.local
     log.info(
         "started",
--- a/dunlinpoint/control/voters.py
+++ b/dunlinpoint/control/voters.py
@@ -8,12 +8,13 @@
 
 - An instance with a new disk at a voter's address replaces that voter: the old
   one cannot return.
-- A voter that has been silent for :data:`UNRESPONSIVE_MS` is replaced by a candidate.
-  It may only be partitioned; it then becomes a candidate itself.
+- An absent voter is replaced by a candidate: one that announces that its process ends,
+  or that has been silent for :data:`UNRESPONSIVE_MS`. The latter may only be
+  partitioned; it then becomes a candidate itself.
 - Candidates are added two at a time: an even set tolerates no more failures
   than the odd set one smaller.
-- Voters silent for :data:`REMOVAL_MS` without a replacement are removed as long
-  as at least :data:`MIN_VOTERS` remain.
+- Voters that leave or have been silent for :data:`REMOVAL_MS` are removed without a
+  replacement as long as at least :data:`MIN_VOTERS` remain.
 
 An instance that lost its disk no longer knows its promises. It draws a new
 ``node_id``, so it never answers as its former voter; if it did, a second
@@ -121,37 +122,49 @@
     return grown
 
 
-def _shrunk(voters, silent_ms):
-    """*voters* without those silent for ``REMOVAL_MS``, or ``None``."""
-    silent = [v for v in voters if silent_ms(v.node_id) > REMOVAL_MS]
+def _absent(voters, silent_ms, leaving, limit_ms):
+    """Those of *voters* that leave, then those silent for over *limit_ms*."""
+    ending = [v for v in voters if v.node_id in leaving]
+    silent = [v for v in voters if silent_ms(v.node_id) > limit_ms]
+    return ending + [v for v in silent if v not in ending]
+
+
+def _shrunk(voters, absent):
+    """*voters* without one or two of *absent*, or ``None``.
+
+    The new set is odd: an even one tolerates no more failures than with one voter
+    less, and an absent voter may return to the old set.
+    """
     removed = 2 if len(voters) % 2 else 1
-    if len(silent) < removed or len(voters) - removed < MIN_VOTERS:
+    if len(absent) < removed or len(voters) - removed < MIN_VOTERS:
         return None
-    return [v for v in voters if v not in silent[:removed]]
+    return [v for v in voters if v not in absent[:removed]]
 
 
-def next_set(voters, candidates, silent_ms):
+def next_set(voters, candidates, silent_ms, leaving=frozenset()):
     """The list of voters that should replace *voters*, or ``None`` for no change.
 
-    *candidates* are live instances that do not vote and hold recent
-    decisions. ``silent_ms(node_id)`` is the time since a voter's last
-    announcement, in ms.
+    *candidates* are live instances that do not vote, hold recent decisions and do not
+    leave. ``silent_ms(node_id)`` is the time since a voter's last announcement, in
+    ms; *leaving* holds the ids of instances whose processes are about to end.
     """
     for voter in voters:
         for replacement in candidates:
             if replacement.address == voter.address:
                 return _replaced(voters, voter, replacement)
-    silent = [v for v in voters if silent_ms(v.node_id) > UNRESPONSIVE_MS]
-    if silent and candidates:
-        others = [v for v in voters if v != silent[0]]
-        return _replaced(voters, silent[0], _choose(candidates, others))
-    return _grown(voters, candidates) or _shrunk(voters, silent_ms)
+    absent = _absent(voters, silent_ms, leaving, UNRESPONSIVE_MS)
+    if absent and candidates:
+        others = [v for v in voters if v != absent[0]]
+        return _replaced(voters, absent[0], _choose(candidates, others))
+    removable = _absent(voters, silent_ms, leaving, REMOVAL_MS)
+    return _grown(voters, candidates) or _shrunk(voters, removable)
 
 
-def is_proposer(own_id, voters, silent_ms):
+def is_proposer(own_id, voters, silent_ms, leaving=frozenset()):
     """Whether *own_id* is the instance that proposes changes of *voters*.
 
     Concurrent proposers would only invalidate each other's ballots.
     """
-    live_ids = [v.node_id for v in voters if silent_ms(v.node_id) <= UNRESPONSIVE_MS]
+    absent = _absent(voters, silent_ms, leaving, UNRESPONSIVE_MS)
+    live_ids = [v.node_id for v in voters if v not in absent]
     return bool(live_ids) and min(live_ids) == own_id
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -108,7 +108,7 @@
     "imbalance": "streams at the busiest rank, over the mean of all ranks",
     "hurry": "whether a map change was wanted at once",
     "left": "work still to do",
-    "leaving": "endpoints that are leaving",
+    "leaving": "endpoints or control instances that are leaving",
     "done": "whether it was carried out",
     "call": "thrift call between dunlinpoint's processes",
     "loop": "background loop",
