Access: a document with an empty list of workspaces needs keys

Cause: an empty list of tenants was taken for a configuration without the field, when the operator's body was converted and when an entry made its table of routes.

Change: a document needs keys if it has a list of workspaces, also an empty one. The difference is kept in the proposed, the stored and the sent text: `requires_key` is written for an empty list only, as earlier builds refuse a document with a field that they don't know; a document without workspaces and keys has no list. An empty list that an earlier build accepted is recognised by the operator's body in the document. A configuration without `tenants` needs no keys, as PROTOCOL.md says and as before.

--- a/dunlinpoint/config/document.py
+++ b/dunlinpoint/config/document.py
@@ -189,7 +189,11 @@
 
 @attrs.frozen
 class Document:
-    """A complete configuration as written by operators."""
+    """A complete configuration as written by operators.
+
+    *requires_key* tells whether callers need a key where it does not follow from the
+    workspaces: a document with an empty list of them needs keys, which nobody holds.
+    """
 
     format: int
     name: str
@@ -201,6 +205,14 @@
     leaving: list[str] = attrs.field(factory=list)
     number: int = 0
     origin: str = ""
+    requires_key: bool | None = None
+
+    @property
+    def needs_key(self):
+        """Whether requests on routes that are not public need a key."""
+        if self.requires_key is None:
+            return bool(self.workspaces)
+        return self.requires_key
 
 
 def _structure_number(value, _type=None):
@@ -252,6 +264,12 @@
         Service, converter, cold=gen.override(omit_if_default=True)
     ),
 )
+converter.register_unstructure_hook(
+    Document,
+    gen.make_dict_unstructure_fn(
+        Document, converter, requires_key=gen.override(omit_if_default=True)
+    ),
+)
 
 
 def _check_format(doc):
@@ -412,7 +430,7 @@
 
 def _structure(chosen_converter, raw):
     try:
-        return chosen_converter.structure(raw, Document)
+        return _with_required_key(chosen_converter.structure(raw, Document), raw)
     except cattrs.BaseValidationError as exc:
         problems = []
         for line in cattrs.transform_error(exc, path="$"):
@@ -421,6 +439,17 @@
         raise DocumentError(problems) from None
 
 
+def _with_required_key(doc, raw):
+    """*doc*, which requires keys if its text *raw* has an empty list of workspaces.
+
+    A document with an ``origin`` has a list in each case and says itself whether keys
+    are required.
+    """
+    if doc.origin or doc.requires_key is not None or "workspaces" not in raw:
+        return doc
+    return doc if doc.workspaces else attrs.evolve(doc, requires_key=True)
+
+
 def parse_for_ranks(text, service):
     """The part of the accepted document in JSON *text* that ranks of *service* need.
 
@@ -446,7 +475,11 @@
 
 def dump(doc):
     """*doc* as canonical JSON text (sorted keys)."""
-    return json.dumps(converter.unstructure(doc), sort_keys=True)
+    raw = converter.unstructure(doc)
+    if not doc.workspaces and not doc.needs_key:
+        # An empty list would need keys.
+        del raw["workspaces"]
+    return json.dumps(raw, sort_keys=True)
 
 
 DEFAULT = Document(
--- a/dunlinpoint/config/tests/test_document.py
+++ b/dunlinpoint/config/tests/test_document.py
@@ -104,3 +104,15 @@
     with pytest.raises(config.DocumentError):
         config.parse(text)
     assert config.parse_accepted(text).routes[0].timeout_ms == 8000
+
+
+@pytest.mark.parametrize(
+    ("fields", "needs_key"),
+    [({}, False), ({"workspaces": []}, True), ({"workspaces": [{"name": "w"}]}, True)],
+)
+def test_a_document_with_a_list_of_workspaces_needs_keys(fields, needs_key):
+    # Guards against routes that an empty list opens, like an absent one.
+    text = json.dumps({"format": config.FORMAT, "name": "a"} | fields)
+    for parse in (config.parse, config.parse_accepted):
+        assert parse(text).needs_key is needs_key
+        assert parse(config.dump(parse(text))).needs_key is needs_key
--- a/dunlinpoint/forward/routes.py
+++ b/dunlinpoint/forward/routes.py
@@ -34,9 +34,9 @@
                 (config.host_key(r.host), r.prefix): r for r in doc.routes
             },
             workspace_by_key={k: w for w in doc.workspaces for k in w.keys if k},
-            # Not whether any key is left: the document that takes the last one away
-            # would open all routes.
-            requires_key=bool(doc.workspaces),
+            # Not whether any key or workspace is left: the document that takes the
+            # last one away would open all routes.
+            requires_key=doc.needs_key,
             version=version,
         )
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -53,6 +53,7 @@
     names: names.HeaderNames = names.DEFAULT
     read_signal: object = endpoint_signals.no_signal
     read_prompt_parts: object = no_prompt_parts
+    parse_document: object = config.parse_accepted
     budget: budget.Budget = attrs.field(factory=budget.Budget)
     demand: demand.Demand = attrs.field(factory=demand.Demand)
     table: routes.Table = attrs.field(factory=routes.Table)
@@ -87,6 +88,7 @@
         key_lease_ms=0,
         memory_bytes=0,
         read_prompt_parts=no_prompt_parts,
+        parse_document=config.parse_accepted,
     ):
         """Create the state of the entry with the view *entry_view*.
 
@@ -95,7 +97,8 @@
         no majority of controls has confirmed the document for that time.
         *memory_bytes* is the entry's memory, 0 for no bound.
         ``read_prompt_parts(headers)`` returns the ids (``str``) of the parts that a
-        request's prompt consists of.
+        request's prompt consists of. ``parse_document(text)`` returns the
+        ``config.Document`` of an accepted one.
         """
         ms_clock = clock.Clock(reactor)
         forwarder = cls(
@@ -110,6 +113,7 @@
             names=header_names,
             read_signal=read_signal,
             read_prompt_parts=read_prompt_parts,
+            parse_document=parse_document,
             key_lease_ms=key_lease_ms,
             buffers=backpressure.EntryBuffers(memory_bytes),
         )
@@ -138,7 +142,7 @@
 
     def apply_document(self, document):
         """Apply a newer document."""
-        doc = config.parse_accepted(packed.unpack(document.body))
+        doc = self.parse_document(packed.unpack(document.body))
         self.table = routes.Table.from_document(doc, document.version)
         self.picker.cold.apply_document(doc)
         self.limits = doc.limits
--- a/dunlinpoint/platform/documents.py
+++ b/dunlinpoint/platform/documents.py
@@ -8,6 +8,8 @@
 import json
 import math
 
+import attrs
+
 from dunlinpoint import clock, logs
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
@@ -101,14 +103,20 @@
 
 
 def _workspaces(raw):
-    """The workspaces of an operator's body; an absent field stands for none.
+    """The fields of a document that stand for the tenants of an operator's body.
 
-    ``null`` is invalid: taken for an absent field, it would open all routes.
+    A body without the field needs no keys; one with an empty list needs keys, which
+    nobody holds. ``null`` is invalid: taken for an absent field, it would open all
+    routes.
     """
     tenants = raw.get("tenants", [])
     if not isinstance(tenants, list):
         raise TypeError(f"tenants must be a list, not {tenants!r}")
-    return [_workspace(tenant) for tenant in tenants]
+    workspaces = {"workspaces": [_workspace(tenant) for tenant in tenants]}
+    # Builds that do not know the field ``requires_key`` refuse a document with it.
+    if "tenants" in raw and not tenants:
+        return workspaces | {"requires_key": True}
+    return workspaces
 
 
 def _limits(raw):
@@ -143,13 +151,24 @@
             "origin": text,
             "services": [_service(s) for s in raw["services"]],
             "routes": [_route(r) for r in raw["routes"]],
-            "workspaces": _workspaces(raw),
             "limits": _limits(raw.get("limits") or {}),
-        }
+        } | _workspaces(raw)
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise config.DocumentError([config.FieldError("$", repr(exc))]) from None
 
 
+def parse_accepted(text):
+    """The ``config.Document`` in JSON *text* that controls have accepted.
+
+    One with an empty list of tenants may have been accepted by a build that took this
+    for no tenants. Raises ``config.DocumentError``.
+    """
+    doc = config.parse_accepted(text)
+    if doc.origin and not doc.needs_key and "tenants" in json.loads(doc.origin):
+        return attrs.evolve(doc, requires_key=True)
+    return doc
+
+
 def origin(decision):
     """The operator's body (``str``) of a ``Decision``, as it was sent."""
     return json.loads(packed.unpack(decision.body)).get("origin", "")
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -10,6 +10,7 @@
 from dunlinpoint.platform import (
     addresses,
     commands,
+    documents,
     endpoint_signals,
     prompt_parts,
     protocol,
@@ -95,6 +96,7 @@
         lease_ms,
         memory_mb * BYTES_PER_MB,
         prompt_parts.from_request,
+        documents.parse_accepted,
     )
     forwarder.picker.cold.bounds = cold_bounds(command)
     forwarder.budget.bounds = retry_bounds(command)
--- a/dunlinpoint/platform/tests/test_documents.py
+++ b/dunlinpoint/platform/tests/test_documents.py
@@ -124,6 +124,35 @@
     assert str(problem) == "routes[0].public: invalid value for type, expected bool"
 
 
+@pytest.mark.parametrize(
+    ("tenants", "needs_key"),
+    [
+        ({}, False),
+        ({"tenants": []}, True),
+        ({"tenants": [{"name": "t", "apiKeys": []}]}, True),
+        ({"tenants": BODY["tenants"]}, True),
+    ],
+)
+def test_a_body_with_tenants_needs_keys_however_many_are_left(tenants, needs_key):
+    # Guards against routes that are open to anybody once the last tenant is taken away:
+    # in the document that a control proposes, and in the text that entries read.
+    body = {name: value for name, value in BODY.items() if name != "tenants"} | tenants
+    doc = documents.to_document(encoded(body))
+    read = documents.parse_accepted(config.dump(doc))
+    for found in (doc, read):
+        assert routes.Table.from_document(found, 1).requires_key is needs_key
+    assert read.origin == json.dumps(body)
+
+
+def test_an_empty_list_of_tenants_that_an_earlier_build_accepted_needs_keys():
+    # Guards against routes that stay open after an upgrade: earlier builds stored an
+    # empty list of tenants like no tenants.
+    doc = documents.to_document(encoded(BODY | {"tenants": []}))
+    stored = json.loads(config.dump(doc))
+    del stored["requires_key"]
+    assert documents.parse_accepted(json.dumps(stored)).needs_key
+
+
 def places(value):
     """All (container, key) pairs within *value*."""
     keys = value if isinstance(value, dict) else range(len(value))
@@ -157,7 +186,7 @@
             continue
         accepted += 1
         table = routes.Table.from_document(doc, doc.number)
-        assert table.requires_key or not body.get("tenants")
+        assert table.requires_key is ("tenants" in body)
         for raw, route in zip(body["routes"], doc.routes, strict=True):
             assert table.match(raw.get("host", ""), raw["pathPrefix"] + "x") is route
             assert route.public is raw.get("public", False)
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -136,6 +136,21 @@
     wait_for(lambda: platform.call("plain", "n-3")[0] == 200)
 
 
+def test_taking_the_last_tenant_away_opens_nothing(platform):
+    # Guards against routes that are open to anybody because no tenant is left.
+    put = json.dumps(document(18) | {"tenants": []})
+    assert platform.admin("POST", "/api/config/replace", put)[0] == 200
+    assert platform.admin("GET", "/api/config/read")[1] == put.encode()
+    wait_for(lambda: platform.call("plain", "m-1")[0] == 401)
+    for number, key in enumerate(("key-1", "other", "")):
+        answer = platform.call("plain", f"m-2{number}", Authorization=f"Bearer {key}")
+        assert answer[0] == 401
+    assert platform.servers_that_ran("m-20") == []
+    put = json.dumps(document(19))
+    assert platform.admin("POST", "/api/config/replace", put)[0] == 200
+    wait_for(lambda: platform.call("plain", "m-3")[0] == 200)
+
+
 def test_invalid_config_is_refused(platform):
     bad = document(20)
     bad["routes"][0]["timeoutMs"] = 0
