Voters: a successor takes the vote of the older instance of its zone

Callers saw (in play with complete instances): after the removal of control instances without SIGTERM, with successors up, no document is read or accepted any more: three removed at any pace; two removed and a disk lost 8 s later; one removed and a disk lost within 2.5 s.

Cause: successors were added beside the older voters, two at a time, in place of taking their votes, so that the older half were still voters when it left. In a deployment's first 16 rounds an instance that held no decision at all was added.

Change: an instance says since which round it knows the deployment (`joined_round` in state file and heartbeat, 0 for those of the first start). A voter in whose zone a later instance joined is replaced by a candidate, its successor first; for 10 minutes an instance with a successor replaces and extends nothing if another can. Candidates hold at least one decision. The zones of founders, which the first round does not know, come from their announcements. What is borne at which moment: docs/PLATFORM.md.

Tried and dropped: removing silent voters after 2.5 s in place of 15 s.

Conclusion: planned or not, an instance with a successor in its zone may end at once. Not borne: a removal without SIGTERM and without a successor in the zone, within 2.5 s of a lost disk.

--- a/dunlinpoint/control/acceptor.py
+++ b/dunlinpoint/control/acceptor.py
@@ -100,7 +100,9 @@
     """An acceptor's durable state, saved before every answer that others rely on.
 
     ``unfounded`` is set while it is unknown whether this is a founder's first
-    start or a founder that lost its disk. ``recent`` holds the last
+    start or a founder that lost its disk. ``joined_round`` is the first round that
+    an instance learned which was added later, 0 for one of the deployment's first
+    start, ``None`` if no round is known yet. ``recent`` holds the last
     ``[change_id, version]`` pairs. The callables in ``on_commit`` are called
     without arguments after each new decision.
     """
@@ -115,6 +117,7 @@
     highest_ballot: int = 0
     recent: list = attrs.field(factory=list)
     unfounded: bool = False
+    joined_round: int | None = 0
     on_commit: list = attrs.field(factory=list)
 
     @classmethod
@@ -140,6 +143,7 @@
                 # instances than the founders.
                 committed=initial if bootstrap else Decision(),
                 unfounded=own is not None,
+                joined_round=0 if bootstrap else None,
             )
         acceptor.save()
         return acceptor
@@ -161,6 +165,7 @@
             highest_ballot=saved["highest_ballot"],
             recent=saved["recent"],
             unfounded=saved["unfounded"],
+            joined_round=saved.get("joined_round", 0),
         )
 
     def save(self):
@@ -176,6 +181,7 @@
                 "highest_ballot": self.highest_ballot,
                 "recent": self.recent,
                 "unfounded": self.unfounded,
+                "joined_round": self.joined_round,
             }
         )
 
@@ -246,6 +252,8 @@
         changed = decision.version != self.committed.version
         self.committed = decision
         self.unfounded = False
+        if self.joined_round is None:
+            self.joined_round = decision.round
         if changed:
             self.recent = (self.recent + [[decision.change_id, decision.version]])[
                 -MAX_CHANGE_IDS:
@@ -289,6 +297,7 @@
             self.promised = max(self.promised, state.promised or 0)
         self.highest_ballot = max(self.highest_ballot, self.promised)
         self.unfounded = False
+        self.joined_round = 0
         self.save()
         log.info("founded", node_id=self.node_id)
 
--- a/dunlinpoint/control/discovery.py
+++ b/dunlinpoint/control/discovery.py
@@ -32,13 +32,18 @@
 
 @attrs.define
 class Announcement:
-    """The last announcement of another instance."""
+    """The last announcement of another instance.
+
+    ``first_ms`` is when the first one of this instance was received.
+    """
 
     voter: voters.Voter
     round: int
     received_ms: int
     features: int = 0
     leaving: bool = False
+    joined_round: int = 0
+    first_ms: int = 0
 
 
 @attrs.define
@@ -53,6 +58,7 @@
     seeds: list
     started_ms: int
     leaving: bool = False
+    own_joined_round: int | None = 0
     announcement_by_id: dict = attrs.field(factory=dict)
     listed_ms_by_address: dict = attrs.field(factory=dict)
 
@@ -65,12 +71,15 @@
         voter = voters.Voter(
             heartbeat.endpoint_id, heartbeat.host, heartbeat.port, heartbeat.zone
         )
+        known = self.announcement_by_id.get(voter.node_id)
         self.announcement_by_id[voter.node_id] = Announcement(
             voter,
             heartbeat.round or 0,
             now,
             heartbeat.features or 0,
             bool(heartbeat.draining),
+            heartbeat.joined_round or 0,
+            known.first_ms if known else now,
         )
 
     def record_listed(self, members, now):
@@ -111,10 +120,33 @@
         leaving = {a.voter.node_id for a in self.recent(now) if a.leaving}
         return leaving | {self.own.node_id} if self.leaving else leaving
 
+    def joined_round(self, node_id):
+        """The round at which the instance *node_id* joined, 0 if unknown."""
+        if node_id == self.own.node_id:
+            return self.own_joined_round or 0
+        announcement = self.announcement_by_id.get(node_id)
+        return announcement.joined_round if announcement else 0
+
+    def known_ms(self, node_id, now):
+        """Time since the first announcement of the instance *node_id*, in ms."""
+        announcement = self.announcement_by_id.get(node_id)
+        return now - (announcement.first_ms if announcement else self.started_ms)
+
+    def located(self, voting, now):
+        """The list *voting*, with the zones that its members announce.
+
+        The voters of the first round are known by their addresses only.
+        """
+        zone_by_id = {a.voter.node_id: a.voter.zone for a in self.recent(now)}
+        zone_by_id[self.own.node_id] = self.own.zone
+        return [attrs.evolve(v, zone=zone_by_id.get(v.node_id, v.zone)) for v in voting]
+
     def candidates(self, committed, now):
         """Live instances that do not vote, hold recent decisions and do not leave."""
         voting = {v.node_id for v in committed.voters}
-        min_round = committed.round - voters.MAX_LAG_ROUNDS
+        # In the first rounds, an instance without any decision would lag little enough.
+        first_round = min(1, committed.round)
+        min_round = max(first_round, committed.round - voters.MAX_LAG_ROUNDS)
         return [
             a.voter
             for a in self.recent(now)
@@ -156,4 +188,5 @@
             group="",
             round=committed.round,
             features=FEATURES,
+            joined_round=self.own_joined_round,
         )
--- a/dunlinpoint/control/server.py
+++ b/dunlinpoint/control/server.py
@@ -417,6 +417,7 @@
         # failure stopped all changes.
         return
     controls.own = attrs.evolve(controls.own, node_id=state.peers.local.node_id)
+    controls.own_joined_round = state.peers.local.joined_round
     heartbeat = controls.to_heartbeat(state.peers.local.committed)
     state.membership.renew(heartbeat, state.clock.now())
     calls = [
--- a/dunlinpoint/control/tests/core.py
+++ b/dunlinpoint/control/tests/core.py
@@ -87,10 +87,13 @@
     halves: tuple = ()
 
     @classmethod
-    def from_zones(cls, folder, zones):
-        """A core founded by one instance ``c0``, ``c1``, ... in each of *zones*."""
+    def from_zones(cls, folder, zones, founders=None):
+        """A core of one instance ``c0``, ``c1``, ... in each of *zones*.
+
+        The first *founders* of them (default: all) are the seeds.
+        """
         hosts = [f"c{number}" for number in range(len(zones))]
-        core = cls(folder, hosts)
+        core = cls(folder, hosts[:founders])
         core.reactor.advance(START_S)
         for host, zone in zip(hosts, zones, strict=True):
             core.start(host, zone, bootstrap=True)
@@ -132,8 +135,13 @@
     def terminate(self, host):
         """Send SIGTERM to *host*; a Deferred that fires when it has ended."""
         state = self.state_by_host[host]
-        done = voter_changes.leave(state, server.announce)
-        return done.addCallback(lambda _: self.kill(host))
+
+        def end(_result):
+            # It may have been killed and started again meanwhile.
+            if self.state_by_host.get(host) is state:
+                self.kill(host)
+
+        return voter_changes.leave(state, server.announce).addCallback(end)
 
     def lose_disk(self, host):
         """Kill the instance at *host*; its next start finds an empty disk."""
--- a/dunlinpoint/control/tests/test_replacement.py
+++ b/dunlinpoint/control/tests/test_replacement.py
@@ -129,3 +129,42 @@
     committed = core.state_by_host["c3"].peers.local.committed
     assert committed.change_id == "second"
     assert {v.host for v in committed.voters} == {"c1", "c2", "c3"}
+
+
+@pytest.mark.parametrize("gap_ms", [0, 300, 1000])
+def test_three_removals_without_a_word(tmp_path, gap_ms):
+    # Failure: no document is read or accepted any more after the three founders were
+    # removed, without SIGTERM, with three successors up.
+    core = with_successors(tmp_path, 3)
+    for host in ("c0", "c1", "c2"):
+        core.kill(host)
+        core.advance(gap_ms)
+    assert_decides(core)
+
+
+@pytest.mark.parametrize("removed", [("c0", "c1"), ("c1", "c2"), ("c0", "c2")])
+@pytest.mark.parametrize("lost", ["c2", "c3", "c4"])
+def test_a_disk_is_lost_after_two_removals_without_a_word(tmp_path, lost, removed):
+    # Failure: as above, after two removals, 1 s apart, and a disk lost 8 s later.
+    core = with_successors(tmp_path, 2)
+    for host in removed:
+        core.kill(host)
+        core.advance(1000)
+    core.advance(8000)
+    core.lose_disk(lost)
+    core.advance(1000)
+    core.start(lost)
+    assert_decides(core)
+
+
+@pytest.mark.parametrize("pause_ms", [0, 1000])
+def test_a_disk_is_lost_after_the_removal_of_a_succeeded_instance(tmp_path, pause_ms):
+    # Failure: as above, after the removal of the instance in whose zone another one
+    # was added, and a disk lost before the others miss the removed one.
+    core = with_successors(tmp_path, 1)
+    core.kill("c0")
+    core.advance(pause_ms)
+    core.lose_disk("c1")
+    core.advance(1000)
+    core.start("c1")
+    assert_decides(core)
--- a/dunlinpoint/control/tests/test_voters.py
+++ b/dunlinpoint/control/tests/test_voters.py
@@ -1,5 +1,7 @@
 """Changes of the voters: replaced, added and removed instances."""
 
+import attrs
+
 from dunlinpoint.control import discovery, voters
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -105,3 +107,56 @@
     assert known.silent_ms("c", NOW + 70) == 70
     assert known.silent_ms("b", NOW + 70) == 70
     assert known.silent_ms("a", NOW + 70) == 0
+
+
+def test_a_live_instance_without_any_decision_is_no_candidate():
+    # Failure: an instance that has just started, and holds nothing, is made a voter: in
+    # a deployment's first rounds it lags little enough.
+    known = discovery.Controls(A, [], NOW)
+    known.record(heartbeat("d", 0), NOW)
+    committed = attrs.make_class("Committed", ["round", "voters"])
+    assert known.candidates(committed(3, (A, B, C)), NOW) == []
+    known.record(heartbeat("d", 1), NOW)
+    assert [v.node_id for v in known.candidates(committed(3, (A, B, C)), NOW)] == ["d"]
+
+
+def ids_with_successors(voting, waiting, known_ms=1000, **joined_by_id):
+    found = voters.next_set(
+        voting,
+        waiting,
+        lambda _: 0,
+        joined_round=lambda node_id: joined_by_id.get(node_id, 0),
+        known_ms=lambda _: known_ms,
+    )
+    return found and {v.node_id for v in found}
+
+
+def test_an_instance_that_joined_a_zone_later_takes_the_vote_of_an_older_one():
+    # Failure: a removed instance counts as a voter, though its successor was up.
+    successor, other = voter("s", "z0"), voter("t", "z1")
+    assert ids_with_successors([A, B, C], [successor], s=4) == {"s", "b", "c"}
+    assert ids_with_successors([successor, B, C], [A, other], s=4, t=4) == {
+        "s",
+        "t",
+        "c",
+    }
+    assert ids_with_successors([successor, other, C], [A, B], s=4, t=4) is None
+
+
+def test_an_instance_that_still_runs_long_after_a_later_one_joined_is_added():
+    # Failure: a deployment that was extended keeps as few voters as before.
+    successor, other = voter("s", "z0"), voter("t", "z1")
+    voting, waiting = [successor, other, C], [A, B]
+    long_ms = voters.REPLACEMENT_MS
+    assert len(ids_with_successors(voting, waiting, long_ms, s=4, t=4)) == 5
+
+
+def test_a_leaving_voter_is_replaced_at_once_or_removed_with_another_one():
+    def after(voting, waiting, *leaving):
+        found = voters.next_set(voting, waiting, lambda _: 0, set(leaving))
+        return found and {v.node_id for v in found}
+
+    assert after([A, B, C], [D], "a") == {"b", "c", "d"}
+    assert after([A, B, C], [], "a") is None
+    assert after([A, B, C, D, E], [], "a") is None
+    assert after([A, B, C, D, E], [], "a", "b") == {"c", "d", "e"}
--- a/dunlinpoint/control/voter_changes.py
+++ b/dunlinpoint/control/voter_changes.py
@@ -24,10 +24,12 @@
     committed, now = state.peers.local.committed, state.clock.now()
     controls = state.controls
     return voters.next_set(
-        list(committed.voters),
+        controls.located(committed.voters, now),
         controls.candidates(committed, now),
         lambda node_id: controls.silent_ms(node_id, now),
         controls.leaving_ids(now),
+        controls.joined_round,
+        lambda node_id: controls.known_ms(node_id, now),
     )
 
 
--- a/dunlinpoint/control/voters.py
+++ b/dunlinpoint/control/voters.py
@@ -11,10 +11,16 @@
 - An absent voter is replaced by a candidate: one that announces that its process ends,
   or that has been silent for :data:`UNRESPONSIVE_MS`. The latter may only be
   partitioned; it then becomes a candidate itself.
+- A voter is replaced by a candidate if another instance joined its zone later: that one
+  is probably its successor, and the voter may be removed without any sign. For
+  :data:`REPLACEMENT_MS` an instance with a successor replaces and extends nothing if
+  another one can.
 - Candidates are added two at a time: an even set tolerates no more failures
   than the odd set one smaller.
 - Voters that leave or have been silent for :data:`REMOVAL_MS` are removed without a
-  replacement as long as at least :data:`MIN_VOTERS` remain.
+  replacement, two at a time, as long as at least :data:`MIN_VOTERS` remain.
+
+Which losses a set bears at each moment of a replacement is in ``docs/PLATFORM.md``.
 
 An instance that lost its disk no longer knows its promises. It draws a new
 ``node_id``, so it never answers as its former voter; if it did, a second
@@ -34,8 +40,13 @@
 # Five announcement intervals. A replacement instance is expected to be available
 # 4 s after its start, and by then the next failure must be tolerated.
 UNRESPONSIVE_MS = 2500
-# Longer than a machine takes to restart, so that a restarted voter is not removed.
+# Longer than a machine takes to restart, so that a restarted voter is not removed, and
+# than a split lasts: with three voters left of five, two disks lost at its end would
+# be a majority.
 REMOVAL_MS = 15_000
+# An instance that still runs so long after a later one joined in its zone is not
+# being replaced.
+REPLACEMENT_MS = 600_000
 # Rounds that a candidate may lag: during a burst of changes several rounds are
 # decided between two announcements.
 MAX_LAG_ROUNDS = 16
@@ -109,6 +120,37 @@
     return [new if voter == old else voter for voter in voters]
 
 
+def _succeeds(instance, other, joined_round):
+    """Whether *instance* joined later than *other*, in the same zone."""
+    if not instance.zone or instance.zone != other.zone:
+        return False
+    return joined_round(instance.node_id) > joined_round(other.node_id)
+
+
+def _without_succeeded(instances, live, joined_round, known_ms):
+    """Those of *instances* that none of *live* has lately joined to succeed."""
+    recent = [v for v in live if known_ms(v.node_id) < REPLACEMENT_MS]
+    return [
+        instance
+        for instance in instances
+        if not any(_succeeds(other, instance, joined_round) for other in recent)
+    ]
+
+
+def _renewed(voters, remaining, candidates):
+    """*voters* with one that is not in *remaining* replaced, or ``None``.
+
+    A candidate of its own zone is preferred.
+    """
+    for voter in voters:
+        if voter in remaining or not candidates:
+            continue
+        others = [v for v in voters if v != voter]
+        same_zone = [c for c in candidates if c.zone == voter.zone]
+        return _replaced(voters, voter, _choose(same_zone or candidates, others))
+    return None
+
+
 def _grown(voters, candidates):
     """*voters* plus one or two of *candidates* to an odd number, or ``None``."""
     added = 2 if len(voters) % 2 else 1
@@ -122,7 +164,7 @@
     return grown
 
 
-def _absent(voters, silent_ms, leaving, limit_ms):
+def _absent(voters, silent_ms, leaving, limit_ms=UNRESPONSIVE_MS):
     """Those of *voters* that leave, then those silent for over *limit_ms*."""
     ending = [v for v in voters if v.node_id in leaving]
     silent = [v for v in voters if silent_ms(v.node_id) > limit_ms]
@@ -141,23 +183,40 @@
     return [v for v in voters if v not in absent[:removed]]
 
 
-def next_set(voters, candidates, silent_ms, leaving=frozenset()):
+def next_set(
+    voters,
+    candidates,
+    silent_ms,
+    leaving=frozenset(),
+    joined_round=lambda node_id: 0,
+    known_ms=lambda node_id: 0,
+):
     """The list of voters that should replace *voters*, or ``None`` for no change.
 
     *candidates* are live instances that do not vote, hold recent decisions and do not
     leave. ``silent_ms(node_id)`` is the time since a voter's last announcement, in
     ms; *leaving* holds the ids of instances whose processes are about to end.
+    ``joined_round(node_id)`` is the round at which an instance joined the deployment,
+    and ``known_ms(node_id)`` the time since its first announcement here, in ms.
     """
     for voter in voters:
         for replacement in candidates:
             if replacement.address == voter.address:
                 return _replaced(voters, voter, replacement)
-    absent = _absent(voters, silent_ms, leaving, UNRESPONSIVE_MS)
+    absent = _absent(voters, silent_ms, leaving)
+    live = [v for v in voters if v not in absent] + candidates
+    remaining, joining = (
+        _without_succeeded(instances, live, joined_round, known_ms)
+        for instances in (voters, candidates)
+    )
     if absent and candidates:
         others = [v for v in voters if v != absent[0]]
-        return _replaced(voters, absent[0], _choose(candidates, others))
-    removable = _absent(voters, silent_ms, leaving, REMOVAL_MS)
-    return _grown(voters, candidates) or _shrunk(voters, removable)
+        return _replaced(voters, absent[0], _choose(joining or candidates, others))
+    return (
+        _renewed(voters, remaining, joining)
+        or _grown(voters, joining)
+        or _shrunk(voters, _absent(voters, silent_ms, leaving, REMOVAL_MS))
+    )
 
 
 def is_proposer(own_id, voters, silent_ms, leaving=frozenset()):
@@ -165,6 +224,6 @@
 
     Concurrent proposers would only invalidate each other's ballots.
     """
-    absent = _absent(voters, silent_ms, leaving, UNRESPONSIVE_MS)
+    absent = _absent(voters, silent_ms, leaving)
     live_ids = [v.node_id for v in voters if v not in absent]
     return bool(live_ids) and min(live_ids) == own_id
--- a/dunlinpoint/wire/dunlin.thrift
+++ b/dunlinpoint/wire/dunlin.thrift
@@ -180,6 +180,8 @@
   // Bit set of the optional agreement features that a control instance supports: 1 for
   // evacuations.
   22: i32 features,
+  // The round at which a control instance joined the deployment, 0 at its first start.
+  23: i64 joined_round,
 }
 
 struct Member {
--- a/dunlinpoint/wire/gen/dunlin/ttypes.py
+++ b/dunlinpoint/wire/gen/dunlin/ttypes.py
@@ -1246,11 +1246,12 @@
      - cold_left_ms
      - pace
      - features
+     - joined_round
 
     """
 
 
-    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, controls_known=None, round=None, epoch=None, broken=None, cold_left_ms=None, pace=None, features=None,):
+    def __init__(self, endpoint_id=None, zone=None, host=None, port=None, kind=None, load=None, draining=None, config_version=None, incarnation=None, group=None, service_name=None, slots=None, sequence=None, gone=None, engine=None, controls_known=None, round=None, epoch=None, broken=None, cold_left_ms=None, pace=None, features=None, joined_round=None,):
         self.endpoint_id = endpoint_id
         self.zone = zone
         self.host = host
@@ -1273,6 +1274,7 @@
         self.cold_left_ms = cold_left_ms
         self.pace = pace
         self.features = features
+        self.joined_round = joined_round
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1393,6 +1395,11 @@
                     self.features = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I64:
+                    self.joined_round = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1491,6 +1498,10 @@
             oprot.writeFieldBegin('features', TType.I32, 22)
             oprot.writeI32(self.features)
             oprot.writeFieldEnd()
+        if self.joined_round is not None:
+            oprot.writeFieldBegin('joined_round', TType.I64, 23)
+            oprot.writeI64(self.joined_round)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2831,6 +2842,7 @@
     (20, TType.I64, 'cold_left_ms', None, None, ),  # 20
     (21, TType.I32, 'pace', None, None, ),  # 21
     (22, TType.I32, 'features', None, None, ),  # 22
+    (23, TType.I64, 'joined_round', None, None, ),  # 23
 )
 all_structs.append(Member)
 Member.thrift_spec = (
