Bounds on all that is read from endpoints, engines and callers of our ports

Cause: the HTTP library bounds one line of a head, but neither the lines, the interim responses nor a body. EntryBuffers reads the first plain answer on at any size so that others can end, and an incomplete event had no bound. A refusal waited for the end of its body, though it is certain with its head. The same cause, by reading, where an agent or a leader reads an engine (also unbounded in time: the timeout ended with the head), in the agent's own interface, and in the bodies of requests at the readiness, operators' and metrics ports. Messages of our own processes are bounded by the thrift library.

Change: 64 KB for a head; 1/8 of the entry's memory for a plain answer or an event (64 MB without the setting), 1 MB for an answer that tells a failure, as it isn't counted while other endpoints are tried; 64 KB and 1 s for the body of a refusal, which nobody waits for; 8 MB and a time for what is read from an engine; 16 MB for a request at our ports. What exceeds a bound is closed and is a broken attempt.

--- a/dunlinpoint/agent/calls.py
+++ b/dunlinpoint/agent/calls.py
@@ -1,10 +1,9 @@
 """Calls to the local plain service, and the keys of non-idempotent ones."""
 
-import treq
 from twisted.internet import defer, error
 from twisted.web import _newclient
 
-from dunlinpoint import clock
+from dunlinpoint import clock, http_calls, http_client
 from dunlinpoint.agent import keys
 from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
@@ -39,13 +38,16 @@
     url = f"{state.settings.backend}/call/{order.operation}"
     headers = {"Idempotency-Key": order.idempotency_key or order.request_id}
     try:
-        response = yield treq.post(
+        response = yield http_calls.default().post(
             url,
             data=order.body_json.encode(),
             headers=headers,
             timeout=clock.seconds(SERVICE_TIMEOUT_MS),
+            unbuffered=True,
+        )
+        body = yield http_client.read(
+            state.clock.reactor, response, timeout_ms=SERVICE_TIMEOUT_MS
         )
-        body = yield response.text()
     except (error.ConnectionRefusedError, error.ConnectError):
         state.counters.incr("service_refused_connection")
         return ttypes.CallResult(order.request_id, "not_run", "{}", 0)
@@ -54,10 +56,12 @@
         _newclient.ResponseFailed,
         defer.CancelledError,
         error.TimeoutError,
+        http_client.AnswerError,
     ):
         state.counters.incr("service_lost")
         return ttypes.CallResult(order.request_id, "unknown", "{}", 0)
-    return ttypes.CallResult(order.request_id, "done", body, response.code)
+    text = body.decode(errors="replace")
+    return ttypes.CallResult(order.request_id, "done", text, response.code)
 
 
 @defer.inlineCallbacks
--- a/dunlinpoint/agent/rebalance_loop.py
+++ b/dunlinpoint/agent/rebalance_loop.py
@@ -5,10 +5,9 @@
 
 import json
 
-import treq
 from twisted.internet import defer, task
 
-from dunlinpoint import clock, logs
+from dunlinpoint import clock, http_calls, http_client, logs
 from dunlinpoint.agent import rebalance
 from dunlinpoint.config import packed
 
@@ -18,6 +17,10 @@
 # Distance between the fencing numbers of consecutive incarnations at one map version.
 FENCE_STRIDE = 1_000_000
 DEFAULT_SKEW_WEIGHT = 0.5
+# Most bytes of an expert's weights, which are held while they are loaded, and how long
+# the rate-limited store may take for them.
+MAX_WEIGHTS_BYTES = 64 * 1024 * 1024
+WEIGHTS_TIMEOUT_MS = 30_000
 
 
 def decode_body(document):
@@ -48,8 +51,10 @@
         if a == b or (expert, b) in state.fetched_experts:
             continue
         url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
-        response = yield treq.get(url, timeout=5)
-        yield response.content()
+        response = yield http_calls.default().get(url, timeout=5, unbuffered=True)
+        yield http_client.read(
+            state.clock.reactor, response, MAX_WEIGHTS_BYTES, WEIGHTS_TIMEOUT_MS
+        )
         if response.code == 429:
             state.counters.retried("weights_rate_limited")
             return False
@@ -70,8 +75,10 @@
         return
     settings = state.settings
     try:
-        response = yield treq.get(f"{settings.backend}/load", timeout=2)
-        report = yield response.json()
+        response = yield http_calls.default().get(
+            f"{settings.backend}/load", timeout=2, unbuffered=True
+        )
+        report = json.loads((yield http_client.read(state.clock.reactor, response)))
     except Exception:
         state.counters.retried("load_report_failed")
         return
@@ -92,10 +99,13 @@
         "placement": proposed,
         "fence": settings.incarnation * FENCE_STRIDE + state.map_version,
     }
-    response = yield treq.post(
-        f"{settings.backend}/orders", data=json.dumps(command).encode(), timeout=2
+    response = yield http_calls.default().post(
+        f"{settings.backend}/orders",
+        data=json.dumps(command).encode(),
+        timeout=2,
+        unbuffered=True,
     )
-    yield response.content()
+    yield http_client.read(state.clock.reactor, response)
     if response.code == 200:
         state.counters.incr("rebalanced")
         state.counters.incr("experts_moved", rebalance.moved(placement, proposed))
--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -18,11 +18,10 @@
 import json
 
 import attrs
-import treq
 from twisted.internet import defer, task
 from zope.interface import implementer
 
-from dunlinpoint import clock, logs, metrics
+from dunlinpoint import clock, http_calls, http_client, logs, metrics
 from dunlinpoint.agent import announce, calls, keys, rebalance_loop, streams
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
@@ -36,6 +35,8 @@
 LINGER_MS = 1500
 DRAIN_RETRY_AFTER_MS = 200
 RESUME_ATTEMPTS = 3
+# Most bytes of one line of an engine's stream.
+MAX_LINE_BYTES = 1024 * 1024
 
 
 @attrs.define
@@ -159,8 +160,8 @@
     def cancel(self, request_id):
         url = f"{self.state.settings.backend}/cancel/{request_id}"
         try:
-            response = yield treq.post(url, timeout=1)
-            yield response.content()
+            response = yield http_calls.default().post(url, timeout=1, unbuffered=True)
+            yield http_client.read(self.reactor, response)
         except Exception:
             self.state.counters.incr("cancel_failed")
 
@@ -245,10 +246,11 @@
         "topic": parse_topic(order),
         "resume_from": len(stream.tokens),
     }
-    response = yield treq.post(
+    response = yield http_calls.default().post(
         f"{state.settings.backend}/generate",
         data=json.dumps(payload).encode(),
         headers={"content-type": "application/json"},
+        unbuffered=True,
     )
     pending = bytearray()
     ended = []
@@ -263,8 +265,14 @@
                 ended.append(piece)
             elif piece["i"] == len(stream.tokens):
                 stream.add([piece["t"]])
-
-    yield treq.collect(response, collect)
+        too_many = len(stream.tokens) > order.max_tokens
+        if len(pending) > MAX_LINE_BYTES or too_many:
+            raise http_client.AnswerError("the engine's answer has no end")
+
+    try:
+        yield http_client.collect(response, collect)
+    except http_client.AnswerError as exc:
+        raise errors.OutcomeUnknown(str(exc)) from exc
     if not ended:
         raise errors.OutcomeUnknown("engine stream ended early")
     stream.finish()
--- a/dunlinpoint/experts/engine.py
+++ b/dunlinpoint/experts/engine.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
+import json
+
 import attrs
 import treq
 from twisted.internet import defer
-from twisted.web import client
 
-from dunlinpoint import clock
+from dunlinpoint import clock, http_calls, http_client
 
 TIMEOUT_MS = 700
 # A command is answered at once or not at all, so it is repeated sooner than a read.
@@ -41,15 +42,12 @@
     paths: EnginePaths
     read_state: object
     http: treq.client.HTTPClient
+    reactor: object
 
     @classmethod
     def from_config(cls, reactor, address, paths, read_state):
         """The engine at *address*; *read_state* makes a ``RankState`` of its bodies."""
-        pool = client.HTTPConnectionPool(reactor, persistent=True)
-        pool.retryAutomatically = False
-        agent = client.Agent(reactor, pool=pool)
-        http = treq.client.HTTPClient(agent)
-        return cls(address, paths, read_state, http)
+        return cls(address, paths, read_state, http_calls.make(reactor), reactor)
 
     @property
     def url(self):
@@ -63,12 +61,12 @@
     def _get(self, path):
         try:
             response = yield self.http.get(
-                self.url + path, timeout=clock.seconds(TIMEOUT_MS)
+                self.url + path, timeout=clock.seconds(TIMEOUT_MS), unbuffered=True
             )
-            body = yield response.json()
+            body = yield http_client.read(self.reactor, response, timeout_ms=TIMEOUT_MS)
+            return json.loads(body)
         except Exception as exc:
             raise RankError(repr(exc)) from exc
-        return body
 
     @defer.inlineCallbacks
     def state(self, experts=False):
@@ -101,8 +99,9 @@
                 data=body_json.encode(),
                 headers={"Content-Type": "application/json"},
                 timeout=clock.seconds(timeout_ms),
+                unbuffered=True,
             )
-            yield response.content()
+            yield http_client.read(self.reactor, response, timeout_ms=timeout_ms)
         except Exception:
             return 0
         return response.code
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -17,14 +17,15 @@
 
 import collections
 
+import attrs
 from twisted.internet import defer
-from twisted.web import http_headers
+from twisted.web import http_headers, iweb
 
 from dunlinpoint import logs
 from dunlinpoint.admission import decision, urgency
 from dunlinpoint.forward import pool, quarantine, responses, routes
 from dunlinpoint.forward import watchdog as watchdogs
-from dunlinpoint.routing import pick
+from dunlinpoint.routing import backpressure, pick
 
 log = logs.logger("entry")
 
@@ -35,6 +36,9 @@
 PAST_TARGET_PRIORITY_PENALTY = 5
 # Outcomes of an attempt.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
+# How much of the body of a refusal is read, and for how long, to reuse its connection.
+MAX_DRAINED_BYTES = 64 * 1024
+DRAIN_TIMEOUT_MS = 1000
 # The endpoint closed the connection because this entry did not read it.
 UNREAD = "unread"
 
@@ -240,7 +244,7 @@
     if head.code != 421:
         forwarder.picker.cold.record_outcome(member, not is_refused, now)
     if is_refused:
-        yield drain_body(connection, head)
+        drain_body(forwarder, connection, head)
         record_not_run(forwarder, member, head)
         return NOT_RUN
     good = 200 <= head.code < 300
@@ -286,11 +290,21 @@
     """Read a plain answer whole; return the pieces of its body, which count as held."""
     pieces = collections.deque()
     buffers, source = forwarder.buffers, call.source
+    limit_bytes = buffers.max_answer_bytes
+    if head.code >= 500:
+        limit_bytes = min(limit_bytes, backpressure.MAX_FAILURE_BYTES)
+    guard = Guard(forwarder, connection, limit_bytes)
+    guard.check(0 if head.length is iweb.UNKNOWN_LENGTH else head.length)
     source.begin(connection)
     buffers.began_plain(source)
+    length = 0
 
     def on_data(data):
+        nonlocal length
         now = forwarder.clock.now()
+        length += len(data)
+        if guard.check(length):
+            return
         pieces.append(data)
         call.caller.hold(len(data), now)
         if not buffers.may_read_plain(source):
@@ -328,13 +342,45 @@
     return pool.Broken(why)
 
 
-@defer.inlineCallbacks
-def drain_body(connection, head):
-    """Read the body of a refusal, so that its connection can be reused."""
-    try:
-        yield pool.read(connection, head, len)
-    except pool.Broken:
-        connection.close()
+@attrs.define
+class Guard:
+    """Closes *connection* when more than *limit_bytes* of it would be held."""
+
+    forwarder: object
+    connection: object
+    limit_bytes: int
+    is_exceeded: bool = False
+
+    def check(self, count):
+        """Check *count* bytes of an answer or event; whether too many came so far."""
+        if count > self.limit_bytes and not self.is_exceeded:
+            self.is_exceeded = True
+            self.forwarder.counters.incr("dropped.answer_too_long")
+            self.connection.close()
+        return self.is_exceeded
+
+
+def drain_body(forwarder, connection, head):
+    """Read the body of a refusal, so that its connection can be reused.
+
+    Nothing waits for it: it may come slowly or without end.
+    """
+    guard = Guard(forwarder, connection, MAX_DRAINED_BYTES)
+    drained = 0
+
+    def on_data(data):
+        nonlocal drained
+        drained += len(data)
+        guard.check(drained)
+
+    def ended(_result):
+        if timer.active():
+            timer.cancel()
+
+    timer = forwarder.clock.call_later(DRAIN_TIMEOUT_MS, connection.close)
+    reading = pool.read(connection, head, on_data)
+    reading.addErrback(lambda failure: failure.trap(pool.Broken))
+    reading.addBoth(ended)
 
 
 @defer.inlineCallbacks
@@ -348,6 +394,7 @@
     source.begin(connection)
     caller.source = source
     partial_bytes, has_begun = 0, False
+    guard = Guard(forwarder, connection, caller.entry.max_answer_bytes)
 
     def on_data(data):
         nonlocal last_ms, partial_bytes, has_begun
@@ -360,6 +407,7 @@
             quarantine.request_served(forwarder, call)
         caller.hold(len(call.events.partial) - partial_bytes, now)
         partial_bytes = len(call.events.partial)
+        guard.check(partial_bytes)
         if not out or call.is_over:
             return
         # After a pause, the gaps depend on the caller and not on the endpoint.
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -24,7 +24,7 @@
 from twisted.web import _newclient, client, iweb
 from zope.interface import implementer
 
-from dunlinpoint import clock
+from dunlinpoint import clock, http_client
 from dunlinpoint.routing import pick
 
 CONNECT_TIMEOUT_MS = 400
@@ -86,7 +86,7 @@
     body: bytes
 
 
-class Connection(client.HTTP11ClientProtocol):
+class Connection(http_client.BoundedProtocol):
     """One connection to an endpoint.
 
     It detects extra bytes and resets, which the library's protocol does not report.
--- /dev/null
+++ b/dunlinpoint/http_client.py
@@ -0,0 +1,122 @@
+"""HTTP client calls whose answers are bounded in bytes and time.
+
+A peer in trouble may send bytes without end, in a head or a body. The HTTP library
+bounds one line of a head, but neither the lines, the interim responses nor the body,
+and its timeout ends with the head.
+"""
+
+from twisted.internet import defer, protocol
+from twisted.web import client
+
+from dunlinpoint import clock
+
+# Most bytes of a response's head, interim responses included.
+MAX_HEAD_BYTES = 64 * 1024
+# Most bytes of a body that is read whole: reports, weights, answers of calls.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+BODY_TIMEOUT_MS = 5000
+
+
+class AnswerError(Exception):
+    """The body of an answer is too long, takes too long or is not complete."""
+
+
+class BoundedProtocol(client.HTTP11ClientProtocol):
+    """A client connection that is closed when the head of a response is too long.
+
+    ``head_bytes`` counts the bytes of the head that is awaited, ``None`` if none is.
+    """
+
+    head_bytes = None
+
+    def request(self, request):
+        """Send *request*; a Deferred of the response, once its head is read."""
+        self.head_bytes = 0
+        return super().request(request).addBoth(self._head_ended)
+
+    def _head_ended(self, result):
+        self.head_bytes = None
+        return result
+
+    def dataReceived(self, data):
+        super().dataReceived(data)
+        if self.head_bytes is not None:
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES and self.transport is not None:
+                self.transport.abortConnection()
+
+
+class _Factory(client._HTTP11ClientFactory):
+    """Makes bounded connections for a pool."""
+
+    def buildProtocol(self, addr):  # noqa: N802, Twisted's name
+        return BoundedProtocol(self._quiescentCallback)
+
+
+class Pool(client.HTTPConnectionPool):
+    """Persistent connections whose heads are bounded, without automatic retries."""
+
+    _factory = _Factory
+    retryAutomatically = False
+
+
+class _Collector(protocol.Protocol):
+    """Passes a body to *on_data*, and closes the connection when that fails."""
+
+    def __init__(self, on_data):
+        self.on_data = on_data
+        self.done = defer.Deferred()
+
+    def dataReceived(self, data):
+        if self.done.called:
+            return
+        try:
+            self.on_data(data)
+        except Exception as exc:
+            self.fail(exc)
+
+    def fail(self, exc):
+        if not self.done.called:
+            self.done.errback(exc)
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason=protocol.connectionDone):
+        if self.done.called:
+            return
+        if reason.check(client.ResponseDone, client.PotentialDataLoss):
+            self.done.callback(None)
+        else:
+            self.done.errback(AnswerError(f"incomplete: {reason.value!r}"))
+
+
+def collect(response, on_data):
+    """Pass the body of *response* to *on_data*; a Deferred that fires at its end.
+
+    It fails with ``AnswerError`` if the body is incomplete, and with what *on_data*
+    raises; the connection is closed then.
+    """
+    collector = _Collector(on_data)
+    response.deliverBody(collector)
+    return collector.done
+
+
+def read(reactor, response, max_bytes=MAX_BODY_BYTES, timeout_ms=BODY_TIMEOUT_MS):
+    """A Deferred of the body of *response* (``bytes``); fails with ``AnswerError``."""
+    body = bytearray()
+
+    def on_data(data):
+        body.extend(data)
+        if len(body) > max_bytes:
+            raise AnswerError(f"longer than {max_bytes} bytes")
+
+    collector = _Collector(on_data)
+    late = AnswerError(f"not complete after {timeout_ms} ms")
+    timer = reactor.callLater(clock.seconds(timeout_ms), collector.fail, late)
+
+    def ended(result):
+        if timer.active():
+            timer.cancel()
+        return result
+
+    response.deliverBody(collector)
+    return collector.done.addBoth(ended).addCallback(lambda _: bytes(body))
--- a/dunlinpoint/http_site.py
+++ b/dunlinpoint/http_site.py
@@ -1,9 +1,61 @@
-"""HTTP server for callers that tracks its open connections."""
+"""HTTP servers: one that tracks its open connections, one that bounds bodies."""
 
 from twisted.internet import defer
-from twisted.web import server
+from twisted.web import http, server
 
 POLL_INTERVAL_MS = 20
+# Most bytes of a request's body, far above an operator's document.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+TOO_LARGE = (
+    b"HTTP/1.1 413 Request Entity Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class BoundedChannel(http.HTTPChannel):
+    """A connection that is closed when the body of a request is too long.
+
+    The HTTP library reads a body whole, into a file and for as long as it comes, before
+    anything decides on the request.
+    """
+
+    max_body_bytes = MAX_BODY_BYTES
+    body_bytes = 0
+    is_refused = False
+
+    def dataReceived(self, data):
+        if not self.is_refused:
+            super().dataReceived(data)
+
+    def allHeadersReceived(self):
+        self.body_bytes = 0
+        if (self.length or 0) > self.max_body_bytes:
+            self._refuse()
+        else:
+            super().allHeadersReceived()
+
+    def rawDataReceived(self, data):
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body_bytes:
+            self._refuse()
+        elif not self.is_refused:
+            super().rawDataReceived(data)
+
+    def _refuse(self):
+        if not self.is_refused:
+            self.is_refused = True
+            self.transport.write(TOO_LARGE)
+            self.loseConnection()
+
+
+class BoundedSite(server.Site):
+    """A Twisted site whose requests have bounded bodies, without an access log."""
+
+    protocol = BoundedChannel
+    noisy = False
+
+    def log(self, request):
+        """Write no access log line."""
 
 
 class Site(server.Site):
--- a/dunlinpoint/metrics.py
+++ b/dunlinpoint/metrics.py
@@ -14,9 +14,8 @@
 from klein import Klein
 from prometheus_client import core
 from twisted.internet import task
-from twisted.web import server
 
-from dunlinpoint import clock
+from dunlinpoint import clock, http_site
 
 # Counts are sent to statsd in one datagram per interval. One datagram per
 # increment cost an entry more system calls than its requests did.
@@ -146,4 +145,6 @@
         return counters.render()
 
     host, port = address
-    return reactor.listenTCP(port, server.Site(web.resource()), interface=host)
+    return reactor.listenTCP(
+        port, http_site.BoundedSite(web.resource()), interface=host
+    )
--- a/dunlinpoint/platform/admin.py
+++ b/dunlinpoint/platform/admin.py
@@ -4,9 +4,8 @@
 
 from klein import Klein
 from twisted.internet import defer
-from twisted.web import http, server
 
-from dunlinpoint import logs
+from dunlinpoint import http_site, logs
 from dunlinpoint.config import document as config
 from dunlinpoint.control import agreement, evacuation_orders, operators
 from dunlinpoint.platform import documents, fields, protocol
@@ -16,7 +15,7 @@
 JSON = b"application/json"
 
 
-class Channel(http.HTTPChannel):
+class Channel(http_site.BoundedChannel):
     """A connection to the admin API; ``accepted_ms`` is when it was accepted."""
 
     accepted_ms = None
@@ -26,11 +25,10 @@
         super().connectionMade()
 
 
-class Site(server.Site):
+class Site(http_site.BoundedSite):
     """The site of the admin API, which knows when each connection was accepted."""
 
     protocol = Channel
-    noisy = False
 
     def __init__(self, resource, ms_clock):
         super().__init__(resource)
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -1,9 +1,8 @@
 """An entry on the platform: forwards callers' HTTP to servers."""
 
 from twisted.internet import defer, reactor
-from twisted.web import server
 
-from dunlinpoint import clock, logs
+from dunlinpoint import clock, http_site, logs
 from dunlinpoint.cli import checks, flags
 from dunlinpoint.follow import view
 from dunlinpoint.forward import site, state
@@ -114,7 +113,7 @@
             and not forwarder.key_lease_ended()
         )
 
-    web = server.Site(ready.make_app(is_ready).resource())
+    web = http_site.BoundedSite(ready.make_app(is_ready).resource())
     reactor.listenTCP(ready_port, web, interface=ready_host)
 
     async def stop():
--- a/dunlinpoint/routing/backpressure.py
+++ b/dunlinpoint/routing/backpressure.py
@@ -16,6 +16,9 @@
   has admitted. It reads one at a time, the one that began first, if callers have little
   unread: then the plain answers themselves fill the memory, and none would ever end.
 - A caller that reads nothing for ``READ_TIMEOUT_MS`` while bytes wait for it is closed.
+
+One answer that is longer than ``max_answer_bytes`` is given up: an endpoint that is in
+trouble may send bytes without end.
 """
 
 from __future__ import annotations
@@ -35,6 +38,13 @@
 # Share of the threshold up to which callers' unread bytes let one of them be read on.
 FULL_UNREAD_FRACTION = 0.25
 READ_TIMEOUT_MS = 10_000
+# Most bytes of one plain answer or of one event, as a share of the entry's memory, and
+# without a bound of it. The share and ``FULL_FRACTION`` leave half of the memory.
+ANSWER_FRACTION = 0.125
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Most bytes of an answer that tells a failure: it is kept while other endpoints are
+# tried and does not count as held.
+MAX_FAILURE_BYTES = 1024 * 1024
 # While the entry refuses new requests, requests that are still being received are
 # refused as well if their body is larger, or is not complete after this time.
 MAX_SHED_BODY_BYTES = 64 * 1024
@@ -152,6 +162,11 @@
     def is_full(self):
         return 0 < self.memory_bytes * FULL_FRACTION < self.total
 
+    @property
+    def max_answer_bytes(self):
+        """Most bytes of one plain answer, or of one event of a stream."""
+        return self.memory_bytes * ANSWER_FRACTION or MAX_ANSWER_BYTES
+
     def add(self, count, now, unread=0):
         """Add *count* bytes, *unread* of them written; both may be negative."""
         self.total += count
--- /dev/null
+++ b/dunlinpoint/tests/test_http_client.py
@@ -0,0 +1,133 @@
+"""Answers without end at the HTTP client that agents and leaders use."""
+
+import attrs
+import pytest
+from twisted.internet import defer, protocol, task
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.web import client
+
+from dunlinpoint import http_client
+from dunlinpoint.experts import engine
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+BLOCK = b"x" * 16 * 1024
+BLOCKS = 2000
+
+
+class Transport(StringTransport):
+    """A connection that tells its protocol when it is aborted or closed."""
+
+    def abortConnection(self):
+        super().abortConnection()
+        self.end()
+
+    def loseConnection(self):
+        super().loseConnection()
+        self.end()
+
+    def end(self):
+        if self.protocol is not None:
+            ended, self.protocol = self.protocol, None
+            ended.connectionLost(protocol.connectionDone)
+
+
+def connect():
+    """A bounded connection with a request under way, and the results of that."""
+    found = http_client.BoundedProtocol(lambda _: None)
+    transport = Transport()
+    transport.protocol = found
+    found.makeConnection(transport)
+    headers = client.Headers({b"host": [b"h"]})
+    request = client.Request(b"GET", b"/", headers, None, persistent=True)
+    results = []
+    found.request(request).addBoth(results.append)
+    return found, transport, results
+
+
+def feed(found, transport, block):
+    """The bytes that *found* took before it closed the connection."""
+    taken = 0
+    for _ in range(BLOCKS):
+        if transport.protocol is None:
+            break
+        found.dataReceived(block)
+        taken += len(block)
+    return taken
+
+
+@pytest.mark.parametrize(
+    "first, block",
+    [
+        (HEAD, b"X-A: b\r\n" * 2000),
+        (HEAD + b"X-A: b\r\n", b" folded\r\n" * 2000),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 600),
+    ],
+)
+def test_a_head_without_end_closes_the_connection(first, block):
+    # Failure: a process reads the lines of a head, or interim responses, for as long as
+    # they come, and takes gigabytes for them.
+    found, transport, results = connect()
+    found.dataReceived(first)
+    assert feed(found, transport, block) <= http_client.MAX_HEAD_BYTES + len(block)
+    assert len(results) == 1 and results[0].check(client.ResponseFailed)
+
+
+def test_a_head_up_to_the_limit_is_read():
+    found, transport, results = connect()
+    lines = b"X-A: b\r\n" * (http_client.MAX_HEAD_BYTES // 8 - 10)
+    found.dataReceived(HEAD + lines + b"Content-Length: 1\r\n\r\nx")
+    assert results[0].code == 200
+
+
+def read(block, reactor, **bounds):
+    """The failure of a body that is read while *block* comes again and again."""
+    found, transport, results = connect()
+    found.dataReceived(HEAD + b"\r\n")
+    reading = http_client.read(reactor, results[0], **bounds)
+    failures = []
+    reading.addErrback(failures.append)
+    taken = feed(found, transport, block) if block else 0
+    return taken, failures
+
+
+def test_a_body_without_end_is_given_up():
+    # Failure: a report of an engine that has no end fills the memory of its agent.
+    taken, failures = read(BLOCK, task.Clock(), max_bytes=100_000)
+    assert taken <= 100_000 + len(BLOCK)
+    assert failures[0].check(http_client.AnswerError)
+
+
+def test_a_body_that_stays_incomplete_is_given_up():
+    # Failure: an agent waits for ever for the body of a report, as the timeout of a
+    # request ends with its head.
+    reactor = task.Clock()
+    _, failures = read(b"", reactor, timeout_ms=700)
+    assert not failures
+    reactor.advance(0.7)
+    assert failures[0].check(http_client.AnswerError)
+
+
+def test_a_body_that_ends_with_its_connection_is_read():
+    found, transport, results = connect()
+    found.dataReceived(HEAD + b"\r\nbody")
+    bodies = []
+    http_client.read(task.Clock(), results[0]).addCallback(bodies.append)
+    transport.end()
+    assert bodies == [b"body"]
+
+
+def test_an_engine_whose_report_has_no_end_did_not_answer():
+    # Failure: the leader of a group waits for one rank's report without a limit.
+    reactor = MemoryReactorClock()
+    rank = engine.Engine.from_config(reactor, "127.0.0.1:1", engine.EnginePaths(), None)
+
+    class Http:
+        def get(self, url, **options):
+            found, self.transport, results = connect()
+            found.dataReceived(HEAD + b"\r\n{")
+            return defer.succeed(results[0])
+
+    failures = []
+    attrs.evolve(rank, http=Http()).state().addErrback(failures.append)
+    reactor.advance(engine.TIMEOUT_MS / 1000)
+    assert failures[0].check(engine.RankError)
--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -244,11 +244,11 @@
     }
 
 
-def run(folder, server_zones=("z1", "z1"), **entry_settings):
+def run(folder, server_zones=("z1", "z1"), server_class=Server, **entry_settings):
     """Yield one running ``Platform`` whose logs are under *folder*.
 
-    It has one server in each of *server_zones*; *entry_settings* are added to the
-    settings of the entry.
+    It has one server of *server_class* in each of *server_zones*; *entry_settings* are
+    added to the settings of the entry.
     """
     ports = [deploy.free_port() for _ in range(5)]
     entry_port, ready_port, admin_port, inner, metrics_port = ports
@@ -274,7 +274,7 @@
     runs, servers = [], []
     stopped = threading.Event()
     for number, zone in enumerate(server_zones):
-        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Server)
+        server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), server_class)
         server.id, server.runs, server.zone = f"i-{number}", runs, zone
         server.extra_headers, server.arrivals, server.retry_after = {}, [], None
         server.flooded, server.arrived_ids = 0, []
