--- a/dunlinpoint/config/tests/test_document.py
+++ b/dunlinpoint/config/tests/test_document.py
@@ -22,6 +22,9 @@
     ),
 }
 
+# On a busy machine the processor time of one call varies up to five times.
+CALLS = 15
+
 
 @pytest.mark.parametrize("case", sorted(BAD))
 def test_refusals_read_as_before(case, snapshot):
@@ -83,18 +86,18 @@
     # With 1,400 routes that change every 0.3 s, a group leader that has a third of a
     # core is overloaded by parsing the whole document, which takes 3.4 times as long.
     text = large_document(1400)
-    whole = seconds(config.parse, text)
-    assert seconds(config.parse_for_ranks, text, "model") < 0.5 * whole
+    whole, part = [], []
+    for _ in range(CALLS):
+        whole.append(seconds(config.parse, text))
+        part.append(seconds(config.parse_for_ranks, text, "model"))
+    assert min(part) < 0.5 * min(whole)
 
 
 def seconds(func, *args):
-    """The processor time of the fastest of three calls, in seconds."""
-    took = []
-    for _ in range(3):
-        began = time.process_time()
-        func(*args)
-        took.append(time.process_time() - began)
-    return min(took)
+    """The processor time of a call, in seconds."""
+    began = time.process_time()
+    func(*args)
+    return time.process_time() - began
 
 
 def test_a_document_in_force_of_an_earlier_version_is_still_read():
