--- a/tests/integration/test_endless_answers.py
+++ b/tests/integration/test_endless_answers.py
@@ -25,6 +25,7 @@
     "short-lines": (b"", b"X-A: b\r\n" * 1000),
     "folded": (b"X-Folded: a\r\n", b" " + b"y" * 8000 + b"\r\n"),
 }
+TRAILER = b"X-Line: " + b"y" * 8000 + b"\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n" * 1000
 NOT_EXECUTED = b"X-Dunlinpoint-Not-Executed: 1\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -59,6 +60,9 @@
             return b"HTTP/1.1 200 OK\r\n" + signed + line, block
         if kind == "interim":
             return b"", INTERIM
+        if kind == "trailer":
+            body = b"1\r\nx\r\n0\r\n"
+            return b"HTTP/1.1 200 OK\r\n" + signed + CHUNKED + b"\r\n" + body, TRAILER
         if kind == "event":
             stream = signed + CHUNKED + b"Content-Type: text/event-stream\r\n"
             return b"HTTP/1.1 200 OK\r\n" + stream + b"\r\n", chunk
@@ -102,6 +106,7 @@
 
 KINDS = ["lines", "short-lines", "folded", "interim"]
 KINDS += ["body", "chunks", "length", "failure", "unsigned", "refusal", "event"]
+KINDS += ["trailer"]
 
 
 @pytest.mark.parametrize("kind", KINDS)
