Answers: a status line that is not one of the protocol reaches no caller

Callers got "HTTP/1.1 0 Trouble" as an answer when an endpoint in trouble had sent the status 000.

Cause: the HTTP library takes any integer for a status, any version and any bytes of a phrase, and an answer was passed on by its number alone: what is not 2xx needs no signature, what is below 500 is final. "0200", "+200", "2_00", "HTTP/2.0 200" and "ICY/1.1 200" passed as a 200, and control bytes of a phrase were sent on as they came.

Change: the parser of all HTTP answers (entries, agents, leaders) checks the status line of each response, interim ones included, against the grammar of RFC 9112 with the classes 1 to 5. Past it the connection is closed, and the attempt is broken: 502, or another endpoint where the request may run again. An `invalid_head` line names request, endpoint and line, `dropped.invalid_head` counts them.

It works as there is one place that reads heads, and it runs before the library interprets the line.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -230,7 +230,11 @@
     Raises ``Broken``.
     """
     sent_ms = forwarder.clock.now()
-    head = yield pool.send(connection, build_message(forwarder, call, member))
+    try:
+        head = yield pool.send(connection, build_message(forwarder, call, member))
+    except pool.InvalidHead as exc:
+        record_invalid_head(forwarder, call, member, exc)
+        raise
     own = forwarder.names
     echoed = head.headers.getRawHeaders(own.request_id, [None])[-1]
     if call.request_id is not None and echoed != call.request_id:
@@ -277,6 +281,17 @@
     return DONE
 
 
+def record_invalid_head(forwarder, call, member, exc):
+    """Count and log an answer of *member* that has no valid head, which *exc* shows."""
+    forwarder.counters.incr("dropped.invalid_head")
+    log.warning(
+        "invalid_head",
+        request=responses.header_text(call.request_id),
+        endpoint_id=member.endpoint_id,
+        error=str(exc),
+    )
+
+
 def passed_on(caller, pieces):
     """Yield and remove the *pieces* of an answer, which no longer count as held."""
     while pieces:
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -14,7 +14,7 @@
   for both.
 
 Errors: :class:`NotSent` if no byte of the request was sent, :class:`Broken` if the
-request may have run.
+request may have run (:class:`InvalidHead` if its response has no valid head).
 """
 
 import re
@@ -51,6 +51,10 @@
     """No complete, valid response to a sent request: it may have run."""
 
 
+class InvalidHead(Broken):
+    """The head of the response is not one of the protocol."""
+
+
 @implementer(iweb.IBodyProducer)
 @attrs.define
 class Body:
@@ -263,7 +267,7 @@
 def send(connection, message):
     """Send *message*; return the head of the response (``IResponse``).
 
-    Raises ``Broken``.
+    Raises ``Broken``, or ``InvalidHead`` which is one.
     """
     body = Body(message.body) if message.body or message.method == b"POST" else None
     request = _newclient.Request(
@@ -273,6 +277,9 @@
         head = yield connection.request(request)
     except Exception as exc:
         connection.close()
+        head_error = http_client.head_error(exc)
+        if head_error is not None:
+            raise InvalidHead(str(head_error)) from exc
         raise Broken(repr(exc)) from exc
     for value in head.headers.getRawHeaders(b"keep-alive", ()):
         match = KEEP_ALIVE_TIMEOUT.search(value)
--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP client calls whose answers are bounded in bytes and time.
+"""HTTP client calls whose answers are bounded in bytes and time, with strict heads.
 
 A peer in trouble may send bytes without end, in a head or a body. The HTTP library
 bounds one line of a head, but neither the lines, the interim responses nor the body,
@@ -6,9 +6,9 @@
 """
 
 from twisted.internet import defer, protocol
-from twisted.web import client
+from twisted.web import _newclient, client
 
-from dunlinpoint import clock
+from dunlinpoint import clock, http_heads
 
 # Most bytes of a response's head, interim responses included.
 MAX_HEAD_BYTES = 64 * 1024
@@ -21,8 +21,19 @@
     """The body of an answer is too long, takes too long or is not complete."""
 
 
+class StrictParser(_newclient.HTTPClientParser):
+    """Parses one response, whose head must be one of the protocol.
+
+    A ``HeadError`` that it raises ends the connection and fails the request.
+    """
+
+    def statusReceived(self, status):
+        http_heads.check_status_line(status)
+        super().statusReceived(status)
+
+
 class BoundedProtocol(client.HTTP11ClientProtocol):
-    """A client connection that is closed when the head of a response is too long.
+    """A client connection that is closed when a response's head is too long or invalid.
 
     ``head_bytes`` counts the bytes of the head that is awaited, ``None`` if none is.
     """
@@ -32,7 +43,11 @@
     def request(self, request):
         """Send *request*; a Deferred of the response, once its head is read."""
         self.head_bytes = 0
-        return super().request(request).addBoth(self._head_ended)
+        responding = super().request(request)
+        if self._parser is not None:
+            # The library makes the parser itself and has no setting for its class.
+            self._parser.__class__ = StrictParser
+        return responding.addBoth(self._head_ended)
 
     def _head_ended(self, result):
         self.head_bytes = None
@@ -46,6 +61,13 @@
                 self.transport.abortConnection()
 
 
+def head_error(exc):
+    """The ``HeadError`` for which a request failed with *exc*, or ``None``."""
+    reasons = exc.reasons if isinstance(exc, _newclient.ResponseFailed) else []
+    causes = [reason.value for reason in reasons]
+    return next((c for c in causes if isinstance(c, http_heads.HeadError)), None)
+
+
 class _Factory(client._HTTP11ClientFactory):
     """Makes bounded connections for a pool."""
 
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -1,4 +1,4 @@
-"""Answers without end at the HTTP client that agents and leaders use."""
+"""Answers without end, or with a broken head, at the HTTP client of all processes."""
 
 import attrs
 import pytest
@@ -37,11 +37,16 @@
     transport = Transport()
     transport.protocol = found
     found.makeConnection(transport)
+    return found, transport, send(found)
+
+
+def send(connection):
+    """The results of a request that is sent on *connection*."""
     headers = client.Headers({b"host": [b"h"]})
     request = client.Request(b"GET", b"/", headers, None, persistent=True)
     results = []
-    found.request(request).addBoth(results.append)
-    return found, transport, results
+    connection.request(request).addBoth(results.append)
+    return results
 
 
 def feed(found, transport, block):
@@ -131,3 +136,52 @@
     attrs.evolve(rank, http=Http()).state().addErrback(failures.append)
     reactor.advance(engine.TIMEOUT_MS / 1000)
     assert failures[0].check(engine.RankError)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 000 Trouble",
+        b"HTTP/1.1 099 Trouble",
+        b"HTTP/1.1 600 Trouble",
+        b"HTTP/1.1 0200 OK",
+        b"HTTP/1.1 +200 OK",
+        b"HTTP/1.1 2_00 OK",
+        b"HTTP/2.0 200 OK",
+        b"HTTP/1.1 200 \x00",
+        b"HTTP/1.1 200 OK\rX-A: b",
+    ],
+)
+def test_a_status_that_does_not_exist_fails_the_request(line):
+    # Failure: the status 000 of a service in trouble is the outcome of a call, of an
+    # order or of a command.
+    found, transport, _ = connect()
+    found.dataReceived(HEAD + b"Content-Length: 0\r\n\r\n")
+    results = send(found)
+    found.dataReceived(line + b"\r\nContent-Length: 1\r\n\r\nx")
+    assert len(results) == 1 and results[0].check(client.ResponseFailed)
+    assert transport.protocol is None
+
+
+def test_a_status_that_does_not_exist_is_no_interim_response():
+    # Failure: what looks like an interim response to the library is skipped, and an
+    # answer is read from the bytes after it.
+    found, transport, results = connect()
+    found.dataReceived(b"HTTP/1.1 0100 Continue\r\n\r\n" + HEAD + b"\r\n")
+    assert len(results) == 1 and results[0].check(client.ResponseFailed)
+
+
+@pytest.mark.parametrize(
+    "line, status",
+    [
+        (b"HTTP/1.1 200", 200),
+        (b"HTTP/1.0 200 OK", 200),
+        (b"HTTP/1.1 599 ", 599),
+        (b"HTTP/1.1 404 Not\tFound, pas trouv\xe9", 404),
+        (b"HTTP/1.1 100 Continue\r\nX-A: b\r\n\r\nHTTP/1.1 201 Created", 201),
+    ],
+)
+def test_every_status_line_of_the_protocol_is_read(line, status):
+    found, transport, results = connect()
+    found.dataReceived(line + b"\r\nContent-Length: 1\r\n\r\nx")
+    assert results[0].code == status
--- /dev/null
+++ b/tests/integration/test_broken_heads.py
@@ -0,0 +1,125 @@
+"""Answers of endpoints whose head is not one of the protocol."""
+
+import json
+import socket
+
+import pytest
+
+from tests.integration import platform_lab
+from tests.integration.platform_lab import ATTEMPT, SIGNATURE
+from tests.integration.waits import wait_for
+
+# A body that is whole as an event of a stream, too.
+BODY = b"id: 1\ndata: body\n\n"
+LENGTH = b"Content-Length: %d" % len(BODY)
+STATUS_LINE = b"HTTP/1.1 200 OK"
+# Longer than the deadline of the request.
+TIMEOUT_S = 6
+
+STATUS_LINES = {
+    "000": b"HTTP/1.1 000 Trouble",
+    "below-100": b"HTTP/1.1 099 Trouble",
+    "above-599": b"HTTP/1.1 600 Trouble",
+    "999": b"HTTP/1.1 999 Trouble",
+    "two-digits": b"HTTP/1.1 20 Trouble",
+    "four-digits": b"HTTP/1.1 0200 Trouble",
+    "interim-four-digits": b"HTTP/1.1 0100 Continue\r\n\r\n" + STATUS_LINE,
+    "sign": b"HTTP/1.1 +200 Trouble",
+    "negative": b"HTTP/1.1 -200 Trouble",
+    "underscore": b"HTTP/1.1 2_00 Trouble",
+    "no-number": b"HTTP/1.1 2xx Trouble",
+    "no-status": b"HTTP/1.1",
+    "tab-after-status": b"HTTP/1.1 200\tTrouble",
+    "two-blanks": b"HTTP/1.1  200 Trouble",
+    "other-protocol": b"ICY/1.1 200 Trouble",
+    "other-version": b"HTTP/2.0 200 Trouble",
+    "no-version": b"HTTP 200 Trouble",
+    "control-byte-in-phrase": b"HTTP/1.1 200 \x01Trouble",
+    "bare-return-in-phrase": b"HTTP/1.1 200 OK\rX-Trouble: 1",
+}
+# The first lines and the further fields of each kind of answer.
+HEADS = {kind: (line, [LENGTH]) for kind, line in STATUS_LINES.items()}
+
+
+class Server(platform_lab.Server):
+    """A server that sends a broken head, by the last segment of the path.
+
+    With "once-" before the kind, only the first run of a request is answered with it.
+    """
+
+    def do_POST(self):
+        kind = self.path.rsplit("/", 1)[1]
+        attempt = self.headers[ATTEMPT]
+        has_run = any(attempt == ran for _, ran in self.server.runs)
+        is_broken = not (kind.startswith("once-") and has_run)
+        kind = kind.removeprefix("once-")
+        if kind not in HEADS or not is_broken:
+            super().do_POST()
+            return
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self.server.runs.append((self.server.id, attempt))
+        self.close_connection = True
+        self.connection.sendall(self.broken_answer(*HEADS[kind]))
+
+    def broken_answer(self, status_line, fields):
+        own = f"{ATTEMPT}: {self.headers[ATTEMPT]}".encode()
+        signature = f"{SIGNATURE}: {self.server.id}".encode()
+        return b"\r\n".join([status_line, own, signature, *fields, b"", BODY])
+
+
+@pytest.fixture(scope="module")
+def platform(tmp_path_factory):
+    """A platform with servers that send broken heads."""
+    folder = tmp_path_factory.mktemp("broken-heads")
+    yield from platform_lab.run(folder, server_class=Server)
+
+
+def call(platform, path, attempt):
+    """Every byte that the caller of *path* gets."""
+    head = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {platform_lab.HOST}",
+        f"{ATTEMPT}: {attempt}",
+        "X-Dunlinpoint-Deadline-Ms: 4000",
+        "Authorization: Bearer key-1",
+        "Content-Length: 2",
+        "Connection: close",
+    ]
+    address = ("127.0.0.1", platform.entry_port)
+    received = b""
+    with socket.create_connection(address, timeout=TIMEOUT_S) as caller:
+        caller.sendall("\r\n".join(head).encode() + b"\r\n\r\n{}")
+        while data := caller.recv(65536):
+            received += data
+    return received
+
+
+def logged(platform, event):
+    """The lines of *event* that the entry has logged."""
+    text = (platform.folder / "entry.log").read_text()
+    lines = [json.loads(line) for line in text.split("\n")[:-1]]
+    return [line for line in lines if line["event"] == event]
+
+
+def test_a_request_that_may_run_again_goes_to_another_endpoint(platform):
+    # Failure: a status that does not exist is passed on as the answer of a request that
+    # another endpoint would have answered.
+    received = call(platform, "/often/once-000", "again")
+    assert received.startswith(b"HTTP/1.1 200 "), received
+    first, second = platform.servers_that_ran("again")
+    assert first != second
+    (line,) = wait_for(lambda: logged(platform, "invalid_head"))
+    assert (line["request"], line["endpoint_id"]) == ("again", first)
+    assert "000 Trouble" in line["error"]
+
+
+@pytest.mark.parametrize("prefix", ["/once/", "/stream/"])
+@pytest.mark.parametrize("kind", HEADS)
+def test_an_answer_with_a_broken_head_reaches_no_caller(platform, kind, prefix):
+    # Failure: a caller gets bytes of an endpoint in trouble as an answer: a status that
+    # does not exist, a line that is no field, or a body that the endpoint did not send.
+    attempt = f"{kind}{prefix.replace('/', '-')}"
+    received = call(platform, prefix + kind, attempt)
+    assert received.startswith(b"HTTP/1.1 502 "), received
+    assert SIGNATURE.encode() not in received
+    assert b"Trouble" not in received and b"body" not in received
