Answers: a line of a head that is no field of the protocol reaches no caller

Callers got such a line of an endpoint in trouble as a part of an answer: a line that begins with a blank was joined to the field before it (the signature "i-1" became "i-1 X-Trouble: 1"), so that a length or a coding sent in it was lost and the body was everything up to the close, chunk sizes included; control bytes of a value, a null among them, were sent on as they came, and a bare carriage return became a blank.

Cause: the HTTP library reads obsolete line folding and takes any bytes for a value.

Change: each line of a head is checked against the grammar of a field line (RFC 9110, RFC 9112) where status lines are, before the library reads it. A folded line is refused in place of being repaired, which RFC 9112 5.2 leaves to a gateway: the bytes do not tell which field an endpoint in trouble meant. The names that the library refuses fail with the same error now, so they are counted and logged as the others are.

--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -27,9 +27,13 @@
     A ``HeadError`` that it raises ends the connection and fails the request.
     """
 
-    def statusReceived(self, status):
-        http_heads.check_status_line(status)
-        super().statusReceived(status)
+    def lineReceived(self, line):
+        content = line.removesuffix(b"\r")
+        if self.state == _newclient.STATUS:
+            http_heads.check_status_line(content)
+        elif content:
+            http_heads.check_field_line(content)
+        super().lineReceived(line)
 
 
 class BoundedProtocol(client.HTTP11ClientProtocol):
--- a/dunlinpoint/http_heads.py
+++ b/dunlinpoint/http_heads.py
@@ -1,13 +1,16 @@
 """Strict checks of the lines of a response's head (RFC 9110, RFC 9112).
 
 The HTTP library reads more than the protocol allows: any number as a status, any
-version, and control bytes. Passed on, such a head reaches a caller as an answer.
+version, control bytes, and a line that begins with a blank as a part of the field
+before it. Passed on, such a head reaches a caller as an answer.
 """
 
 import re
 
 # The first digit of a status is its class, 1 to 5.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*)?")
+# A line that continues the one before it ("obsolete line folding") is not one.
+FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*")
 # Most bytes of a line that an error shows.
 MAX_SHOWN_BYTES = 80
 
@@ -20,3 +23,9 @@
     """Raise ``HeadError`` if *line* (``bytes``, without its end) is no status line."""
     if not STATUS_LINE.fullmatch(line):
         raise HeadError(f"status line {line[:MAX_SHOWN_BYTES]!r}")
+
+
+def check_field_line(line):
+    """Raise ``HeadError`` if *line* (``bytes``, without its end) is no field line."""
+    if not FIELD_LINE.fullmatch(line):
+        raise HeadError(f"field line {line[:MAX_SHOWN_BYTES]!r}")
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -185,3 +185,35 @@
     found, transport, results = connect()
     found.dataReceived(line + b"\r\nContent-Length: 1\r\n\r\nx")
     assert results[0].code == status
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        b"X-A : b",
+        b"X A: b",
+        b"X-A\x00: b",
+        b"X-A: b\r\n folded",
+        b"X-A: b\r\n\tfolded",
+        b"X-A: \x00",
+        b"X-A: b\rX-B: c",
+        b": b",
+        b"X-A",
+    ],
+)
+def test_a_line_that_is_no_field_fails_the_request(field):
+    # Failure: a line that the protocol does not know becomes a part of an answer.
+    found, transport, results = connect()
+    found.dataReceived(HEAD + field + b"\r\nContent-Length: 1\r\n\r\nx")
+    assert len(results) == 1 and results[0].check(client.ResponseFailed)
+    assert transport.protocol is None
+
+
+def test_every_field_line_of_the_protocol_is_read():
+    found, transport, results = connect()
+    fields = b'X-A:b\nX!#$%&\'*+-.^_`|~0: \t\xc3\xa9, "c" \t\r\nX-Empty:\r\n'
+    found.dataReceived(HEAD + fields + b"Content-Length: 1\r\n\r\nx")
+    headers = results[0].headers
+    assert headers.getRawHeaders(b"x-a") == [b"b"]
+    assert headers.getRawHeaders(b"x!#$%&'*+-.^_`|~0") == [b'\xc3\xa9, "c"']
+    assert headers.getRawHeaders(b"x-empty") == [b""]
--- a/tests/integration/test_broken_heads.py
+++ b/tests/integration/test_broken_heads.py
@@ -37,8 +37,41 @@
     "control-byte-in-phrase": b"HTTP/1.1 200 \x01Trouble",
     "bare-return-in-phrase": b"HTTP/1.1 200 OK\rX-Trouble: 1",
 }
+# Lines that stand after the signature.
+FIELDS = {
+    "blank-in-name": b"X Trouble: 1",
+    "blank-before-colon": b"X-Trouble : 1",
+    "tab-before-colon": b"X-Trouble\t: 1",
+    "blank-first": b" X-Trouble: 1",
+    "tab-first": b"\tX-Trouble: 1",
+    "control-byte-in-name": b"X-\x01Trouble: 1",
+    "control-byte-first": b"\x01X-Trouble: 1",
+    "null-in-name": b"X-Trouble\x00: 1",
+    "delete-in-name": b"X-Trouble\x7f: 1",
+    "bare-return-in-name": b"X-\rTrouble: 1",
+    "no-ascii-in-name": b"X-Tr\xc3\xb6uble: Trouble",
+    "empty-name": b": Trouble",
+    "no-colon": b"X-Trouble",
+    "null-in-value": b"X-Trouble: a\x00b",
+    "control-byte-in-value": b"X-Trouble: a\x01b",
+    "escape-in-value": b"X-Trouble: \x1b[2J",
+    "bare-return-in-value": b"X-Trouble: a\rX-More: b",
+}
+# Fields whose loss changes where the body ends, which are sent as the only such ones.
+FRAMINGS = {
+    "blank-before-length": b"Content-Length : 17",
+    "blank-in-length": b"Content Length: 17",
+    "blank-first-length": b" Content-Length: 17",
+    "control-byte-first-length": b"\x01Content-Length: 17",
+    "blank-before-coding": b"Transfer-Encoding : chunked",
+    "blank-first-coding": b" Transfer-Encoding: chunked",
+}
 # The first lines and the further fields of each kind of answer.
-HEADS = {kind: (line, [LENGTH]) for kind, line in STATUS_LINES.items()}
+HEADS = (
+    {kind: (line, [LENGTH]) for kind, line in STATUS_LINES.items()}
+    | {kind: (STATUS_LINE, [line, LENGTH]) for kind, line in FIELDS.items()}
+    | {kind: (STATUS_LINE, [line]) for kind, line in FRAMINGS.items()}
+)
 
 
 class Server(platform_lab.Server):
