Answers: a head that says twice where its body ends reaches no caller

A caller got a signed 200 whose head had a transfer coding and a length, or two transfer codings, as a whole answer. Which body the endpoint meant cannot be told: with "chunked" and then "gzip" it was a body that the endpoint had encoded, without any word of that.

Cause: the HTTP library uses the first Transfer-Encoding field and ignores further ones and every length beside it. It refuses lengths that differ, that are no numbers or empty, and other codings (those cases held).

Change: the parser of all HTTP answers refuses a head with more than one Transfer-Encoding field, or with one beside a length, as RFC 9112 6.1 and 6.3 advise for a message that may have been split.

--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -35,6 +35,13 @@
             http_heads.check_field_line(content)
         super().lineReceived(line)
 
+    def allHeadersReceived(self):
+        http_heads.check_framing(
+            self.connHeaders.getRawHeaders(b"transfer-encoding", []),
+            self.connHeaders.getRawHeaders(b"content-length", []),
+        )
+        super().allHeadersReceived()
+
 
 class BoundedProtocol(client.HTTP11ClientProtocol):
     """A client connection that is closed when a response's head is too long or invalid.
--- a/dunlinpoint/http_heads.py
+++ b/dunlinpoint/http_heads.py
@@ -1,8 +1,9 @@
-"""Strict checks of the lines of a response's head (RFC 9110, RFC 9112).
+"""Strict checks of a response's head (RFC 9110, RFC 9112).
 
 The HTTP library reads more than the protocol allows: any number as a status, any
 version, control bytes, and a line that begins with a blank as a part of the field
-before it. Passed on, such a head reaches a caller as an answer.
+before it. Of several fields that say where the body ends, it takes one. Passed on, such
+a head reaches a caller as an answer.
 """
 
 import re
@@ -29,3 +30,13 @@
     """Raise ``HeadError`` if *line* (``bytes``, without its end) is no field line."""
     if not FIELD_LINE.fullmatch(line):
         raise HeadError(f"field line {line[:MAX_SHOWN_BYTES]!r}")
+
+
+def check_framing(codings, lengths):
+    """Raise ``HeadError`` if a head says more than once where its body ends.
+
+    *codings* and *lengths* are the values of its ``Transfer-Encoding`` and
+    ``Content-Length`` fields. The library refuses lengths that differ.
+    """
+    if len(codings) > 1 or (codings and lengths):
+        raise HeadError(f"{len(codings)} transfer codings, {len(lengths)} lengths")
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -217,3 +217,18 @@
     assert headers.getRawHeaders(b"x-a") == [b"b"]
     assert headers.getRawHeaders(b"x!#$%&'*+-.^_`|~0") == [b'\xc3\xa9, "c"']
     assert headers.getRawHeaders(b"x-empty") == [b""]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [b"Transfer-Encoding: chunked", b"Content-Length: 1"],
+        [b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip"],
+    ],
+)
+def test_a_head_with_two_ends_of_its_body_fails_the_request(fields):
+    # Failure: the body that is read is not the one that was sent.
+    found, transport, results = connect()
+    found.dataReceived(HEAD + b"\r\n".join(fields) + b"\r\n\r\n1\r\nx\r\n0\r\n\r\n")
+    assert len(results) == 1 and results[0].check(client.ResponseFailed)
+    assert transport.protocol is None
--- a/tests/integration/test_broken_heads.py
+++ b/tests/integration/test_broken_heads.py
@@ -11,6 +11,7 @@
 
 # A body that is whole as an event of a stream, too.
 BODY = b"id: 1\ndata: body\n\n"
+CHUNKED_BODY = b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY)
 LENGTH = b"Content-Length: %d" % len(BODY)
 STATUS_LINE = b"HTTP/1.1 200 OK"
 # Longer than the deadline of the request.
@@ -66,11 +67,25 @@
     "blank-before-coding": b"Transfer-Encoding : chunked",
     "blank-first-coding": b" Transfer-Encoding: chunked",
 }
+# Fields that contradict each other about where the body ends.
+CONTRADICTIONS = {
+    "coding-and-length": [b"Transfer-Encoding: chunked", b"Content-Length: 4"],
+    "length-and-coding": [b"Content-Length: 4", b"Transfer-Encoding: chunked"],
+    "two-codings": [b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip"],
+    "two-codings-in-one": [b"Transfer-Encoding: gzip, chunked"],
+    "same-coding-twice": [b"Transfer-Encoding: chunked"] * 2,
+    "unknown-coding": [b"Transfer-Encoding: gzip"],
+    "two-lengths": [b"Content-Length: 4", b"Content-Length: 17"],
+    "two-lengths-in-one": [b"Content-Length: 4, 17"],
+    "signed-length": [b"Content-Length: +17"],
+    "no-length": [b"Content-Length:"],
+}
 # The first lines and the further fields of each kind of answer.
 HEADS = (
     {kind: (line, [LENGTH]) for kind, line in STATUS_LINES.items()}
     | {kind: (STATUS_LINE, [line, LENGTH]) for kind, line in FIELDS.items()}
     | {kind: (STATUS_LINE, [line]) for kind, line in FRAMINGS.items()}
+    | {kind: (STATUS_LINE, lines) for kind, lines in CONTRADICTIONS.items()}
 )
 
 
@@ -97,7 +112,9 @@
     def broken_answer(self, status_line, fields):
         own = f"{ATTEMPT}: {self.headers[ATTEMPT]}".encode()
         signature = f"{SIGNATURE}: {self.server.id}".encode()
-        return b"\r\n".join([status_line, own, signature, *fields, b"", BODY])
+        is_chunked = b"Transfer-Encoding: chunked" in fields
+        body = CHUNKED_BODY if is_chunked else BODY
+        return b"\r\n".join([status_line, own, signature, *fields, b"", body])
 
 
 @pytest.fixture(scope="module")
