Answers: a head that names two requests reaches no caller

A caller got a signed answer whose head named another request first and the caller's own behind it, both lines passed on.

Cause: of several echoed request ids only the last was compared.

Evidence: 2 of 4 new cases of tests/integration/test_broken_heads.py failed on the code before (the other order held).

Change: every echoed id must be the one that was sent, otherwise the answer is broken as a foreign one is.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -236,8 +236,8 @@
         record_invalid_head(forwarder, call, member, exc)
         raise
     own = forwarder.names
-    echoed = head.headers.getRawHeaders(own.request_id, [None])[-1]
-    if call.request_id is not None and echoed != call.request_id:
+    echoed_ids = set(head.headers.getRawHeaders(own.request_id, []))
+    if call.request_id is not None and echoed_ids != {call.request_id}:
         forwarder.counters.incr("dropped.foreign_answer")
         raise close_as_broken(connection, "request id in the response does not match")
     signal = forwarder.read_signal(head.code, head.headers)
--- a/tests/integration/test_broken_heads.py
+++ b/tests/integration/test_broken_heads.py
@@ -80,9 +80,16 @@
     "signed-length": [b"Content-Length: +17"],
     "no-length": [b"Content-Length:"],
 }
+# Fields that name another request, before and behind the one that names the caller's.
+FOREIGN_ID = f"{ATTEMPT}: Trouble".encode()
+FOREIGN = {
+    "foreign-id-before": (STATUS_LINE + b"\r\n" + FOREIGN_ID, [LENGTH]),
+    "foreign-id-behind": (STATUS_LINE, [FOREIGN_ID, LENGTH]),
+}
 # The first lines and the further fields of each kind of answer.
 HEADS = (
-    {kind: (line, [LENGTH]) for kind, line in STATUS_LINES.items()}
+    FOREIGN
+    | {kind: (line, [LENGTH]) for kind, line in STATUS_LINES.items()}
     | {kind: (STATUS_LINE, [line, LENGTH]) for kind, line in FIELDS.items()}
     | {kind: (STATUS_LINE, [line]) for kind, line in FRAMINGS.items()}
     | {kind: (STATUS_LINE, lines) for kind, lines in CONTRADICTIONS.items()}
