--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -267,7 +267,7 @@
 def send(connection, message):
     """Send *message*; return the head of the response (``IResponse``).
 
-    Raises ``Broken``, or ``InvalidHead`` which is one.
+    Raises ``Broken``; its subclass ``InvalidHead`` if the response has no valid head.
     """
     body = Body(message.body) if message.body or message.method == b"POST" else None
     request = _newclient.Request(
--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -2,7 +2,7 @@
 
 A peer in trouble may send bytes without end, in a head or a body. The HTTP library
 bounds one line of a head, but neither the lines, the interim responses nor the body,
-and its timeout ends with the head.
+and its timeout ends with the head. It also reads heads that are none of the protocol.
 """
 
 from twisted.internet import defer, protocol
--- a/dunlinpoint/http_heads.py
+++ b/dunlinpoint/http_heads.py
@@ -10,7 +10,7 @@
 
 # The first digit of a status is its class, 1 to 5.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: [\t -~\x80-\xff]*)?")
-# A line that continues the one before it ("obsolete line folding") is not one.
+# Obsolete line folding, a line that continues the one before it, does not match.
 FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t -~\x80-\xff]*")
 # Most bytes of a line that an error shows.
 MAX_SHOWN_BYTES = 80
