Answers: lines tell how a body was framed, whether its end was marked, and in which runs

The lines of the incident do not tell its hypotheses apart: `answered` has the number of events only, `try_ended` no reason. Now both have `framing` (chunks, length, empty, close, none), `marked` and, for streams, `events_by_attempt`; `try_ended` has the reason as `error`, in which a close by the entry itself (ConnectionAborted) differs from the endpoint's. An unmarked end of the endpoint is marked=false, an answer that is not the rest a further number in events_by_attempt, an early last chunk chunks and marked=true, an end by the entry a try_ended or stream_broken line. Counters endpoint.unmarked_end.stream and .plain replace endpoint.stream_without_length. No decision changes.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -82,6 +82,8 @@
             took_ms=took_ms,
             events=call.events.count - events_before,
             checked=may_have_crashed,
+            error=call.error,
+            **end_fields(call),
             **log_fields(forwarder, call),
         )
     return outcome
@@ -96,6 +98,7 @@
     if forwarder.picker.cold.sent(member, call, forwarder.clock.now()):
         forwarder.counters.incr("endpoint.sent_cold")
     watchdog = None
+    call.framing, call.has_marked_end, call.error = None, False, None
     call.source.reset()
     try:
         connection = yield forwarder.pool.connect(
@@ -117,8 +120,9 @@
         forwarder.counters.retried("endpoint_unreachable")
         forwarder.picker.failed(incarnation, forwarder.clock.now())
         return NOT_RUN
-    except pool.Broken:
+    except pool.Broken as exc:
         call.may_have_run = True
+        call.error = str(exc)
         now = forwarder.clock.now()
         if not call.is_over and call.source.explains_cut(now):
             forwarder.counters.incr("slow_reader.cut")
@@ -165,11 +169,23 @@
         took_ms=took_ms,
         first_ms=call.first_ms,
         events=call.events.count,
+        **end_fields(call),
         **competitor_fields(call),
         **log_fields(forwarder, call),
     )
 
 
+def end_fields(call):
+    """Log fields that tell how the last answer to *call* ended, and in which runs."""
+    fields = {
+        "framing": call.framing.value if call.framing is not None else None,
+        "marked": call.has_marked_end,
+    }
+    if call.streaming:
+        fields["events_by_attempt"] = call.events_by_attempt
+    return fields
+
+
 def competitor_fields(call):
     """Log fields that tell a competing caller's outcome by who it is; else none."""
     if call.competitor is None:
@@ -235,6 +251,7 @@
     except pool.InvalidHead as exc:
         record_invalid_head(forwarder, call, member, exc)
         raise
+    call.framing = head.framing
     own = forwarder.names
     echoed_ids = set(head.headers.getRawHeaders(own.request_id, []))
     if call.request_id is not None and echoed_ids != {call.request_id}:
@@ -335,6 +352,8 @@
     finally:
         end_reading(forwarder, call)
         buffers.ended_plain(source, forwarder.clock.now())
+    if not call.has_marked_end:
+        forwarder.counters.incr("endpoint.unmarked_end.plain")
     return pieces
 
 
@@ -403,6 +422,7 @@
     """Pass on the complete events of a stream as they arrive."""
     request = call.request
     call.events.restart()
+    events_before = call.events.count
     groups = forwarder.groups(call)
     last_ms = None
     source, caller = call.source, call.caller
@@ -445,8 +465,9 @@
     finally:
         end_reading(forwarder, call)
         caller.hold(-partial_bytes, forwarder.clock.now())
+        call.events_by_attempt.append(call.events.count - events_before)
     if not call.has_marked_end:
-        forwarder.counters.incr("endpoint.stream_without_length")
+        forwarder.counters.incr("endpoint.unmarked_end.stream")
         if not has_begun:
             # An endpoint that crashes after the head ends the answer in the same way.
             raise close_as_broken(connection, "stream ended after its head")
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from dunlinpoint import clock, lifecycle, logs, metrics
+from dunlinpoint import clock, http_heads, lifecycle, logs, metrics
 from dunlinpoint.admission import competition, urgency
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
@@ -355,6 +355,9 @@
     - ``shared_subject_by_digest``: the digests that it shares with other requests.
     - ``isolated``: the digests of which it runs as the only execution.
     - ``turn_limit_ms``: until when it waits for another execution of a suspect.
+    - ``framing``: what tells where its last answer's body ends, once its head is read.
+    - ``error``: why its last attempt was broken off (``str``).
+    - ``events_by_attempt``: the events passed on, of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
     - ``last_failure``: head and body of the last 5xx response of an endpoint.
@@ -393,6 +396,9 @@
     shared_subject_by_digest: dict | None = None
     isolated: frozenset = frozenset()
     turn_limit_ms: int | None = None
+    framing: http_heads.Framing | None = None
+    error: str | None = None
+    events_by_attempt: list = attrs.field(factory=list)
     has_marked_end: bool = False
     last_failure: tuple | None = None
     body: bytes | None = None
--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -24,7 +24,8 @@
 class StrictParser(_newclient.HTTPClientParser):
     """Parses one response, whose head must be one of the protocol.
 
-    A ``HeadError`` that it raises ends the connection and fails the request.
+    A ``HeadError`` that it raises ends the connection and fails the request. The
+    response gets the attribute ``framing``, a ``http_heads.Framing``.
     """
 
     def lineReceived(self, line):
@@ -36,12 +37,20 @@
         super().lineReceived(line)
 
     def allHeadersReceived(self):
-        http_heads.check_framing(
-            self.connHeaders.getRawHeaders(b"transfer-encoding", []),
-            self.connHeaders.getRawHeaders(b"content-length", []),
-        )
+        codings = self.connHeaders.getRawHeaders(b"transfer-encoding", [])
+        lengths = self.connHeaders.getRawHeaders(b"content-length", [])
+        http_heads.check_framing(codings, lengths)
+        self.response.framing = self._framing(codings, lengths)
         super().allHeadersReceived()
 
+    def _framing(self, codings, lengths):
+        is_empty = self.response.code in self.NO_BODY_CODES
+        if is_empty or self.request.method == b"HEAD":
+            return http_heads.Framing.EMPTY
+        options = self.connHeaders.getRawHeaders(b"connection", [])
+        _, *version = self.response.version
+        return http_heads.framing(tuple(version), codings, lengths, options)
+
 
 class BoundedProtocol(client.HTTP11ClientProtocol):
     """A client connection that is closed when a response's head is too long or invalid.
--- a/dunlinpoint/http_heads.py
+++ b/dunlinpoint/http_heads.py
@@ -6,6 +6,7 @@
 a head reaches a caller as an answer.
 """
 
+import enum
 import re
 
 # The first digit of a status is its class, 1 to 5.
@@ -20,6 +21,23 @@
     """A response's head is not one of HTTP/1."""
 
 
+class Framing(enum.Enum):
+    """What tells where the body of a response ends (RFC 9112, 6.3).
+
+    - ``CHUNKS``, ``LENGTH``: the last chunk, or the length in the head.
+    - ``EMPTY``: its status or its request's method allows no body.
+    - ``CLOSE``: the end of the connection, which the head announces.
+    - ``NONE``: the end of the connection, though the head keeps the connection open;
+      a head that has lost a field looks like this.
+    """
+
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    EMPTY = "empty"
+    CLOSE = "close"
+    NONE = "none"
+
+
 def check_status_line(line):
     """Raise ``HeadError`` if *line* (``bytes``, without its end) is no status line."""
     if not STATUS_LINE.fullmatch(line):
@@ -40,3 +58,20 @@
     """
     if len(codings) > 1 or (codings and lengths):
         raise HeadError(f"{len(codings)} transfer codings, {len(lengths)} lengths")
+
+
+def framing(version, codings, lengths, options):
+    """The ``Framing`` of a response that may have a body, by its head.
+
+    *version* is that of its status line, ``(major, minor)``; *codings*, *lengths* and
+    *options* are the values of its ``Transfer-Encoding``, ``Content-Length`` and
+    ``Connection`` fields.
+    """
+    if codings:
+        return Framing.CHUNKS
+    if lengths:
+        return Framing.LENGTH
+    names = {name.strip().lower() for value in options for name in value.split(b",")}
+    if b"close" in names or (version < (1, 1) and b"keep-alive" not in names):
+        return Framing.CLOSE
+    return Framing.NONE
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -232,3 +232,25 @@
     found.dataReceived(HEAD + b"\r\n".join(fields) + b"\r\n\r\n1\r\nx\r\n0\r\n\r\n")
     assert len(results) == 1 and results[0].check(client.ResponseFailed)
     assert transport.protocol is None
+
+
+@pytest.mark.parametrize(
+    "head, framing",
+    [
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked", "chunks"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4", "length"),
+        (b"HTTP/1.1 204 No Content", "empty"),
+        (b"HTTP/1.1 200 OK\r\nConnection: close", "close"),
+        (b"HTTP/1.1 200 OK\r\nConnection: X-A, Close", "close"),
+        (b"HTTP/1.0 200 OK", "close"),
+        (b"HTTP/1.0 200 OK\r\nConnection: keep-alive", "none"),
+        (b"HTTP/1.1 200 OK", "none"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encodxng: chunked", "none"),
+    ],
+)
+def test_a_response_tells_how_its_body_is_framed(head, framing):
+    # Failure: an answer that a crash cut short cannot be told from a whole one, as the
+    # lines do not say what marked the end of its body.
+    found, transport, results = connect()
+    found.dataReceived(head + b"\r\n\r\n")
+    assert results[0].framing.value == framing
