Answers: an end that the endpoint did not mark is not marked for the caller

What callers saw: a stream "ends as complete" after a part of its events, with a last chunk of the entry's own; a plain answer cut after 1,800 of 4,000 bytes came as a 200 with Content-Length 1800.

Cause: a body with neither a length nor chunks ends with its connection, and an orderly close was taken for the end of the whole answer, for streams between two events and for plain answers anywhere. An endpoint that crashes closes in order, too: its kernel does it. A head that lost its coding or length looks the same. The entry then added a mark of its own.

A stream without a marked end is broken: the rest is asked for where the route allows it, else the last chunk is left out. A plain answer whose head announces the close (Connection: close, HTTP/1.0) may be whole, as the platform's rules say, if its endpoint still takes connections: where the request may run again, another endpoint is asked; otherwise it is passed on with neither a length nor chunks. One whose head does not announce it, or whose endpoint refuses connections, is broken.

Weighed: 502 for every unmarked plain answer.

test_a_stream_that_ends_with_its_connection_is_whole asserted the fault: it cannot tell a sound endpoint from a crashed one.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -32,6 +32,7 @@
         capacity.leave(forwarder, call)
         cold_wait.leave(forwarder, call)
         quarantine.leave(forwarder, call)
+        exchange.drop_unconfirmed(forwarder, call)
 
 
 @defer.inlineCallbacks
@@ -273,11 +274,12 @@
             **exchange.log_fields(forwarder, call),
         )
         request.channel.loseConnection()
+    elif call.unconfirmed is not None:
+        exchange.pass_on_unconfirmed(forwarder, call)
     elif call.last_failure is not None:
-        head, body = call.last_failure
         forwarder.counters.incr("answered.endpoint_failure")
-        responses.copy_head(request, head, len(body))
-        responses.finish(forwarder, request, (body,))
+        answer = call.last_failure
+        responses.pass_on(forwarder, request, answer, answer.pieces)
     elif not call.may_have_run:
         responses.respond(
             forwarder,
--- a/dunlinpoint/forward/channel.py
+++ b/dunlinpoint/forward/channel.py
@@ -35,10 +35,12 @@
 class CallerRequest(server.Request):
     """A caller's request, whose body counts as held bytes.
 
-    ``body_bytes`` is the size of the body received so far.
+    - ``body_bytes``: the size of the body received so far.
+    - ``is_end_unmarked``: whether its answer ends with its connection.
     """
 
     body_bytes = 0
+    is_end_unmarked = False
 
     def __init__(self, *args, **kwargs):
         # Twisted would answer 400 to a malformed form itself.
@@ -49,6 +51,12 @@
         self.channel.body_received(self, len(data))
         super().handleContentChunk(data)
 
+    def leave_end_unmarked(self):
+        """Send the answer with neither a length nor chunks: its connection ends it."""
+        self.is_end_unmarked = True
+        self.channel.persistent = False
+        self.setHeader(b"connection", b"close")
+
 
 class CallerChannel(http.HTTPChannel):
     """One caller's connection, with the limits of the document in force."""
@@ -118,6 +126,14 @@
         request.body_bytes += count
         self.buffer.hold(count, self.forwarder.clock.now())
 
+    def writeHeaders(self, version, code, reason, headers):  # noqa: N802
+        """Write the head of an answer, without chunks if its end stays unmarked."""
+        request = self.requests[0]
+        if request.is_end_unmarked:
+            headers.removeHeader(b"transfer-encoding")
+            request.chunked = 0
+        super().writeHeaders(version, code, reason, headers)
+
     def _check_body(self, size):
         if self.limits is not None and size > self.limits.body_bytes:
             raise Refused(413, "body_too_large")
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -4,7 +4,8 @@
 
 - Complete and authentic responses: a response is accepted only with the endpoint's
   signature and the echoed request id. Plain responses are passed on when complete,
-  streams event by event; an interrupted stream is never terminated as if complete.
+  streams event by event. The end of a response is marked for the caller only where the
+  endpoint marked it.
 - Reliable 503: it is sent only if certainly no attempt has run. After any attempt that
   may have run, the caller receives 502 or 504.
 - At most once: a request that must not be repeated is sent to another endpoint only
@@ -23,6 +24,7 @@
 
 from dunlinpoint import logs
 from dunlinpoint.admission import decision, urgency
+from dunlinpoint.answers import completeness
 from dunlinpoint.forward import pool, quarantine, responses, routes
 from dunlinpoint.forward import watchdog as watchdogs
 from dunlinpoint.routing import backpressure, pick
@@ -36,6 +38,8 @@
 PAST_TARGET_PRIORITY_PENALTY = 5
 # Outcomes of an attempt.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
+# A plain answer came whose end was not marked.
+UNCONFIRMED = "unconfirmed"
 # How much of the body of a refusal is read, and for how long, to reuse its connection.
 MAX_DRAINED_BYTES = 64 * 1024
 DRAIN_TIMEOUT_MS = 1000
@@ -140,7 +144,7 @@
         forwarder.picker.succeeded(incarnation)
         forwarder.outages.data_received(member)
         record_done(forwarder, call, member)
-    elif outcome == FAILED:
+    elif outcome in (FAILED, UNCONFIRMED):
         call.may_have_run = True
     return outcome
 
@@ -282,22 +286,60 @@
         return DONE
     pieces = yield read_plain(forwarder, call, connection, head)
     length = sum(map(len, pieces))
-    if head.code >= 500 or call.is_over or call.started:
+    can_be_whole = yield may_be_complete(forwarder, call, member)
+    if head.code >= 500 or call.is_over or call.started or not can_be_whole:
         call.caller.hold(-length, forwarder.clock.now())
+    if not can_be_whole:
+        pieces.clear()
+        raise close_as_broken(connection, "response ended with its connection")
+    answer = responses.PlainAnswer(head, pieces, length, call.has_marked_end)
     if head.code >= 500:
-        call.last_failure = head, b"".join(pieces)
+        call.last_failure = attrs.evolve(answer, pieces=(b"".join(pieces),))
         return FAILED
     if call.started:
         # The caller, who has the head of another answer, would take this for events.
         return FAILED
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
-    forwarder.counters.incr("answered.plain")
-    responses.copy_head(call.request, head, length)
-    responses.finish(forwarder, call.request, passed_on(call.caller, pieces))
+    if not answer.has_marked_end and routes.is_repeatable(call.route):
+        drop_unconfirmed(forwarder, call)
+        call.unconfirmed = answer, member
+        return UNCONFIRMED
+    pass_on_plain(forwarder, call, answer)
     return DONE
 
 
+def pass_on_plain(forwarder, call, answer):
+    """Pass on *answer*, whose body counts as held."""
+    forwarder.counters.incr("answered.plain")
+    body = passed_on(call.caller, answer.pieces)
+    responses.pass_on(forwarder, call.request, answer, body)
+
+
+def pass_on_unconfirmed(forwarder, call):
+    """Pass on the answer of *call* whose end was not marked, as no other one came."""
+    (answer, member), call.unconfirmed = call.unconfirmed, None
+    pass_on_plain(forwarder, call, answer)
+    record_done(forwarder, call, member)
+
+
+def drop_unconfirmed(forwarder, call):
+    """Release the answer whose end was not marked, if there is one."""
+    if call.unconfirmed is not None:
+        (answer, _), call.unconfirmed = call.unconfirmed, None
+        call.caller.hold(-answer.length, forwarder.clock.now())
+
+
+@defer.inlineCallbacks
+def may_be_complete(forwarder, call, member):
+    """Whether the plain answer of *member* that has ended can be passed on."""
+    known = completeness.of_plain(call.framing, call.has_marked_end)
+    if known is not completeness.Completeness.UNCONFIRMED:
+        return known is completeness.Completeness.COMPLETE
+    yield forwarder.clock.sleep(quarantine.CRASH_CHECK_DELAY_MS)
+    return (yield forwarder.pool.can_connect(member))
+
+
 def record_invalid_head(forwarder, call, member, exc):
     """Count and log an answer of *member* that has no valid head, which *exc* shows."""
     forwarder.counters.incr("dropped.invalid_head")
@@ -419,7 +461,7 @@
 
 @defer.inlineCallbacks
 def relay(forwarder, call, member, connection, head):
-    """Pass on the complete events of a stream as they arrive."""
+    """Pass on the complete events of a stream as they arrive; raises ``Broken``."""
     request = call.request
     call.events.restart()
     events_before = call.events.count
@@ -468,13 +510,13 @@
         call.events_by_attempt.append(call.events.count - events_before)
     if not call.has_marked_end:
         forwarder.counters.incr("endpoint.unmarked_end.stream")
-        if not has_begun:
-            # An endpoint that crashes after the head ends the answer in the same way.
-            raise close_as_broken(connection, "stream ended after its head")
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
         raise close_as_broken(connection, "stream ended within an event")
+    known = completeness.of_stream(call.has_marked_end)
+    if known is not completeness.Completeness.COMPLETE:
+        raise close_as_broken(connection, "stream ended with its connection")
     if not call.started:
         call.started = True
         responses.copy_head(request, head, None)
--- a/dunlinpoint/forward/responses.py
+++ b/dunlinpoint/forward/responses.py
@@ -6,6 +6,8 @@
 
 import http
 
+import attrs
+
 from dunlinpoint import logs
 
 log = logs.logger("entry")
@@ -29,6 +31,21 @@
 }
 
 
+@attrs.frozen
+class PlainAnswer:
+    """An endpoint's answer that has ended: its head (``IResponse``) and body.
+
+    - ``pieces``: the body (``bytes``), which may be taken only once.
+    - ``length``: of the body, in bytes.
+    - ``has_marked_end``: whether a length or a last chunk marked its end.
+    """
+
+    head: object
+    pieces: object
+    length: int
+    has_marked_end: bool
+
+
 def header(request, name):
     """Return the last value of a request header as ``str``, or ``None``."""
     value = request.getHeader(name)
@@ -150,6 +167,19 @@
     request.finish()
 
 
+def pass_on(forwarder, request, answer, pieces):
+    """Pass on *answer*, a ``PlainAnswer``, whose body is read from *pieces*.
+
+    An end that the endpoint did not mark is not marked for the caller either: with a
+    length of our own, an answer that was cut short would look whole.
+    """
+    copy_head(request, answer.head, answer.length if answer.has_marked_end else None)
+    if not answer.has_marked_end:
+        forwarder.counters.incr("answered.unmarked_end")
+        request.leave_end_unmarked()
+    finish(forwarder, request, pieces)
+
+
 def copy_head(request, head, length):
     """Copy the status and headers of an endpoint's response to the caller's.
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -13,7 +13,15 @@
 from dunlinpoint.entry import limits as workspace_limits
 from dunlinpoint.experts import messages
 from dunlinpoint.follow import view
-from dunlinpoint.forward import condition, events, names, pool, quarantine, routes
+from dunlinpoint.forward import (
+    condition,
+    events,
+    names,
+    pool,
+    quarantine,
+    responses,
+    routes,
+)
 from dunlinpoint.routing import (
     backpressure,
     budget,
@@ -360,7 +368,9 @@
     - ``events_by_attempt``: the events passed on, of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
-    - ``last_failure``: head and body of the last 5xx response of an endpoint.
+    - ``unconfirmed``: a plain answer that may be complete, while another is asked for,
+      and the endpoint that sent it.
+    - ``last_failure``: the last 5xx response of an endpoint.
     - ``body``: the request's body, once an attempt has read it.
     - ``prompt_parts``: ids (``str``) of the parts of its prompt, in order.
     - ``last_event_ms``: time of the last event, or of the arrival.
@@ -400,7 +410,8 @@
     error: str | None = None
     events_by_attempt: list = attrs.field(factory=list)
     has_marked_end: bool = False
-    last_failure: tuple | None = None
+    unconfirmed: tuple | None = None
+    last_failure: responses.PlainAnswer | None = None
     body: bytes | None = None
     prompt_parts: tuple = ()
     arrived_ms: int = 0
--- a/dunlinpoint/forward/tests/test_capacity.py
+++ b/dunlinpoint/forward/tests/test_capacity.py
@@ -72,6 +72,7 @@
     is_over: bool = False
     may_have_run: bool = False
     last_failure: tuple | None = None
+    unconfirmed: tuple | None = None
     attempts: int = 0
     request_id: bytes | None = None
     route: config.Route = ROUTE
--- a/dunlinpoint/forward/tests/test_stream_ends.py
+++ b/dunlinpoint/forward/tests/test_stream_ends.py
@@ -1,4 +1,4 @@
-"""Ends of streams that have neither a length nor chunks: whole, or broken off."""
+"""Ends of streams: whole only where the endpoint marked the end."""
 
 import types
 
@@ -13,7 +13,7 @@
 from dunlinpoint.routing import outage, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
-HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 EVENT = b"id: 1\ndata: piece\n\n"
 CLOSED, RESET = error.ConnectionDone(), error.ConnectionLost()
 
@@ -31,9 +31,11 @@
         self.written += data
 
 
-def relay(sent, ended):
+def relay(sent, ended, fields=b""):
     """Relay a stream of the bytes *sent*, whose connection then ends with *ended*.
 
+    *fields* are lines that its head has besides.
+
     Returns the bytes that the caller got, and the ``Broken`` or ``None``.
     """
     forwarder = types.SimpleNamespace(
@@ -54,7 +56,7 @@
     pool.send(connection, pool.Message(b"POST", b"/a/b", headers, b"x")).addCallback(
         heads.append
     )
-    connection.dataReceived(HEAD + sent)
+    connection.dataReceived(HEAD + fields + b"\r\n" + sent)
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
     exchange.relay(forwarder, call, member, connection, heads[0]).addBoth(
         results.append
@@ -64,18 +66,28 @@
     return request.written, None if result is None else result.value
 
 
-def test_a_stream_that_ends_with_its_connection_is_whole():
-    assert relay(EVENT, CLOSED) == (EVENT, None)
+@pytest.mark.parametrize(
+    "fields, sent",
+    [
+        (b"Content-Length: %d\r\n" % len(EVENT), EVENT),
+        (
+            b"Transfer-Encoding: chunked\r\n",
+            b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENT), EVENT),
+        ),
+    ],
+)
+def test_a_stream_whose_end_is_marked_is_whole(fields, sent):
+    assert relay(sent, CLOSED, fields) == (EVENT, None)
 
 
 @pytest.mark.parametrize(
-    "sent, ended", [(b"", CLOSED), (EVENT + EVENT[:7], CLOSED), (EVENT, RESET)]
+    "sent, ended",
+    [(b"", CLOSED), (EVENT, CLOSED), (EVENT + EVENT[:7], CLOSED), (EVENT, RESET)],
 )
-def test_a_stream_cut_after_its_head_within_an_event_or_by_a_reset_is_broken(
-    sent, ended
-):
+@pytest.mark.parametrize("fields", [b"", b"Connection: close\r\n"])
+def test_a_stream_that_ends_with_its_connection_is_broken(sent, ended, fields):
     # Guards against callers that get the beginning of an answer, or none of it, as a
-    # whole one: the end of the connection is all that marks the end of the answer, and
-    # an endpoint that crashes ends its connections.
-    _, broken = relay(sent, ended)
+    # whole one: an endpoint that crashes ends its connections, and between two events
+    # that looks like the end of the stream.
+    _, broken = relay(sent, ended, fields)
     assert isinstance(broken, pool.Broken)
