Streams: an answer that is not the rest of a stream does not end it

What callers saw: a stream whose first run was reset after 3 of 8 events, and whose second run was answered with a 204 or with another type, ended as complete after 3 events; a body of text was passed on as an event.

Cause: any 2xx was taken for the rest. Now its status and media type must be those of the first answer; otherwise it is a failed attempt, as a 4xx is. A 200 of the same type without events, with a marked end, still confirms the end.

--- /dev/null
+++ b/dunlinpoint/answers/tests/test_continuation.py
@@ -0,0 +1,38 @@
+"""Answers of further runs of a stream."""
+
+import types
+
+import pytest
+from twisted.web import http_headers
+
+from dunlinpoint.answers import continuation
+
+
+def head(status=200, media_type=b"text/event-stream"):
+    fields = {} if media_type is None else {b"content-type": [media_type]}
+    return types.SimpleNamespace(code=status, headers=http_headers.Headers(fields))
+
+
+FIRST = continuation.StreamHead.from_head(head())
+
+
+@pytest.mark.parametrize(
+    "media_type", [b"text/event-stream", b"Text/Event-Stream; charset=utf-8"]
+)
+def test_an_answer_of_the_same_kind_continues_a_stream(media_type):
+    assert FIRST.is_continued_by(head(media_type=media_type))
+
+
+@pytest.mark.parametrize(
+    "other",
+    [head(204, None), head(206), head(202), head(200, None), head(200, b"text/html")],
+)
+def test_an_answer_of_another_kind_does_not_continue_a_stream(other):
+    # Guards against a stream that an answer without events, or of something else, ends
+    # as complete.
+    assert not FIRST.is_continued_by(other)
+
+
+def test_a_stream_without_a_media_type_is_continued_by_one_without():
+    first = continuation.StreamHead.from_head(head(media_type=None))
+    assert first.is_continued_by(head(media_type=None))
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -24,7 +24,7 @@
 
 from dunlinpoint import logs
 from dunlinpoint.admission import decision, urgency
-from dunlinpoint.answers import completeness
+from dunlinpoint.answers import completeness, continuation
 from dunlinpoint.forward import pool, quarantine, responses, routes
 from dunlinpoint.forward import watchdog as watchdogs
 from dunlinpoint.routing import backpressure, pick
@@ -280,6 +280,11 @@
     if head.headers.hasHeader(b"content-encoding"):
         raise close_as_broken(connection, "response body has a content encoding")
     if good and call.streaming:
+        if call.started and not call.stream_head.is_continued_by(head):
+            forwarder.counters.incr("dropped.other_answer")
+            call.error = f"{head.code} is no rest of the stream"
+            connection.close()
+            return FAILED
         yield relay(forwarder, call, member, connection, head)
         forwarder.counters.incr("answered.stream")
         responses.finish(forwarder, call.request)
@@ -499,6 +504,7 @@
         last_ms = call.last_event_ms = now
         if not call.started:
             call.started = True
+            call.stream_head = continuation.StreamHead.from_head(head)
             responses.copy_head(request, head, None)
         request.write(out)
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -8,6 +8,7 @@
 
 from dunlinpoint import clock, http_heads, lifecycle, logs, metrics
 from dunlinpoint.admission import competition, urgency
+from dunlinpoint.answers import continuation
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits as workspace_limits
@@ -368,6 +369,7 @@
     - ``events_by_attempt``: the events passed on, of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
+    - ``stream_head``: the head of its stream, once events were passed on.
     - ``unconfirmed``: a plain answer that may be complete, while another is asked for,
       and the endpoint that sent it.
     - ``last_failure``: the last 5xx response of an endpoint.
@@ -410,6 +412,7 @@
     error: str | None = None
     events_by_attempt: list = attrs.field(factory=list)
     has_marked_end: bool = False
+    stream_head: continuation.StreamHead | None = None
     unconfirmed: tuple | None = None
     last_failure: responses.PlainAnswer | None = None
     body: bytes | None = None
