Streams: events without ids are not asked for a second time

What callers saw: a resumable stream whose events have no ids, cut after three, came again from the first event: events 1 to 3 twice, and a last chunk.

Cause: without an id there is no Last-Event-Id to send, and nothing to recognize a repeated event by. Such a stream now ends as incomplete once events were passed on.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -182,6 +182,9 @@
     """Whether another attempt may follow one that ended with *outcome*."""
     if call.is_over:
         return False
+    if call.started and not call.events.is_resumable:
+        # A further run would send the events without ids once more.
+        return False
     if outcome == exchange.UNREAD and call.started:
         # The rest would again be produced faster than the caller reads it.
         return False
--- a/dunlinpoint/forward/events.py
+++ b/dunlinpoint/forward/events.py
@@ -11,6 +11,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+DATA_FIELD = b"data"
 
 
 def event_id(event):
@@ -22,17 +23,25 @@
     return None
 
 
+def has_data(event):
+    """Whether *event* (``bytes``) is more than a comment."""
+    return any(line.startswith(DATA_FIELD) for line in event.split(b"\n"))
+
+
 @attrs.define
 class EventStream:
     """Position in a stream, and the bytes of an incomplete event.
 
-    ``last_id`` is the id of the last event that was passed on, ``count`` the number
-    of events passed on.
+    - ``last_id``: the id of the last event that was passed on.
+    - ``count``: the number of events passed on.
+    - ``is_resumable``: whether all events passed on had an id, so that a further run
+      is told where to go on.
     """
 
     last_id: int | None = None
     count: int = 0
     partial: bytearray = attrs.field(factory=bytearray)
+    is_resumable: bool = True
 
     def feed(self, data):
         """Add *data*; return the bytes of the new events that it completes."""
@@ -50,6 +59,8 @@
                 if self.last_id is not None and number <= self.last_id:
                     continue
                 self.last_id = number
+            elif has_data(event):
+                self.is_resumable = False
             self.count += 1
             out.append(event)
         del self.partial[:start]
