Streams: callers without chunks see that a stream broke by a reset

What callers saw: to a caller of HTTP/1.0, who gets no chunks, a broken stream ended with an orderly close, as a whole one does.

Cause: give_up leaves out the last chunk and closes, which says something only where there are chunks. Without them the connection is now reset. Bytes not yet sent are lost with it.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -267,7 +267,6 @@
     if call.disconnected:
         return
     if call.started:
-        # Without the last chunk, the caller detects that the response is incomplete.
         forwarder.counters.incr("gave_up.stream_broken")
         log.warning(
             "stream_broken",
@@ -276,7 +275,7 @@
             events=call.events.count,
             **exchange.log_fields(forwarder, call),
         )
-        request.channel.loseConnection()
+        responses.break_off(request)
     elif call.unconfirmed is not None:
         exchange.pass_on_unconfirmed(forwarder, call)
     elif call.last_failure is not None:
