Answers: what this entry gives up itself has not ended in order

Cause, found when every way to an end was looked through: an answer over the size limit is given up, but the rest of the same read is still parsed, so a last chunk in it marked the end, and the caller got the answer without its last pieces, with a length that fits. The HTTP library also reports the end of an unmarked body alike, whether the peer closed or the parser gave up; now only a close by the peer counts as in order.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -399,6 +399,10 @@
     finally:
         end_reading(forwarder, call)
         buffers.ended_plain(source, forwarder.clock.now())
+    if guard.is_exceeded:
+        # The rest of the answer came with the bytes that were too many.
+        call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
+        raise close_as_broken(connection, "response is too long")
     if not call.has_marked_end:
         forwarder.counters.incr("endpoint.unmarked_end.plain")
     return pieces
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -10,8 +10,8 @@
   may or may not have run. A request that must not run twice therefore uses a
   connection that was in use a moment ago, or a new one.
 - A response without a length ends when its connection is closed. If the connection
-  was reset, the response is incomplete, although the HTTP library reports the same
-  for both.
+  was reset, or given up here, the response is incomplete, although the HTTP library
+  reports the same for all.
 
 Errors: :class:`NotSent` if no byte of the request was sent, :class:`Broken` if the
 request may have run (:class:`InvalidHead` if its response has no valid head).
@@ -93,7 +93,8 @@
 class Connection(http_client.BoundedProtocol):
     """One connection to an endpoint.
 
-    It detects extra bytes and resets, which the library's protocol does not report.
+    It detects extra bytes and how it ended, which the library's protocol does not
+    report.
     """
 
     def __init__(self, quiescent):
@@ -101,7 +102,7 @@
         self.idle_since_ms = 0
         self.idle_limit_ms = MAX_IDLE_MS
         self.has_extra_bytes = False
-        self.was_reset = False
+        self.was_closed_in_order = False
         self.used_before = False
 
     def _finishResponse(self, rest):
@@ -110,7 +111,7 @@
         return super()._finishResponse(rest)
 
     def connectionLost(self, reason=protocol.connectionDone):
-        self.was_reset = not reason.check(error.ConnectionDone)
+        self.was_closed_in_order = bool(reason.check(error.ConnectionDone))
         super().connectionLost(reason)
 
     def is_usable(self, now, limit_ms):
@@ -157,7 +158,8 @@
         if reason.check(client.ResponseDone):
             self.done.callback(True)
         elif (
-            reason.check(_newclient.PotentialDataLoss) and not self.connection.was_reset
+            reason.check(_newclient.PotentialDataLoss)
+            and self.connection.was_closed_in_order
         ):
             self.done.callback(False)
         else:
--- a/dunlinpoint/forward/tests/test_exchange.py
+++ b/dunlinpoint/forward/tests/test_exchange.py
@@ -123,7 +123,7 @@
     )
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
     connection = types.SimpleNamespace(
-        pause=lambda: None, resume=lambda: None, was_reset=False
+        pause=lambda: None, resume=lambda: None, was_closed_in_order=True
     )
     head = Response()
     ended = exchange.relay(forwarder, call, member, connection, head)
