HTTP client: an end that the peer did not mark is an incomplete body

What went wrong: `http_client.read` and `collect` took a body with neither a length nor chunks for complete when its connection ended, also by a reset. A service that crashed half-way through its answer gave a call the outcome "done" with half a body, which was recorded under the idempotency key, here and at the backup, and replayed. Weights that broke off counted as loaded, and the map was ordered.

Cause: `_Collector` treated the library's PotentialDataLoss like ResponseDone.

Change, in `_Collector`: PotentialDataLoss fails with `UnmarkedEnd`, an `AnswerError`.

- call at an agent: outcome "unknown", counted (service_lost); the key is recorded as unknown and the call is not sent again.
- weights: not counted as loaded, no order is sent, counted (rebalance_failed); the loop asks for that expert again.
- load report, rank's report and counts: load_report_failed, RankError.
- commands (`send_command`), map orders, cancels, a store's 429: only the status is used, and it is complete before the body begins.
An unmarked end must not turn a 200 into "no answer": a command would be sent again, three at once, and an accepted map ordered again.
They read by the new `discard`, which accepts an unmarked end as before; a body that ends before its length or last chunk, or is late, fails there as before.
- engine's stream: its final line marks the end, as before.
Without that line it is broken, as before; otherwise a sound stream would be asked for three times and fail.

`test_a_body_that_ends_with_its_connection_is_read` asserted the fault: one unmarked body is read. It is replaced by three that are as exact: marked bodies are read exactly (48 cases), unmarked ones fail, once and only at the end (30: five heads, three ends, both readers), and `discard` accepts them (15).

--- a/dunlinpoint/agent/calls.py
+++ b/dunlinpoint/agent/calls.py
@@ -33,7 +33,8 @@
 
     The outcome is ``not_run`` only if the connection was refused, as the service
     cannot have seen the call then. After any failure at which the request may
-    have been written it is ``unknown``, since the service may have executed it.
+    have been written it is ``unknown``, since the service may have executed it; also if
+    nothing marked the end of its answer, which may be cut.
     """
     url = f"{state.settings.backend}/call/{order.operation}"
     headers = {"Idempotency-Key": order.idempotency_key or order.request_id}
--- a/dunlinpoint/agent/rebalance_loop.py
+++ b/dunlinpoint/agent/rebalance_loop.py
@@ -52,12 +52,13 @@
             continue
         url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
         response = yield http_calls.default().get(url, timeout=5, unbuffered=True)
-        yield http_client.read(
-            state.clock.reactor, response, MAX_WEIGHTS_BYTES, WEIGHTS_TIMEOUT_MS
-        )
         if response.code == 429:
+            yield http_client.discard(state.clock.reactor, response, WEIGHTS_TIMEOUT_MS)
             state.counters.retried("weights_rate_limited")
             return False
+        yield http_client.read(
+            state.clock.reactor, response, MAX_WEIGHTS_BYTES, WEIGHTS_TIMEOUT_MS
+        )
         state.fetched_experts.add((expert, b))
     return True
 
@@ -105,7 +106,7 @@
         timeout=2,
         unbuffered=True,
     )
-    yield http_client.read(state.clock.reactor, response)
+    yield http_client.discard(state.clock.reactor, response)
     if response.code == 200:
         state.counters.incr("rebalanced")
         state.counters.incr("experts_moved", rebalance.moved(placement, proposed))
--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -161,7 +161,7 @@
         url = f"{self.state.settings.backend}/cancel/{request_id}"
         try:
             response = yield http_calls.default().post(url, timeout=1, unbuffered=True)
-            yield http_client.read(self.reactor, response)
+            yield http_client.discard(self.reactor, response)
         except Exception:
             self.state.counters.incr("cancel_failed")
 
@@ -271,6 +271,9 @@
 
     try:
         yield http_client.collect(response, collect)
+    except http_client.UnmarkedEnd:
+        # The final line marks the end of the stream as well as a last chunk would.
+        pass
     except http_client.AnswerError as exc:
         raise errors.OutcomeUnknown(str(exc)) from exc
     if not ended:
--- /dev/null
+++ b/dunlinpoint/agent/tests/test_unmarked_ends.py
@@ -0,0 +1,216 @@
+"""Answers to an agent whose bodies end with their connection alone."""
+
+import json
+
+import pytest
+from twisted.internet import error, task
+from twisted.internet.testing import StringTransport
+from twisted.python import failure
+from twisted.web import client
+
+from dunlinpoint import http_calls, http_client, metrics
+from dunlinpoint.agent import calls, keys, rebalance_loop, server
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+ENDS = [error.ConnectionDone(), error.ConnectionLost()]
+WHOLE = json.dumps({"slot": "a", "customer": "b"}).encode()
+# The load of 8 experts at 2 ranks, which is worth a new map.
+PLACEMENT = [0, 0, 0, 0, 1, 1, 1, 1]
+REPORT = {"per_expert": [900, 900, 900, 900, 1, 1, 1, 1], "map_version": 3}
+REPORT_BODY = json.dumps(REPORT | {"placement": PLACEMENT}).encode()
+
+
+def answer(body, status=b"200 OK", is_marked=False):
+    """The bytes of an answer, and whether its connection ends after them."""
+    length = b"Content-Length: %d\r\n" % len(body) if is_marked else b""
+    return b"HTTP/1.1 " + status + b"\r\n" + length + b"\r\n" + body, not is_marked
+
+
+class Http:
+    """An HTTP client; ``answers_by_path`` holds the answers by the start of a path.
+
+    A connection that ends does so with *end*. ``requests`` holds their paths and data.
+    """
+
+    def __init__(self, answers_by_path, end):
+        self.answers_by_path = answers_by_path
+        self.end = end
+        self.requests = []
+
+    def get(self, url, **options):
+        return self.post(url, **options)
+
+    def post(self, url, data=None, **options):
+        path = url.removeprefix("http://h")
+        self.requests.append((path, data))
+        sent, ends = next(
+            found for start, found in self.answers_by_path if path.startswith(start)
+        )
+        connection = http_client.BoundedProtocol(lambda _: None)
+        connection.makeConnection(StringTransport())
+        headers = client.Headers({b"host": [b"h"]})
+        responding = connection.request(client.Request(b"POST", b"/", headers, None))
+        connection.dataReceived(sent)
+        if ends:
+            connection.connectionLost(failure.Failure(self.end))
+        return responding
+
+    def sent(self, start):
+        """The data of the requests whose path begins with *start*."""
+        return [data for path, data in self.requests if path.startswith(start)]
+
+
+@pytest.fixture(params=ENDS, ids=repr)
+def agent(request, monkeypatch):
+    """A function of the answers by path that makes ``(Handler, Http)``."""
+
+    def make(*answers_by_path):
+        http = Http(answers_by_path, request.param)
+        monkeypatch.setattr(http_calls, "default", lambda: http)
+        settings = server.Settings(
+            "e-1", "z", "h", 1, "engine", "http://h", [], "g", weights="http://h"
+        )
+        reactor = task.Clock()
+        state = server.State.from_config(settings, reactor, metrics.Counters(None))
+        return server.Handler(state, reactor), http
+
+    return make
+
+
+def result_of(deferred):
+    results = []
+    deferred.addBoth(results.append)
+    return results[0]
+
+
+def rebalance(handler):
+    """Consider one rebalance; the failure that the loop counts, or ``None``."""
+    return result_of(rebalance_loop.rebalance_once(handler.state))
+
+
+def generate(handler, max_tokens=2):
+    """The stream of one order, after all requests to the engine have ended."""
+    handler.start(ttypes.GenerateOrder("r", "w", "p", max_tokens, 0, 0))
+    handler.reactor.pump([0.1] * (server.RESUME_ATTEMPTS + 1))
+    return handler.state.streams.by_id["r"]
+
+
+@pytest.mark.parametrize("body", [WHOLE, WHOLE[:10], b""])
+def test_a_call_whose_answer_may_be_cut_has_no_known_outcome(agent, body):
+    # Failure: the half of an answer that a service sent before it crashed is recorded
+    # as the outcome of a call that may run once, and every repetition gets it.
+    handler, http = agent(("/call/", answer(body)))
+    order = ttypes.CallOrder("r", "slot_confirm", "k", "{}")
+    for _ in range(2):
+        result = result_of(handler.call(order))
+        assert (result.outcome, result.status, result.body_json) == ("unknown", 0, "{}")
+    assert len(http.sent("/call/")) == 1
+    record = handler.state.keys.by_key["k"]
+    assert (record.state, record.body_json) == (keys.UNKNOWN, "{}")
+    assert handler.state.counters.by_name["service_lost"] == 1
+
+
+def test_a_call_whose_answer_is_marked_is_done_once(agent):
+    handler, http = agent(("/call/", answer(WHOLE, is_marked=True)))
+    order = ttypes.CallOrder("r", "slot_confirm", "k", "{}")
+    for _ in range(2):
+        result = result_of(handler.call(order))
+        assert (result.outcome, result.body_json) == ("done", WHOLE.decode())
+    assert len(http.sent("/call/")) == 1
+
+
+def test_an_idempotent_call_whose_answer_may_be_cut_is_unknown(agent):
+    # Failure: an entry passes on the half of an answer that another agent's service
+    # would have given whole.
+    handler, _ = agent(("/call/", answer(WHOLE[:10])))
+    order = ttypes.CallOrder("r", "slot_lookup", "", "{}")
+    assert result_of(calls.forward(handler.state, order)).outcome == "unknown"
+
+
+def test_weights_that_may_be_cut_are_not_loaded(agent):
+    # Failure: an engine is told to use experts of which a half was loaded.
+    handler, http = agent(
+        ("/load", answer(REPORT_BODY, is_marked=True)),
+        ("/weights/", answer(b"\0" * 10)),
+        ("/orders", answer(b"{}", is_marked=True)),
+    )
+    found = rebalance(handler)
+    assert found is not None and found.check(http_client.AnswerError)
+    assert not handler.state.fetched_experts
+    assert not http.sent("/orders")
+
+
+def test_a_store_that_limits_the_rate_is_known_by_its_status(agent):
+    # Failure: the refusal of a rate-limited store counts as a fault of the loop, as
+    # nothing marked the end of its body.
+    handler, http = agent(
+        ("/load", answer(REPORT_BODY, is_marked=True)),
+        ("/weights/", answer(b"{}", b"429 Too Many Requests")),
+    )
+    assert rebalance(handler) is None
+    assert handler.state.counters.by_name["retried.weights_rate_limited"] == 1
+    assert not handler.state.fetched_experts
+    assert not http.sent("/orders")
+
+
+def test_a_report_that_may_be_cut_changes_no_map(agent):
+    # Failure: a map is planned by a part of the counts.
+    handler, http = agent(
+        ("/load", answer(REPORT_BODY)), ("/orders", answer(b"{}", is_marked=True))
+    )
+    assert rebalance(handler) is None
+    assert handler.state.counters.by_name["retried.load_report_failed"] == 1
+    assert [path for path, _ in http.requests] == ["/load"]
+
+
+@pytest.mark.parametrize(
+    "status, name", [(b"200 OK", "rebalanced"), (b"409 No", "refused.map_order")]
+)
+def test_an_order_is_answered_by_its_status(agent, status, name):
+    # Failure: a map that an engine accepted counts as failed and is ordered again, as
+    # nothing marked the end of a body that nobody uses.
+    handler, http = agent(
+        ("/load", answer(REPORT_BODY, is_marked=True)),
+        ("/weights/", answer(b"\0" * 10, is_marked=True)),
+        ("/orders", answer(b"{}", status)),
+    )
+    assert rebalance(handler) is None
+    assert handler.state.counters.by_name[name] == 1
+    assert len(http.sent("/orders")) == 1
+
+
+def test_a_cancelled_stream_is_cancelled_without_a_marked_end(agent):
+    # Failure: an engine that cancelled a stream counts as one that did not.
+    handler, http = agent(("/cancel/", answer(b"{}")))
+    handler.cancel("r")
+    assert len(http.sent("/cancel/")) == 1
+    assert not handler.state.counters.by_name["cancel_failed"]
+
+
+def lines(*pieces):
+    return b"".join(json.dumps(piece).encode() + b"\n" for piece in pieces)
+
+
+TOKENS = [{"i": 0, "t": "a"}, {"i": 1, "t": "b"}]
+
+
+@pytest.mark.parametrize(
+    "body", [lines(*TOKENS), lines(*TOKENS) + b'{"done": tr', lines(TOKENS[0]), b""]
+)
+def test_a_stream_without_its_final_line_is_not_done(agent, body):
+    # Failure: the tokens that an engine sent before it crashed are taken for all.
+    handler, http = agent(("/generate", answer(body)))
+    stream = generate(handler)
+    assert stream.done and stream.error
+    resumed = [json.loads(data)["resume_from"] for data in http.sent("/generate")]
+    assert resumed == [0] + [len(stream.tokens)] * (server.RESUME_ATTEMPTS - 1)
+    assert body.startswith(lines(*TOKENS[: len(stream.tokens)]))
+
+
+def test_the_final_line_marks_the_end_of_a_stream(agent):
+    # Failure: a stream that its engine has ended is asked for again and fails, as
+    # nothing but its final line marked the end.
+    handler, http = agent(("/generate", answer(lines(*TOKENS, {"done": True}))))
+    stream = generate(handler)
+    assert (stream.done, stream.error, stream.tokens) == (True, "", ["a", "b"])
+    assert len(http.sent("/generate")) == 1
--- a/dunlinpoint/experts/engine.py
+++ b/dunlinpoint/experts/engine.py
@@ -101,7 +101,7 @@
                 timeout=clock.seconds(timeout_ms),
                 unbuffered=True,
             )
-            yield http_client.read(self.reactor, response, timeout_ms=timeout_ms)
+            yield http_client.discard(self.reactor, response, timeout_ms)
         except Exception:
             return 0
         return response.code
--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -21,6 +21,13 @@
     """The body of an answer is too long, takes too long or is not complete."""
 
 
+class UnmarkedEnd(AnswerError):
+    """Neither a length nor a last chunk marked the end of a body.
+
+    It ended with its connection, which also ends when the peer crashes.
+    """
+
+
 class StrictParser(_newclient.HTTPClientParser):
     """Parses one response, whose head must be one of the protocol.
 
@@ -125,8 +132,10 @@
     def connectionLost(self, reason=protocol.connectionDone):
         if self.done.called:
             return
-        if reason.check(client.ResponseDone, client.PotentialDataLoss):
+        if reason.check(client.ResponseDone):
             self.done.callback(None)
+        elif reason.check(client.PotentialDataLoss):
+            self.done.errback(UnmarkedEnd(f"incomplete: {reason.value!r}"))
         else:
             self.done.errback(AnswerError(f"incomplete: {reason.value!r}"))
 
@@ -134,8 +143,8 @@
 def collect(response, on_data):
     """Pass the body of *response* to *on_data*; a Deferred that fires at its end.
 
-    It fails with ``AnswerError`` if the body is incomplete, and with what *on_data*
-    raises; the connection is closed then.
+    It fails with ``AnswerError`` if the body is incomplete, ``UnmarkedEnd`` if that is
+    not known, and with what *on_data* raises; the connection is closed then.
     """
     collector = _Collector(on_data)
     response.deliverBody(collector)
@@ -162,3 +171,14 @@
 
     response.deliverBody(collector)
     return collector.done.addBoth(ended).addCallback(lambda _: bytes(body))
+
+
+def discard(reactor, response, timeout_ms=BODY_TIMEOUT_MS):
+    """Read the body of *response*, of which only the status counts; a Deferred.
+
+    The status is complete before the body begins, so that the end of the body need not
+    be marked. Fails with ``AnswerError`` otherwise, like :func:`read`.
+    """
+    reading = read(reactor, response, timeout_ms=timeout_ms)
+    reading.addErrback(lambda failure: failure.trap(UnmarkedEnd))
+    return reading.addCallback(lambda _: None)
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -2,8 +2,9 @@
 
 import attrs
 import pytest
-from twisted.internet import defer, protocol, task
+from twisted.internet import defer, error, protocol, task
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python import failure
 from twisted.web import client
 
 from dunlinpoint import http_client
@@ -25,10 +26,10 @@
         super().loseConnection()
         self.end()
 
-    def end(self):
+    def end(self, reason=protocol.connectionDone):
         if self.protocol is not None:
             ended, self.protocol = self.protocol, None
-            ended.connectionLost(protocol.connectionDone)
+            ended.connectionLost(reason)
 
 
 def connect():
@@ -112,13 +113,95 @@
     assert failures[0].check(http_client.AnswerError)
 
 
-def test_a_body_that_ends_with_its_connection_is_read():
-    found, transport, results = connect()
-    found.dataReceived(HEAD + b"\r\nbody")
-    bodies = []
-    http_client.read(task.Clock(), results[0]).addCallback(bodies.append)
-    transport.end()
-    assert bodies == [b"body"]
+# Heads of bodies that end with their connection alone.
+UNMARKED = [
+    HEAD,
+    HEAD + b"Connection: close\r\n",
+    HEAD + b"Transfer-Encodxng: chunked\r\n",
+    b"HTTP/1.0 200 OK\r\n",
+    b"HTTP/1.1 409 Conflict\r\n",
+]
+ENDS = [error.ConnectionDone(), error.ConnectionLost(), error.ConnectionAborted()]
+
+
+def read_whole(response):
+    return http_client.read(task.Clock(), response)
+
+
+def collect_whole(response):
+    body = bytearray()
+    ended = http_client.collect(response, body.extend)
+    return ended.addCallback(lambda _: bytes(body))
+
+
+def discard(response):
+    return http_client.discard(task.Clock(), response)
+
+
+def results_of(reader, sent, end=None):
+    """The results of *reader* for an answer *sent*, before and after its *end*."""
+    found, transport, responses = connect()
+    found.dataReceived(sent)
+    results = []
+    reader(responses[0]).addBoth(results.append)
+    before = list(results)
+    if end is not None:
+        transport.end(failure.Failure(end))
+    return before, results
+
+
+@pytest.mark.parametrize("end", ENDS, ids=repr)
+@pytest.mark.parametrize("head", UNMARKED)
+@pytest.mark.parametrize("reader", [read_whole, collect_whole])
+def test_a_body_whose_end_is_not_marked_is_incomplete(reader, head, end):
+    # Failure: the half of a body that a peer sent before it crashed is taken for the
+    # outcome of a call, for a report or for weights.
+    before, results = results_of(reader, head + b"\r\nbody", end)
+    assert before == []
+    assert len(results) == 1 and results[0].check(http_client.AnswerError)
+
+
+@pytest.mark.parametrize("end", [None, *ENDS], ids=repr)
+@pytest.mark.parametrize(
+    "sent, body",
+    [
+        (HEAD + b"Content-Length: 4\r\n\r\nbody", b"body"),
+        (HEAD + b"Connection: close\r\nContent-Length: 4\r\n\r\nbody", b"body"),
+        (HEAD + b"Content-Length: 0\r\n\r\n", b""),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", b"body"),
+        (b"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody", b"body"),
+        (b"HTTP/1.1 204 No Content\r\n\r\n", b""),
+    ],
+)
+@pytest.mark.parametrize("reader", [read_whole, collect_whole])
+def test_a_body_whose_end_is_marked_is_read(reader, sent, body, end):
+    before, results = results_of(reader, sent, end)
+    assert before == results == [body]
+
+
+@pytest.mark.parametrize("end", ENDS, ids=repr)
+@pytest.mark.parametrize("head", UNMARKED)
+def test_a_body_that_does_not_matter_may_end_with_its_connection(head, end):
+    # Failure: an order that was executed counts as unanswered, and is sent again, as
+    # nothing marked the end of a body that nobody uses.
+    before, results = results_of(discard, head + b"\r\nbody", end)
+    assert before == []
+    assert results == [None]
+
+
+@pytest.mark.parametrize("end", ENDS, ids=repr)
+@pytest.mark.parametrize(
+    "sent",
+    [
+        HEAD + b"Content-Length: 5\r\n\r\nbody",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+    ],
+)
+@pytest.mark.parametrize("reader", [read_whole, collect_whole, discard])
+def test_a_body_that_ends_before_its_mark_is_incomplete(reader, sent, end):
+    before, results = results_of(reader, sent, end)
+    assert before == []
+    assert len(results) == 1 and results[0].check(http_client.AnswerError)
 
 
 def test_an_engine_whose_report_has_no_end_did_not_answer():
