HTTP calls: an encoded body is no answer

Cause, found when the readers were looked through: treq asks for gzip, and its decoder takes a body for complete wherever it ends. 827 of 1,724 bytes of a body whose length marks the cut were read as whole, and a body that only says to be gzip as empty, without an error; a call at an agent would be done with that.

--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -140,6 +140,22 @@
             self.done.errback(AnswerError(f"incomplete: {reason.value!r}"))
 
 
+class _Discarder(protocol.Protocol):
+    """Closes the connection of a body that nobody reads."""
+
+    def connectionMade(self):
+        self.transport.loseConnection()
+
+
+def refuse_encoded(response):
+    """Return *response*, or raise ``AnswerError`` if its body is encoded."""
+    for coding in response.headers.getRawHeaders(b"content-encoding", []):
+        if coding.strip().lower() not in (b"", b"identity"):
+            response.deliverBody(_Discarder())
+            raise AnswerError(f"content coding {coding!r}")
+    return response
+
+
 def collect(response, on_data):
     """Pass the body of *response* to *on_data*; a Deferred that fires at its end.
 
