--- a/dunlinpoint/forward/__init__.py
+++ b/dunlinpoint/forward/__init__.py
@@ -16,6 +16,7 @@
 ``quarantine``  detection and isolation of requests that crash endpoints
 ``attempts``    selection of endpoints, retries, and the final failure
 ``exchange``    one attempt: sends the request and passes on the response
+``bodies``      bodies of responses: read whole, or passed on event by event
 ``callers``     connections of callers: unread bytes, and callers that time out
 ``channel``     receives callers' requests within the document's limits
 ``site``        the HTTP server that callers connect to
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -16,18 +16,16 @@
   so that the endpoint stops working on the request.
 """
 
-import collections
-
 import attrs
 from twisted.internet import defer
-from twisted.web import http_headers, iweb
+from twisted.web import http_headers
 
 from dunlinpoint import logs
 from dunlinpoint.admission import decision, urgency
-from dunlinpoint.answers import completeness, continuation
-from dunlinpoint.forward import pool, quarantine, responses, routes
+from dunlinpoint.answers import completeness
+from dunlinpoint.forward import bodies, pool, quarantine, responses, routes
 from dunlinpoint.forward import watchdog as watchdogs
-from dunlinpoint.routing import backpressure, pick
+from dunlinpoint.routing import pick
 
 log = logs.logger("entry")
 
@@ -40,9 +38,6 @@
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 # A plain answer came whose end was not marked.
 UNCONFIRMED = "unconfirmed"
-# How much of the body of a refusal is read, and for how long, to reuse its connection.
-MAX_DRAINED_BYTES = 64 * 1024
-DRAIN_TIMEOUT_MS = 1000
 # The endpoint closed the connection because this entry did not read it.
 UNREAD = "unread"
 
@@ -149,14 +144,6 @@
     return outcome
 
 
-def end_reading(forwarder, call):
-    """End the reading of an answer and count it if it was paused."""
-    if call.source.was_paused:
-        forwarder.counters.incr("slow_reader.paused")
-    call.source.end()
-    call.caller.source = None
-
-
 def record_done(forwarder, call, member):
     """Log and time a request that *member* has answered."""
     took_ms = forwarder.clock.now() - call.arrived_ms
@@ -260,7 +247,7 @@
     echoed_ids = set(head.headers.getRawHeaders(own.request_id, []))
     if call.request_id is not None and echoed_ids != {call.request_id}:
         forwarder.counters.incr("dropped.foreign_answer")
-        raise close_as_broken(connection, "request id in the response does not match")
+        raise bodies.close_as_broken(connection, "request id does not match")
     signal = forwarder.read_signal(head.code, head.headers)
     now = forwarder.clock.now()
     forwarder.picker.cold.answered(member, call, now)
@@ -269,34 +256,34 @@
     if head.code != 421:
         forwarder.picker.cold.record_outcome(member, not is_refused, now)
     if is_refused:
-        drain_body(forwarder, connection, head)
+        bodies.drain_body(forwarder, connection, head)
         record_not_run(forwarder, member, head)
         return NOT_RUN
     good = 200 <= head.code < 300
     if good and not head.headers.hasHeader(own.signature):
-        raise close_as_broken(
+        raise bodies.close_as_broken(
             connection, "successful response without signature header"
         )
     if head.headers.hasHeader(b"content-encoding"):
-        raise close_as_broken(connection, "response body has a content encoding")
+        raise bodies.close_as_broken(connection, "response body has a content encoding")
     if good and call.streaming:
         if call.started and not call.stream_head.is_continued_by(head):
             forwarder.counters.incr("dropped.other_answer")
             call.error = f"{head.code} is no rest of the stream"
             connection.close()
             return FAILED
-        yield relay(forwarder, call, member, connection, head)
+        yield bodies.relay(forwarder, call, member, connection, head)
         forwarder.counters.incr("answered.stream")
         responses.finish(forwarder, call.request)
         return DONE
-    pieces = yield read_plain(forwarder, call, connection, head)
+    pieces = yield bodies.read_plain(forwarder, call, connection, head)
     length = sum(map(len, pieces))
     can_be_whole = yield may_be_complete(forwarder, call, member)
     if head.code >= 500 or call.is_over or call.started or not can_be_whole:
         call.caller.hold(-length, forwarder.clock.now())
     if not can_be_whole:
         pieces.clear()
-        raise close_as_broken(connection, "response ended with its connection")
+        raise bodies.close_as_broken(connection, "response ended with its connection")
     answer = responses.PlainAnswer(head, pieces, length, call.has_marked_end)
     if head.code >= 500:
         call.last_failure = attrs.evolve(answer, pieces=(b"".join(pieces),))
@@ -305,7 +292,7 @@
         # The caller, who has the head of another answer, would take this for events.
         return FAILED
     if call.is_over:
-        raise close_as_broken(connection, "caller disconnected")
+        raise bodies.close_as_broken(connection, "caller disconnected")
     if not answer.has_marked_end and routes.is_repeatable(call.route):
         drop_unconfirmed(forwarder, call)
         call.unconfirmed = answer, member
@@ -317,7 +304,7 @@
 def pass_on_plain(forwarder, call, answer):
     """Pass on *answer*, whose body counts as held."""
     forwarder.counters.incr("answered.plain")
-    body = passed_on(call.caller, answer.pieces)
+    body = bodies.passed_on(call.caller, answer.pieces)
     responses.pass_on(forwarder, call.request, answer, body)
 
 
@@ -356,58 +343,6 @@
     )
 
 
-def passed_on(caller, pieces):
-    """Yield and remove the *pieces* of an answer, which no longer count as held."""
-    while pieces:
-        piece = pieces.popleft()
-        caller.pass_on(len(piece))
-        yield piece
-
-
-@defer.inlineCallbacks
-def read_plain(forwarder, call, connection, head):
-    """Read a plain answer whole; return the pieces of its body, which count as held."""
-    pieces = collections.deque()
-    buffers, source = forwarder.buffers, call.source
-    limit_bytes = buffers.max_answer_bytes
-    if head.code >= 500:
-        limit_bytes = min(limit_bytes, backpressure.MAX_FAILURE_BYTES)
-    guard = Guard(forwarder, connection, limit_bytes)
-    guard.check(0 if head.length is iweb.UNKNOWN_LENGTH else head.length)
-    source.begin(connection)
-    buffers.began_plain(source)
-    length = 0
-
-    def on_data(data):
-        nonlocal length
-        now = forwarder.clock.now()
-        length += len(data)
-        if guard.check(length):
-            return
-        pieces.append(data)
-        call.caller.hold(len(data), now)
-        if not buffers.may_read_plain(source):
-            source.pause(now)
-
-    try:
-        call.has_marked_end = yield pool.read(connection, head, on_data)
-    except pool.Broken:
-        call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
-        # The failure's traceback keeps the pieces until the next garbage collection.
-        pieces.clear()
-        raise
-    finally:
-        end_reading(forwarder, call)
-        buffers.ended_plain(source, forwarder.clock.now())
-    if guard.is_exceeded:
-        # The rest of the answer came with the bytes that were too many.
-        call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
-        raise close_as_broken(connection, "response is too long")
-    if not call.has_marked_end:
-        forwarder.counters.incr("endpoint.unmarked_end.plain")
-    return pieces
-
-
 def record_not_run(forwarder, member, head):
     """Record that *member* did not run a request, and which endpoint caused it."""
     forwarder.counters.incr("endpoint.not_run")
@@ -419,114 +354,3 @@
         forwarder.counters.incr("endpoint.group_stands")
     else:
         forwarder.picker.failed(pick.incarnation_key(member), now)
-
-
-def close_as_broken(connection, why):
-    """Close *connection*; return the ``Broken`` to raise."""
-    connection.close()
-    return pool.Broken(why)
-
-
-@attrs.define
-class Guard:
-    """Closes *connection* when more than *limit_bytes* of it would be held."""
-
-    forwarder: object
-    connection: object
-    limit_bytes: int
-    is_exceeded: bool = False
-
-    def check(self, count):
-        """Check *count* bytes of an answer or event; whether too many came so far."""
-        if count > self.limit_bytes and not self.is_exceeded:
-            self.is_exceeded = True
-            self.forwarder.counters.incr("dropped.answer_too_long")
-            self.connection.close()
-        return self.is_exceeded
-
-
-def drain_body(forwarder, connection, head):
-    """Read the body of a refusal, so that its connection can be reused.
-
-    Nothing waits for it: it may come slowly or without end.
-    """
-    guard = Guard(forwarder, connection, MAX_DRAINED_BYTES)
-    drained = 0
-
-    def on_data(data):
-        nonlocal drained
-        drained += len(data)
-        guard.check(drained)
-
-    def ended(_result):
-        if timer.active():
-            timer.cancel()
-
-    timer = forwarder.clock.call_later(DRAIN_TIMEOUT_MS, connection.close)
-    reading = pool.read(connection, head, on_data)
-    reading.addErrback(lambda failure: failure.trap(pool.Broken))
-    reading.addBoth(ended)
-
-
-@defer.inlineCallbacks
-def relay(forwarder, call, member, connection, head):
-    """Pass on the complete events of a stream as they arrive; raises ``Broken``."""
-    request = call.request
-    call.events.restart()
-    events_before = call.events.count
-    groups = forwarder.groups(call)
-    last_ms = None
-    source, caller = call.source, call.caller
-    source.begin(connection)
-    caller.source = source
-    partial_bytes, has_begun = 0, False
-    guard = Guard(forwarder, connection, caller.entry.max_answer_bytes)
-
-    def on_data(data):
-        nonlocal last_ms, partial_bytes, has_begun
-        now = forwarder.clock.now()
-        forwarder.picker.data_received(pick.incarnation_key(member), now)
-        forwarder.outages.data_received(member)
-        out = call.events.feed(data)
-        if out and not has_begun:
-            has_begun = True
-            quarantine.request_served(forwarder, call)
-        caller.hold(len(call.events.partial) - partial_bytes, now)
-        partial_bytes = len(call.events.partial)
-        guard.check(partial_bytes)
-        if not out or call.is_over:
-            return
-        # After a pause, the gaps depend on the caller and not on the endpoint.
-        if last_ms is not None and not source.was_paused:
-            forwarder.counters.observe_ms("pause", now - last_ms)
-            call.longest_gap_ms = max(call.longest_gap_ms, now - last_ms)
-            if groups is not None:
-                groups.record_gap(call.group, now - last_ms, now)
-        if call.first_ms is None:
-            call.first_ms = now - call.arrived_ms
-            forwarder.counters.observe_ms("first_event", call.first_ms)
-        last_ms = call.last_event_ms = now
-        if not call.started:
-            call.started = True
-            call.stream_head = continuation.StreamHead.from_head(head)
-            responses.copy_head(request, head, None)
-        request.write(out)
-
-    try:
-        call.has_marked_end = yield pool.read(connection, head, on_data)
-    finally:
-        end_reading(forwarder, call)
-        caller.hold(-partial_bytes, forwarder.clock.now())
-        call.events_by_attempt.append(call.events.count - events_before)
-    if not call.has_marked_end:
-        forwarder.counters.incr("endpoint.unmarked_end.stream")
-    if call.is_over:
-        raise close_as_broken(connection, "caller disconnected")
-    if call.events.partial:
-        raise close_as_broken(connection, "stream ended within an event")
-    known = completeness.of_stream(call.has_marked_end)
-    if known is not completeness.Completeness.COMPLETE:
-        raise close_as_broken(connection, "stream ended with its connection")
-    if not call.started:
-        call.started = True
-        responses.copy_head(request, head, None)
--- a/dunlinpoint/forward/tests/test_exchange.py
+++ b/dunlinpoint/forward/tests/test_exchange.py
@@ -9,7 +9,7 @@
 
 from dunlinpoint import clock, metrics
 from dunlinpoint.config import document as config
-from dunlinpoint.forward import events, exchange, quarantine, state
+from dunlinpoint.forward import bodies, events, exchange, quarantine, state
 from dunlinpoint.routing import backpressure, outage, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -126,7 +126,7 @@
         pause=lambda: None, resume=lambda: None, was_closed_in_order=True
     )
     head = Response()
-    ended = exchange.relay(forwarder, call, member, connection, head)
+    ended = bodies.relay(forwarder, call, member, connection, head)
     for size in (1, 1, 2 * backpressure.MAX_UNREAD_BYTES):
         reactor.advance(0.04)
         head.reader.dataReceived(b"x" * size + b"\n\n")
--- a/dunlinpoint/forward/tests/test_plain_ends.py
+++ b/dunlinpoint/forward/tests/test_plain_ends.py
@@ -9,7 +9,7 @@
 from twisted.web import http_headers
 
 from dunlinpoint import clock, metrics
-from dunlinpoint.forward import events, exchange, pool, state
+from dunlinpoint.forward import bodies, events, pool, state
 from dunlinpoint.routing import backpressure
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -41,7 +41,7 @@
         heads.append
     )
     connection.dataReceived(reads[0])
-    exchange.read_plain(forwarder, call, connection, heads[0]).addBoth(results.append)
+    bodies.read_plain(forwarder, call, connection, heads[0]).addBoth(results.append)
     for data in reads[1:]:
         connection.dataReceived(data)
     connection.connectionLost(failure.Failure(ended))
--- a/dunlinpoint/forward/tests/test_stream_ends.py
+++ b/dunlinpoint/forward/tests/test_stream_ends.py
@@ -9,7 +9,7 @@
 from twisted.web import http_headers
 
 from dunlinpoint import clock, metrics
-from dunlinpoint.forward import events, exchange, pool, quarantine, state
+from dunlinpoint.forward import bodies, events, pool, quarantine, state
 from dunlinpoint.routing import outage, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -58,9 +58,7 @@
     )
     connection.dataReceived(HEAD + fields + b"\r\n" + sent)
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
-    exchange.relay(forwarder, call, member, connection, heads[0]).addBoth(
-        results.append
-    )
+    bodies.relay(forwarder, call, member, connection, heads[0]).addBoth(results.append)
     connection.connectionLost(failure.Failure(ended))
     (result,) = results
     return request.written, None if result is None else result.value
