--- a/tests/integration/platform_lab.py
+++ b/tests/integration/platform_lab.py
@@ -46,9 +46,9 @@
     Its state is kept in attributes of the HTTP server: ``runs`` lists the executed
     requests as (server id, request id), ``zone`` the zone that is announced,
     ``arrivals`` the monotonic times (s) of all requests, ``arrived_ids`` their ids,
-    ``extra_headers`` the headers added to every answer. While ``retry_after`` is set,
-    every request is refused with it as Retry-After (s). ``flooded`` counts the events
-    of "flood" streams that were sent.
+    ``state`` the state that is announced, ``extra_headers`` the headers added to every
+    answer. While ``retry_after`` is set, every request is refused with it as
+    Retry-After (s). ``flooded`` counts the events of "flood" streams that were sent.
     """
 
     protocol_version = "HTTP/1.1"
@@ -277,7 +277,7 @@
         server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), server_class)
         server.id, server.runs, server.zone = f"i-{number}", runs, zone
         server.extra_headers, server.arrivals, server.retry_after = {}, [], None
-        server.flooded, server.arrived_ids = 0, []
+        server.flooded, server.arrived_ids, server.state = 0, [], "ready"
         threading.Thread(target=server.serve_forever, daemon=True).start()
         servers.append(server)
     running = Platform(
@@ -331,7 +331,7 @@
                 "address": f"127.0.0.1:{server.server_address[1]}",
                 "zone": server.zone,
                 "slots": 4,
-                "state": "ready",
+                "state": server.state,
                 "seqNo": sequence,
             }
             path = f"/api/instances/{server.id}/heartbeat"
