Answers: a trailer consists of field lines

What callers saw: a stream in chunks, of which one came with the size 0, ended as complete after the events before it; a plain answer got a length that fits.

Cause: behind a chunk of size 0 the HTTP library takes all lines for a trailer, up to the blank line of the real last chunk, and checks none. Now each must be a field line, for entries, agents and leaders; otherwise the answer is broken. A whole last chunk that comes too early stays what the protocol says it is: a marked end.

--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -6,7 +6,7 @@
 """
 
 from twisted.internet import defer, protocol
-from twisted.web import _newclient, client
+from twisted.web import _newclient, client, http
 
 from dunlinpoint import clock, http_heads
 
@@ -28,6 +28,20 @@
     """
 
 
+class StrictChunkDecoder(http._ChunkedTransferDecoder):
+    """Decodes a body in chunks, whose trailer must consist of field lines.
+
+    Behind a chunk whose size came as 0 by mistake, the library takes all that follows
+    for a trailer, up to the real last chunk, and the body for complete.
+    """
+
+    def _dataReceived_TRAILER(self):  # noqa: N802, Twisted's name
+        is_line = super()._dataReceived_TRAILER()
+        if is_line:
+            http_heads.check_field_line(bytes(self._trailerHeaders[-1]))
+        return is_line
+
+
 class StrictParser(_newclient.HTTPClientParser):
     """Parses one response, whose head must be one of the protocol.
 
@@ -35,6 +49,8 @@
     response gets the attribute ``framing``, a ``http_heads.Framing``.
     """
 
+    _transferDecoders = {b"chunked": StrictChunkDecoder}
+
     def lineReceived(self, line):
         content = line.removesuffix(b"\r")
         if self.state == _newclient.STATUS:
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -337,3 +337,36 @@
     found, transport, results = connect()
     found.dataReceived(head + b"\r\n\r\n")
     assert results[0].framing.value == framing
+
+
+CHUNK = b"4\r\nbody\r\n"
+
+
+@pytest.mark.parametrize(
+    "rest, is_whole",
+    [
+        (b"0\r\n\r\n", True),
+        (b"0\r\nX-A: b\r\n\r\n", True),
+        (b"0\r\n" + CHUNK + b"0\r\n\r\n", False),
+        (b"0\r\nbody\r\n" + CHUNK + b"0\r\n\r\n", False),
+        (b"0\r\nX-A: b\r\n folded\r\n\r\n", False),
+    ],
+)
+@pytest.mark.parametrize("reads", ["one", "parts"])
+def test_a_trailer_consists_of_field_lines(rest, is_whole, reads):
+    # Failure: a chunk whose size came as 0 ends a body as complete, and the chunks
+    # behind it are dropped as a trailer.
+    found, transport, responses = connect()
+    found.dataReceived(HEAD + b"Transfer-Encoding: chunked\r\n\r\n")
+    results = []
+    http_client.read(task.Clock(), responses[0]).addBoth(results.append)
+    sent = CHUNK + rest
+    for part in (
+        [sent] if reads == "one" else [sent[n : n + 1] for n in range(len(sent))]
+    ):
+        if transport.protocol is not None:
+            found.dataReceived(part)
+    if is_whole:
+        assert results == [b"body"]
+    else:
+        assert results[0].check(http_client.AnswerError)
