Answers: the check for a crash keeps no connection, and only a refusal counts

What callers saw: behind two entries, a sound service with one worker that never marks its ends answered every second request with 504 after 4.0 s (8 of 16); whole answers of an endpoint whose queue of connections was full became 502.

Cause: after an unmarked end the entry opened a connection and kept it in its pool, where the worker waited for a request on it. And any failure to connect within 0.4 s counted as a crash.

Change: the check uses refuses_connections, which closes what is accepted. Both tests failed before and pass.

--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -342,7 +342,7 @@
     if known is not completeness.Completeness.UNCONFIRMED:
         return known is completeness.Completeness.COMPLETE
     yield forwarder.clock.sleep(quarantine.CRASH_CHECK_DELAY_MS)
-    return (yield forwarder.pool.can_connect(member))
+    return not (yield forwarder.pool.refuses_connections(member))
 
 
 def record_invalid_head(forwarder, call, member, exc):
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -220,12 +220,16 @@
 
     @defer.inlineCallbacks
     def refuses_connections(self, member):
-        """Whether the host of *member* refuses connections to the member's port."""
+        """Whether the host of *member* refuses connections to the member's port.
+
+        A connection that is accepted is closed at once. An endpoint that serves one
+        connection at a time would else wait for a request on it and serve no other.
+        """
         try:
             connection = yield self._open(member)
         except NotSent as exc:
             return isinstance(exc.__cause__, error.ConnectionRefusedError)
-        self._put_idle(pick.incarnation_key(member), connection)
+        connection.transport.loseConnection()
         return False
 
     @defer.inlineCallbacks
