Callers: an answer without length and chunks that the entry's end cuts is reset

What callers saw: of 12 MB that end with their connection, 2 MB came and an end in order, signed 200, when the entry stopped at the end of its grace time or was killed; so did streams of HTTP/1.0 when it was killed.

Cause: the kernel closes the connections of a process that ends in order.

Change: such an answer's connection has SO_LINGER of 0 until the entry itself ends it in order, and a planned stop resets what is still open at its deadline.

--- a/dunlinpoint/forward/callers.py
+++ b/dunlinpoint/forward/callers.py
@@ -6,7 +6,7 @@
 import struct
 import termios
 
-from twisted.internet import task, tcp
+from twisted.internet import error, task, tcp
 
 from dunlinpoint import clock, logs
 from dunlinpoint.routing import backpressure
@@ -20,6 +20,8 @@
 # which it stops reading further requests of a caller that does not read.
 GIVEN_BYTES = 64 * 1024
 BACKLOG = 512
+# Values of ``SO_LINGER``: a reset discards what the caller has not got yet.
+LINGER_RESET, LINGER_NONE = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
 
 
 class CallerConnection(tcp.Server):
@@ -66,8 +68,21 @@
             self.buffer.sent(result, self.clock.now())
         return result
 
+    def reset_unless_ended(self):
+        """Let the connection end by a reset, unless this entry ends it in order.
+
+        The operating system closes the connections of a process that ends in order,
+        and the caller of an answer without length and chunks takes that for its end.
+        """
+        self._set_linger(LINGER_RESET)
+
+    def _set_linger(self, value):
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def connectionLost(self, reason):
         """Release the buffer of a connection that is closed."""
+        if reason.check(error.ConnectionDone):
+            self._set_linger(LINGER_NONE)
         self.buffer.close(self.clock.now())
         self.queue.clear()
         super().connectionLost(reason)
--- a/dunlinpoint/forward/channel.py
+++ b/dunlinpoint/forward/channel.py
@@ -132,6 +132,8 @@
         if request.is_end_unmarked:
             headers.removeHeader(b"transfer-encoding")
             request.chunked = 0
+        if not request.chunked and not headers.hasHeader(b"content-length"):
+            self.transport.reset_unless_ended()
         super().writeHeaders(version, code, reason, headers)
 
     def _check_body(self, size):
