Callers: a connection that cuts an unmarked answer is reset, wherever it is closed

A running stream of HTTP/1.0 was closed in order when the grace time of a planned stop ended. The channel itself now decides how it closes: by a reset while an answer with neither length nor chunks is under way. That replaces the two places that did it (give_up, close_all), of which close_all also reset callers whose answers have a length and lost them the bytes that the system still held.

test_a_stop_of_the_entry_does_not_end_a_stream_of_http_1_0[SIGTERM] failed before; the four cases of test_entry_ends.py, the 74 of test_unmarked_ends.py and test_planned_stop.py hold.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -275,7 +275,7 @@
             events=call.events.count,
             **exchange.log_fields(forwarder, call),
         )
-        responses.break_off(request)
+        request.channel.loseConnection()
     elif call.unconfirmed is not None:
         exchange.pass_on_unconfirmed(forwarder, call)
     elif call.last_failure is not None:
--- a/dunlinpoint/forward/callers.py
+++ b/dunlinpoint/forward/callers.py
@@ -39,6 +39,7 @@
         self.buffer = backpressure.CallerBuffer(server.forwarder.buffers, self)
         self.queue = collections.deque()
         self.given_bytes = 0
+        self.ends_by_reset = False
 
     def write(self, data):
         """Write *data* and count it as unread."""
@@ -68,12 +69,13 @@
             self.buffer.sent(result, self.clock.now())
         return result
 
-    def reset_unless_ended(self):
-        """Let the connection end by a reset, unless this entry ends it in order.
+    def reset_unless_closed(self):
+        """Let the connection end by a reset, unless this entry closes it in order.
 
         The operating system closes the connections of a process that ends in order,
         and the caller of an answer without length and chunks takes that for its end.
         """
+        self.ends_by_reset = True
         self._set_linger(LINGER_RESET)
 
     def _set_linger(self, value):
@@ -81,7 +83,7 @@
 
     def connectionLost(self, reason):
         """Release the buffer of a connection that is closed."""
-        if reason.check(error.ConnectionDone):
+        if self.ends_by_reset and reason.check(error.ConnectionDone):
             self._set_linger(LINGER_NONE)
         self.buffer.close(self.clock.now())
         self.queue.clear()
--- a/dunlinpoint/forward/channel.py
+++ b/dunlinpoint/forward/channel.py
@@ -133,9 +133,21 @@
             headers.removeHeader(b"transfer-encoding")
             request.chunked = 0
         if not request.chunked and not headers.hasHeader(b"content-length"):
-            self.transport.reset_unless_ended()
+            self.transport.reset_unless_closed()
         super().writeHeaders(version, code, reason, headers)
 
+    def loseConnection(self):
+        """Close the connection, so that a caller sees whether its answer is incomplete.
+
+        With chunks, the last one is missing. Without a length or chunks, as for callers
+        of HTTP/1.0, only a reset differs from the end of a whole answer.
+        """
+        is_answering = bool(self.requests) and self.requests[0].startedWriting
+        if is_answering and self.transport.ends_by_reset:
+            self.transport.abortConnection()
+        else:
+            super().loseConnection()
+
     def _check_body(self, size):
         if self.limits is not None and size > self.limits.body_bytes:
             raise Refused(413, "body_too_large")
--- a/dunlinpoint/forward/responses.py
+++ b/dunlinpoint/forward/responses.py
@@ -180,18 +180,6 @@
     finish(forwarder, request, pieces)
 
 
-def break_off(request):
-    """End a response that has begun so that its caller sees that it is incomplete.
-
-    With chunks, the last one is missing. Without chunks, as for callers of HTTP/1.0,
-    only a reset differs from the end of a whole answer.
-    """
-    if request.chunked or not request.startedWriting:
-        request.channel.loseConnection()
-    else:
-        request.channel.transport.abortConnection()
-
-
 def copy_head(request, head, length):
     """Copy the status and headers of an endpoint's response to the caller's.
 
--- a/dunlinpoint/forward/site.py
+++ b/dunlinpoint/forward/site.py
@@ -8,7 +8,7 @@
 from twisted.web import resource, server
 
 from dunlinpoint import clock, http_site, logs
-from dunlinpoint.forward import admission, callers, channel, responses
+from dunlinpoint.forward import admission, callers, channel
 
 log = logs.logger("entry")
 
@@ -31,7 +31,7 @@
             log.error("request_failed", error=failure.getTraceback())
             self.forwarder.counters.incr("request_failed")
             if not request._disconnected and not request.finished:
-                responses.break_off(request)
+                request.channel.loseConnection()
 
         admission.serve(self.forwarder, request).addErrback(failed)
         return server.NOT_DONE_YET
--- a/dunlinpoint/http_site.py
+++ b/dunlinpoint/http_site.py
@@ -96,15 +96,10 @@
     def close_all(self, ms_clock, deadline_ms):
         """Close each connection when its buffered responses have been sent.
 
-        Those that are still open at *deadline_ms* (clock milliseconds) are reset: an
-        answer without a length would look complete if its connection ended in order.
-        The Deferred fires when all connections are closed.
+        The Deferred fires when all connections are closed, or at *deadline_ms* (clock
+        milliseconds) if some are still open then.
         """
         for channel in list(self.channels):
             channel.loseConnection()
         while self.channels and ms_clock.now() < deadline_ms:
             yield ms_clock.sleep(POLL_INTERVAL_MS)
-        for channel in list(self.channels):
-            channel.transport.abortConnection()
-        # The library closes them in its next turn.
-        yield ms_clock.sleep(0)
