Retries: those of unconfirmed answers leave half of the slack

Asking another endpoint for an answer that is probably whole can be left out, so it is allowed only while more than half of the slack is left.

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -201,7 +201,10 @@
         return False
     if call.attempts == 0:
         return True
-    is_allowed = forwarder.budget.may_retry(call.service, forwarder.clock.now())
+    now = forwarder.clock.now()
+    is_allowed = forwarder.budget.may_retry(call.service, now)
+    if outcome == exchange.UNCONFIRMED:
+        is_allowed = is_allowed and forwarder.budget.has_spare(call.service, now)
     if not is_allowed:
         record_retry(forwarder, call, outcome, is_allowed)
     return is_allowed
--- a/dunlinpoint/routing/budget.py
+++ b/dunlinpoint/routing/budget.py
@@ -38,6 +38,8 @@
 # names no slack.
 DEFAULT_ENTRY_SLACK = 8.0
 DEFAULT_RATIO = 0.2
+# Share of the slack that is left to requests that fail without a retry.
+RESERVED_FRACTION = 0.5
 DEFAULT_WINDOW_MS = 10_000
 
 
@@ -155,6 +157,14 @@
             retries.rounding, retries.rounding_ms = self.rng.random(), now
         return retries.rounding < left
 
+    def has_spare(self, service, now):
+        """Whether a retry may be sent that can also be left out.
+
+        It leaves a part of the slack to requests that would otherwise fail.
+        """
+        reserve = RESERVED_FRACTION * self.slack_part(now)
+        return self.left(service, now) > reserve
+
     def spend(self, service, now):
         """Record a retry that is sent now; ``False`` if it may not be sent."""
         if not self.may_retry(service, now):
--- a/dunlinpoint/routing/tests/test_budget.py
+++ b/dunlinpoint/routing/tests/test_budget.py
@@ -180,3 +180,15 @@
     later += 1000
     own.learn(2, later, later)
     assert own.slack_part(later) == 2 * before
+
+
+def test_retries_that_can_be_left_out_leave_a_part_of_the_slack():
+    # Guards against a service whose answers never have a marked end, which uses up the
+    # retries of requests that fail without one.
+    own = budget.Budget()
+    optional = 0
+    while own.has_spare("s", 0):
+        assert own.spend("s", 0)
+        optional += 1
+    assert optional == budget.DEFAULT_ENTRY_SLACK * (1 - budget.RESERVED_FRACTION)
+    assert own.may_retry("s", 0)
