Answers: an endpoint that leaves has not crashed; unconfirmed answers count as answers

Seen by the review: an endpoint that had announced that it leaves stopped listening before it ended its last answers. Whole answers became 502, were attributed as crashes, and after three of them the same request was refused for ten minutes. Now an answer of a leaving endpoint is passed on.

--- a/dunlinpoint/answers/completeness.py
+++ b/dunlinpoint/answers/completeness.py
@@ -29,8 +29,7 @@
 def of_stream(is_marked):
     """The ``Completeness`` of a stream that ended between two events.
 
-    Its caller has a head that promises a last chunk, so an end without a mark cannot
-    be passed on as one.
+    Its caller already has the head, which promises a mark of the end.
     """
     return Completeness.COMPLETE if is_marked else Completeness.INCOMPLETE
 
--- a/dunlinpoint/follow/view.py
+++ b/dunlinpoint/follow/view.py
@@ -348,6 +348,11 @@
             self._divide_members(kind)
         return self.live_by_kind[kind]
 
+    def is_leaving(self, endpoint_id):
+        """Whether an endpoint has announced that it leaves, or has left."""
+        known = self.by_id.get(endpoint_id)
+        return known is not None and (known.member.draining or known.member.gone)
+
     def evacuated(self, kind):
         """Members of *kind* that get no new requests only because of an evacuation."""
         self.live(kind)
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -52,7 +52,7 @@
 
 @defer.inlineCallbacks
 def read_plain(forwarder, call, connection, head):
-    """Read a plain answer whole; return the pieces of its body, which count as held."""
+    """Read a plain answer whole; return the ``PlainAnswer``, which counts as held."""
     pieces = collections.deque()
     buffers, source = forwarder.buffers, call.source
     limit_bytes = buffers.max_answer_bytes
@@ -91,7 +91,7 @@
         raise close_as_broken(connection, "response is too long")
     if not call.has_marked_end:
         forwarder.counters.incr("endpoint.unmarked_end.plain")
-    return pieces
+    return responses.PlainAnswer(head, pieces, length, call.has_marked_end)
 
 
 def passed_on(caller, pieces):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -38,6 +38,8 @@
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
 # A plain answer came whose end was not marked.
 UNCONFIRMED = "unconfirmed"
+# Share of the remaining time after which the check for a crash begins at the latest.
+CRASH_CHECK_SHARE = 0.25
 # The endpoint closed the connection because this entry did not read it.
 UNREAD = "unread"
 
@@ -139,7 +141,11 @@
         forwarder.picker.succeeded(incarnation)
         forwarder.outages.data_received(member)
         record_done(forwarder, call, member)
-    elif outcome in (FAILED, UNCONFIRMED):
+    elif outcome == UNCONFIRMED:
+        call.may_have_run = True
+        forwarder.picker.succeeded(incarnation)
+        forwarder.outages.data_received(member)
+    elif outcome == FAILED:
         call.may_have_run = True
     return outcome
 
@@ -276,31 +282,59 @@
         forwarder.counters.incr("answered.stream")
         responses.finish(forwarder, call.request)
         return DONE
-    pieces = yield bodies.read_plain(forwarder, call, connection, head)
-    length = sum(map(len, pieces))
-    can_be_whole = yield may_be_complete(forwarder, call, member)
-    if head.code >= 500 or call.is_over or call.started or not can_be_whole:
-        call.caller.hold(-length, forwarder.clock.now())
-    if not can_be_whole:
-        pieces.clear()
+    answer = yield bodies.read_plain(forwarder, call, connection, head)
+    can_pass_on = yield may_be_passed_on(forwarder, call, member)
+    if not can_pass_on:
+        release(forwarder, call, answer)
+        answer.pieces.clear()
         raise bodies.close_as_broken(connection, "response ended with its connection")
-    answer = responses.PlainAnswer(head, pieces, length, call.has_marked_end)
     if head.code >= 500:
-        call.last_failure = attrs.evolve(answer, pieces=(b"".join(pieces),))
+        release(forwarder, call, answer)
+        call.last_failure = attrs.evolve(answer, pieces=(b"".join(answer.pieces),))
         return FAILED
     if call.started:
         # The caller, who has the head of another answer, would take this for events.
+        release(forwarder, call, answer)
         return FAILED
     if call.is_over:
+        release(forwarder, call, answer)
         raise bodies.close_as_broken(connection, "caller disconnected")
     if not answer.has_marked_end and routes.is_repeatable(call.route):
         drop_unconfirmed(forwarder, call)
-        call.unconfirmed = answer, member
+        call.unconfirmed = Unconfirmed(answer, member, call.in_flight_at_endpoint)
         return UNCONFIRMED
     pass_on_plain(forwarder, call, answer)
     return DONE
 
 
+@attrs.frozen
+class Unconfirmed:
+    """A plain answer of *member* that may be complete, while another is asked for.
+
+    ``at_endpoint`` is the number of this entry's requests that were in flight there.
+    """
+
+    answer: responses.PlainAnswer
+    member: object
+    at_endpoint: int
+
+
+@defer.inlineCallbacks
+def may_be_passed_on(forwarder, call, member):
+    """Whether the plain answer of *member* that has ended may be the whole one."""
+    known = completeness.of_plain(call.framing, call.has_marked_end)
+    if known is not completeness.Completeness.UNCONFIRMED:
+        return known is completeness.Completeness.COMPLETE
+    remaining_ms = max(0, call.deadline_ms - forwarder.clock.now())
+    yield forwarder.clock.sleep(
+        min(quarantine.CRASH_CHECK_DELAY_MS, remaining_ms * CRASH_CHECK_SHARE)
+    )
+    if forwarder.view.is_leaving(member.endpoint_id):
+        # It may stop listening before it has sent its last answers.
+        return True
+    return not (yield forwarder.pool.refuses_connections(member))
+
+
 def pass_on_plain(forwarder, call, answer):
     """Pass on *answer*, whose body counts as held."""
     forwarder.counters.incr("answered.plain")
@@ -310,26 +344,23 @@
 
 def pass_on_unconfirmed(forwarder, call):
     """Pass on the answer of *call* whose end was not marked, as no other one came."""
-    (answer, member), call.unconfirmed = call.unconfirmed, None
-    pass_on_plain(forwarder, call, answer)
-    record_done(forwarder, call, member)
+    found, call.unconfirmed = call.unconfirmed, None
+    call.framing, call.has_marked_end = found.answer.head.framing, False
+    call.in_flight_at_endpoint = found.at_endpoint
+    pass_on_plain(forwarder, call, found.answer)
+    record_done(forwarder, call, found.member)
 
 
 def drop_unconfirmed(forwarder, call):
     """Release the answer whose end was not marked, if there is one."""
     if call.unconfirmed is not None:
-        (answer, _), call.unconfirmed = call.unconfirmed, None
-        call.caller.hold(-answer.length, forwarder.clock.now())
+        release(forwarder, call, call.unconfirmed.answer)
+        call.unconfirmed = None
 
 
-@defer.inlineCallbacks
-def may_be_complete(forwarder, call, member):
-    """Whether the plain answer of *member* that has ended can be passed on."""
-    known = completeness.of_plain(call.framing, call.has_marked_end)
-    if known is not completeness.Completeness.UNCONFIRMED:
-        return known is completeness.Completeness.COMPLETE
-    yield forwarder.clock.sleep(quarantine.CRASH_CHECK_DELAY_MS)
-    return not (yield forwarder.pool.refuses_connections(member))
+def release(forwarder, call, answer):
+    """Take the body of *answer* out of the bytes held for its caller."""
+    call.caller.hold(-answer.length, forwarder.clock.now())
 
 
 def record_invalid_head(forwarder, call, member, exc):
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -365,13 +365,12 @@
     - ``isolated``: the digests of which it runs as the only execution.
     - ``turn_limit_ms``: until when it waits for another execution of a suspect.
     - ``framing``: what tells where its last answer's body ends, once its head is read.
-    - ``error``: why its last attempt was broken off (``str``).
+    - ``error``: why its last attempt did not end the request (``str``).
     - ``events_by_attempt``: the events passed on, of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
     - ``stream_head``: the head of its stream, once events were passed on.
-    - ``unconfirmed``: a plain answer that may be complete, while another is asked for,
-      and the endpoint that sent it.
+    - ``unconfirmed``: a plain answer that may be complete, while another is asked for.
     - ``last_failure``: the last 5xx response of an endpoint.
     - ``body``: the request's body, once an attempt has read it.
     - ``prompt_parts``: ids (``str``) of the parts of its prompt, in order.
@@ -413,7 +412,7 @@
     events_by_attempt: list = attrs.field(factory=list)
     has_marked_end: bool = False
     stream_head: continuation.StreamHead | None = None
-    unconfirmed: tuple | None = None
+    unconfirmed: object | None = None
     last_failure: responses.PlainAnswer | None = None
     body: bytes | None = None
     prompt_parts: tuple = ()
