Soak: an answer looks complete only where an endpoint marked its end

Traced by the entry's lines (events_by_attempt [8], framing none, marked false): a backend sent all eight events of a stream and ended it with its connection, as one stream in five of the soak does. The entry no longer takes that for the end, and the check asked that a caller at a planned stop gets an answer that looks complete.

The check now asks for all events of such a stream, and the share of answered requests counts it only then.

--- a/dunlinpoint/soak/checks.py
+++ b/dunlinpoint/soak/checks.py
@@ -20,12 +20,11 @@
 
 def violations(cluster, results, operator):
     """One line for each violated guarantee."""
-    executions = {}
-    for execution in cluster.executions:
-        executions.setdefault(execution.request_id, []).append(execution)
+    executions = by_request_id(cluster.executions)
     found = []
     for request in results:
         found += _check_own_answer(request)
+        found += _check_marked_end(request, executions.get(request.request_id, []))
         found += _check_at_most_once(request, executions.get(request.request_id, []))
         found += _check_planned_stop(
             cluster, request, executions.get(request.request_id, [])
@@ -35,6 +34,28 @@
     return found
 
 
+def by_request_id(executions):
+    """The *executions* of each request, in order."""
+    found = {}
+    for execution in executions:
+        found.setdefault(execution.request_id, []).append(execution)
+    return found
+
+
+def is_answered(request, executions):
+    """Whether a caller got the whole answer of an endpoint.
+
+    A stream whose endpoints do not mark its end has all its events, but does not look
+    complete, as one that a crash cuts short ends in the same way.
+    """
+    if request.status and request.is_complete:
+        return True
+    is_unmarked = any(not execution.marks_end for execution in executions)
+    return is_unmarked and request.body == servers.stream_of(
+        request.path_prefix, request.request_id
+    )
+
+
 def _check_own_answer(request):
     if request.status != 200:
         if request.signature and request.status != 500:
@@ -56,6 +77,15 @@
     return []
 
 
+def _check_marked_end(request, executions):
+    """An answer looks complete only if an endpoint marked its end."""
+    if request.status != 200 or not request.is_complete or not executions:
+        return []
+    if any(execution.marks_end for execution in executions):
+        return []
+    return [f"{request.request_id}: complete, though no endpoint marked the end"]
+
+
 def _check_at_most_once(request, executions):
     if request.path_prefix != "/once/":
         return []
@@ -78,7 +108,7 @@
     span = request.sent_s, request.ended_s
     if not _any_within(node.stopped_s, *span):
         return []
-    if request.status and request.is_complete or not executions:
+    if is_answered(request, executions) or not executions:
         return []
     if any(execution.response_mode in TRUNCATING_MODES for execution in executions):
         return []
--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -73,7 +73,12 @@
     violations += evacuations.violations(
         cluster, results, operator.evacuator.acknowledged
     )
-    answered = sum(1 for s in results if s.status == 200 and s.is_complete)
+    executions = checks.by_request_id(cluster.executions)
+    answered = sum(
+        1
+        for s in results
+        if s.status == 200 and checks.is_answered(s, executions.get(s.request_id, []))
+    )
     return Verdict(
         seed,
         len(results),
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -76,12 +76,16 @@
 
 @attrs.define
 class Execution:
-    """One request that a backend started to execute."""
+    """One request that a backend started to execute.
+
+    ``marks_end`` tells whether a last chunk or a length marks the end of its answer.
+    """
 
     server_id: str
     request_id: str
     at_s: float
     response_mode: str
+    marks_end: bool = True
 
 
 @attrs.define(eq=False)
@@ -187,7 +191,7 @@
             self.send_large_stream(execution, last)
         elif "/stream/" in self.path:
             last = int(self.headers.get("Last-Event-Id", 0))
-            self.send_stream(request_id, last, truncated=response_mode == "break")
+            self.send_stream(execution, last, truncated=response_mode == "break")
         else:
             time.sleep(PROCESSING_TIME_S)
             data = body_of(request_id)
@@ -240,10 +244,12 @@
             execution.response_mode = "drop"
             self.close_connection = True
 
-    def send_stream(self, request_id, last, truncated):
+    def send_stream(self, execution, last, truncated):
         """Send the events after *last*; if *truncated*, stop within the third one."""
+        request_id = execution.request_id
         draw = zlib.crc32(request_id.encode()) % 100
-        self.begin_stream(request_id, draw >= WITHOUT_LENGTH_PERCENT)
+        execution.marks_end = draw >= WITHOUT_LENGTH_PERCENT
+        self.begin_stream(request_id, execution.marks_end)
         for number in range(last + 1, EVENT_COUNT + 1):
             time.sleep(EVENT_INTERVAL_S)
             data = event(request_id, number)
