Answers: lines tell whether an endpoint that marked no end has crashed

An unmarked end of a sound endpoint, one of a crashed endpoint and an end by the entry's stop all look like outcome=broken. Now unmarked_end says whether the endpoint refuses connections a moment after it (has_crashed, announced_leave), with counters endpoint.unmarked_end.crashed and .listening; stream_broken has the framing, the mark, the events of each attempt and whether the entry was stopping (draining). No decision changes. Checks of one endpoint are shared (answers/crash_check.py), so that many connections that end at once do not bring as many new ones.

--- /dev/null
+++ b/dunlinpoint/answers/tests/test_crash_check.py
@@ -0,0 +1,88 @@
+"""Checks for a crash after a connection to an endpoint has ended."""
+
+from twisted.internet import defer, task
+
+from dunlinpoint import clock
+from dunlinpoint.answers import crash_check
+from dunlinpoint.wire.gen.dunlin import ttypes
+
+LIMIT_MS = 1000
+DELAY_S = crash_check.DELAY_MS / 1000
+
+
+class Host:
+    """Keeps the checks of its ports and answers them when told to."""
+
+    def __init__(self):
+        self.reactor = task.Clock()
+        self.checked = []
+        self.checks = crash_check.CrashChecks(clock.Clock(self.reactor), self.refuses)
+        self.results = []
+
+    def refuses(self, member):
+        self.checked.append((member.endpoint_id, defer.Deferred()))
+        return self.checked[-1][1]
+
+    def connection_ended(self, endpoint_id, limit_ms=LIMIT_MS):
+        member = ttypes.Member(endpoint_id=endpoint_id, host="h", port=1)
+        self.checks.has_crashed(member, limit_ms).addBoth(self.results.append)
+
+
+def test_an_endpoint_is_checked_a_moment_after_its_connection_ended():
+    # Guards against a crash that is not seen because its listening socket is closed
+    # after its connections.
+    host = Host()
+    host.connection_ended("a")
+    host.reactor.advance(DELAY_S / 2)
+    assert not host.checked
+    host.reactor.advance(DELAY_S / 2)
+    host.checked[0][1].callback(True)
+    assert host.results == [True]
+
+
+def test_connections_that_end_together_share_a_check():
+    # Guards against an endpoint that gets as many new connections as it has ended.
+    host = Host()
+    for endpoint_id in ("a", "a", "b"):
+        host.connection_ended(endpoint_id)
+    host.reactor.advance(DELAY_S)
+    assert [endpoint_id for endpoint_id, _ in host.checked] == ["a", "b"]
+    host.checked[0][1].callback(True)
+    assert host.results == [True, True]
+    host.checked[1][1].callback(False)
+    assert host.results == [True, True, False]
+
+
+def test_a_check_that_began_before_a_connection_ended_tells_nothing_about_it():
+    # Guards against a crash that is not seen because the endpoint was last checked
+    # before it.
+    host = Host()
+    host.connection_ended("a")
+    host.reactor.advance(DELAY_S)
+    host.connection_ended("a")
+    host.checked[0][1].callback(False)
+    assert host.results == [False]
+    host.reactor.advance(DELAY_S)
+    host.checked[1][1].callback(True)
+    assert host.results == [False, True]
+
+
+def test_a_host_that_does_not_answer_has_not_refused():
+    # Guards against a caller who waits for a check past its deadline.
+    host = Host()
+    host.connection_ended("a", limit_ms=20)
+    host.reactor.advance(0.02)
+    assert len(host.checked) == 1
+    assert host.results == [False]
+    host.checked[0][1].callback(True)
+    assert host.results == [False]
+
+
+def test_a_check_that_fails_reaches_all_that_wait_for_it():
+    # Guards against answers that wait until their deadlines.
+    host = Host()
+    host.connection_ended("a")
+    host.connection_ended("a")
+    host.reactor.advance(DELAY_S)
+    host.checked[0][1].errback(ValueError())
+    assert [result.type for result in host.results] == [ValueError, ValueError]
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -276,6 +276,8 @@
             request=responses.header_text(call.request_id),
             reason=reason,
             events=call.events.count,
+            draining=forwarder.lifecycle.is_draining(),
+            **exchange.end_fields(call),
             **exchange.log_fields(forwarder, call),
         )
         request.channel.loseConnection()
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -176,6 +176,7 @@
         caller.hold(-partial_bytes, forwarder.clock.now())
         call.events_by_attempt.append(call.events.count - events_before)
     if not call.has_marked_end:
+        call.has_ended_unmarked = True
         forwarder.counters.incr("endpoint.unmarked_end.stream")
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -100,6 +100,7 @@
         forwarder.counters.incr("endpoint.sent_cold")
     watchdog = None
     call.framing, call.has_marked_end, call.error = None, False, None
+    call.has_ended_unmarked = False
     call.source.reset()
     try:
         connection = yield forwarder.pool.connect(
@@ -278,7 +279,12 @@
             call.error = f"{head.code} is no rest of the stream"
             connection.close()
             return FAILED
-        yield bodies.relay(forwarder, call, member, connection, head)
+        try:
+            yield bodies.relay(forwarder, call, member, connection, head)
+        except pool.Broken:
+            if call.has_ended_unmarked:
+                record_unmarked_end(forwarder, call, member)
+            raise
         forwarder.counters.incr("answered.stream")
         responses.finish(forwarder, call.request)
         return DONE
@@ -307,6 +313,24 @@
     return DONE
 
 
+@defer.inlineCallbacks
+def record_unmarked_end(forwarder, call, member):
+    """Count and log whether *member*, which marked no end, has crashed."""
+    limit_ms = (call.deadline_ms - forwarder.clock.now()) * CRASH_CHECK_SHARE
+    has_crashed = yield forwarder.crash_checks.has_crashed(member, max(0, limit_ms))
+    kind = "crashed" if has_crashed else "listening"
+    forwarder.counters.incr(f"endpoint.unmarked_end.{kind}")
+    log.info(
+        "unmarked_end",
+        request=responses.header_text(call.request_id),
+        endpoint_id=member.endpoint_id,
+        has_crashed=has_crashed,
+        announced_leave=forwarder.view.is_leaving(member.endpoint_id),
+        events=call.events.count,
+        framing=call.framing.value,
+    )
+
+
 @attrs.frozen
 class Unconfirmed:
     """A plain answer of *member* that may be complete, while another is asked for.
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -8,7 +8,7 @@
 
 from dunlinpoint import clock, http_heads, lifecycle, logs, metrics
 from dunlinpoint.admission import competition, urgency
-from dunlinpoint.answers import continuation
+from dunlinpoint.answers import continuation, crash_check
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.entry import limits as workspace_limits
@@ -59,6 +59,7 @@
     picker: pick.Picker
     changes: condition.Condition
     quarantine: quarantine.Quarantine
+    crash_checks: crash_check.CrashChecks | None = None
     names: names.HeaderNames = names.DEFAULT
     read_signal: object = endpoint_signals.no_signal
     read_prompt_parts: object = no_prompt_parts
@@ -110,13 +111,17 @@
         ``config.Document`` of an accepted one.
         """
         ms_clock = clock.Clock(reactor)
+        endpoint_pool = pool.Pool.from_config(reactor)
         forwarder = cls(
             view=entry_view,
             clock=ms_clock,
             changes=condition.Condition(ms_clock),
             started_ms=ms_clock.now(),
             counters=counters,
-            pool=pool.Pool.from_config(reactor),
+            pool=endpoint_pool,
+            crash_checks=crash_check.CrashChecks(
+                ms_clock, endpoint_pool.refuses_connections
+            ),
             picker=pick.Picker(entry_view.zone),
             quarantine=quarantine.Quarantine(sharing.Sharing(entry_view, ms_clock)),
             names=header_names,
@@ -369,6 +374,7 @@
     - ``events_by_attempt``: the events passed on, of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
+    - ``has_ended_unmarked``: whether it ended in order with its connection.
     - ``stream_head``: the head of its stream, once events were passed on.
     - ``unconfirmed``: a plain answer that may be complete, while another is asked for.
     - ``last_failure``: the last 5xx response of an endpoint.
@@ -411,6 +417,7 @@
     error: str | None = None
     events_by_attempt: list = attrs.field(factory=list)
     has_marked_end: bool = False
+    has_ended_unmarked: bool = False
     stream_head: continuation.StreamHead | None = None
     unconfirmed: object | None = None
     last_failure: responses.PlainAnswer | None = None
