Tests: whole answers that nobody marked, and crashes of real processes

Endpoints are processes of their own, a crash is the SIGKILL of one in the middle of its answer: the kernel closes its connections in order. Whole answers with every framing on all four kinds of routes, calm and sent 1.0, 0.5, 0.05 s before and 0.1 s after a SIGTERM to their entry, bodies with a length and in chunks; parts of answers of crashed endpoints; endpoints that leave and stop listening before their last answer.

--- /dev/null
+++ b/tests/integration/endpoint_process.py
@@ -0,0 +1,140 @@
+"""An endpoint in a process of its own, which can crash while it answers.
+
+``python -m tests.integration.endpoint_process ID PORT FOLDER`` listens on
+127.0.0.1:PORT. It adds a line to the file ``runs`` in FOLDER for each request that it
+runs. The last segment of a request's path selects the answer,
+``<body>_<framing>_<count>_<fault>``: *body* is ``stream``, ``unnumbered`` (a stream of
+events without ids) or ``plain``, *count* the number of events or bytes that are sent
+before the end, and *framing* tells how the end is marked; without a mark, the
+connection is closed in order. The faults:
+
+- ``whole``: none.
+- ``crash``: the first run of a request ends by the end of the process, whose
+  connections the kernel closes in order. Other runs are whole.
+- ``crashes``: every run ends so, a stream after two further events.
+- ``unsigned``: the answer has no signature.
+- ``leaves``: the answer takes its time, the process stops listening before its end, and
+  exits a moment after it.
+"""
+
+import http.server
+import os
+import pathlib
+import signal
+import socket
+import sys
+import threading
+import time
+
+from tests.integration import platform_lab
+
+EVENT_COUNT = 8
+EVENT_INTERVAL_S = 0.2
+# A socket that is closed with unread bytes is reset, and so are bytes on their way.
+PAUSE_S = 0.05
+# How long a process that leaves stays after its last answer.
+EXIT_DELAY_S = 0.3
+BODY = b"0123456789" * 400
+MARKED = ("chunks", "length")
+UNMARKED = ("none", "misspelt", "close", "http-1.0")
+
+
+UNNUMBERED = [b"data: piece %d\n\n" % n for n in range(1, EVENT_COUNT + 1)]
+
+
+def events(first, last):
+    """The events with numbers *first* to *last*, one after the other."""
+    return b"".join(platform_lab.event(n) for n in range(first, last + 1))
+
+
+class Server(http.server.ThreadingHTTPServer):
+    """The listening socket of endpoint ``id``, and its ``folder``."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, endpoint_id, port, folder):
+        super().__init__(("127.0.0.1", port), Handler)
+        self.id, self.folder = endpoint_id, pathlib.Path(folder)
+
+    def began_run(self, attempt):
+        """Record a run of *attempt*; whether it is the first one."""
+        earlier = attempt in (self.folder / "runs").read_text().split()
+        with open(self.folder / "runs", "a") as runs:
+            runs.write(f"{self.id} {attempt}\n")
+        return not earlier
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """One connection of an entry."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        is_first = self.server.began_run(self.headers[platform_lab.ATTEMPT])
+        body, framing, count, fault = self.path.rsplit("/", 1)[1].split("_")
+        count = int(count)
+        if fault == "crash" and not is_first:
+            fault, count = "whole", EVENT_COUNT if body == "stream" else len(BODY)
+        last = int(self.headers.get("Last-Event-Id", 0))
+        if fault == "crashes" and not is_first:
+            count += 2
+        if body == "stream":
+            pieces = [platform_lab.event(n) for n in range(last + 1, count + 1)]
+            length = len(events(last + 1, EVENT_COUNT))
+        elif body == "unnumbered":
+            pieces, length = UNNUMBERED[:count], sum(map(len, UNNUMBERED))
+        else:
+            pieces, length = [BODY[:count]], len(BODY)
+        if fault == "leaves" and body == "plain":
+            time.sleep(EVENT_COUNT * EVENT_INTERVAL_S)
+        self.send_head(body, framing, length, is_signed=fault != "unsigned")
+        for piece in pieces:
+            time.sleep(0 if body == "plain" else EVENT_INTERVAL_S)
+            self.send_piece(framing, piece)
+        self.end(framing, fault)
+
+    def send_head(self, body, framing, length, is_signed):
+        """Send the head of an answer whose whole body has *length* bytes."""
+        version = "HTTP/1.0" if framing == "http-1.0" else "HTTP/1.1"
+        field = {
+            "chunks": "Transfer-Encoding: chunked",
+            "length": f"Content-Length: {length}",
+            "misspelt": "Transfer-Encodng: chunked",
+            "close": "Connection: close",
+        }
+        lines = [
+            f"{version} 200 OK",
+            f"{platform_lab.ATTEMPT}: {self.headers[platform_lab.ATTEMPT]}",
+            *([f"{platform_lab.SIGNATURE}: {self.server.id}"] if is_signed else []),
+            f"Content-Type: text/{'plain' if body == 'plain' else 'event-stream'}",
+            *([field[framing]] if framing in field else []),
+        ]
+        self.wfile.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+
+    def send_piece(self, framing, piece):
+        if framing == "chunks":
+            piece = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
+        self.wfile.write(piece)
+
+    def end(self, framing, fault):
+        """End the answer as *framing* says, or show *fault*."""
+        if fault in ("crash", "crashes"):
+            time.sleep(PAUSE_S)
+            os.kill(os.getpid(), signal.SIGKILL)
+        if fault == "leaves":
+            self.server.socket.close()
+            threading.Timer(EXIT_DELAY_S, os._exit, [0]).start()
+        if framing == "chunks":
+            self.wfile.write(b"0\r\n\r\n")
+        elif framing != "length":
+            self.connection.shutdown(socket.SHUT_WR)
+            self.close_connection = True
+
+
+if __name__ == "__main__":
+    Server(sys.argv[1], int(sys.argv[2]), sys.argv[3]).serve_forever()
