Answers: an unmarked end of an endpoint that goes on is the end of the answer

Cause: since an end that nobody marked counted as broken, because the kernel of a crashed endpoint closes its connections in order, too. By RFC 9112 (6.3, 8) a body with neither a length nor chunks is complete when its connection closes in order, and services that end all their answers so are sound. One sign, how the connection ended, was used for two questions: whether the answer is over, and whether its endpoint lives.

Change: the second question is asked by itself. 50 ms after such an end the endpoint is checked, as quarantine does and plain answers did: if it refuses connections it has crashed and the answer is broken (its rest is asked for where the route allows it); otherwise the answer is whole: streams get their last chunk, HTTP/1.0 callers an orderly end, plain answers stay as they came. If the endpoint had announced that it leaves, it may have stopped listening before its last answer: another endpoint is asked first where that is allowed. A stream without any event has not begun, and an answer that was left unread for a second may have been given up: both count as broken. While the check runs, the request no longer counts as in flight at its endpoint. Plain answers that announce no close are treated the same, and idempotent ones are no longer asked for twice.

Weighed: keeping the endpoint's framing for streams (no chunks, close or reset at the end). Callers would lose their connections, a killed entry would have to end by a reset that discards events, and a second run whose end is marked could not mark it. Asking another endpoint for the rest of every resumable stream: a retry, a slot and a prompt read again for each whole stream.

Checks of test_unmarked_ends.py that changed, all with endpoints that went on running after they closed, which no entry can tell from sound ones: the rest of a stream, streams that no run ends, streams that may run once, second runs that end unmarked, events without ids, plain answers asked for again or refused. Each stands in test_close_delimited_ends.py with an endpoint whose process is killed at that point, with the same expectation; for endpoints that go on, the checks now ask for exactly one run and for the bytes and the end as the endpoint sent them. of_stream and of_plain are replaced by of_unmarked, with a case for each combination.

--- a/dunlinpoint/answers/completeness.py
+++ b/dunlinpoint/answers/completeness.py
@@ -1,23 +1,20 @@
-"""Whether an answer that has ended is complete, by what marked its end.
+"""Whether an answer whose end its endpoint did not mark is complete.
 
 A length or a last chunk marks the end of a body (RFC 9112, 6.3). Where a head has
-neither, the body ends with its connection, and a service that closes it after the last
-byte cannot be told from one that crashed before: the kernel closes the connections of
-a process that ends, in order. So an end that the endpoint did not mark is not marked
-for the caller, and where the request may run again, another endpoint is asked first.
+neither, the body ends with its connection, and it is complete if that was closed in
+order (RFC 9112, 8). But the kernel of a process that crashes closes its connections in
+order, too. Its listening socket is closed with them, which tells a crash from an end.
 """
 
 import enum
 
-from dunlinpoint import http_heads
-
 
 class Completeness(enum.Enum):
-    """What is known of an answer that has ended.
+    """What is known of an answer whose connection was closed in order.
 
-    - ``COMPLETE``: its end was marked.
-    - ``UNCONFIRMED``: it may be complete. If its endpoint has not crashed, it can be
-      passed on without a mark of its end.
+    - ``COMPLETE``: it is taken for the whole answer.
+    - ``UNCONFIRMED``: it is whole or cut. If its request may run again, another
+      endpoint is asked first.
     - ``INCOMPLETE``: it counts as broken off.
     """
 
@@ -26,22 +23,17 @@
     INCOMPLETE = "incomplete"
 
 
-def of_stream(is_marked):
-    """The ``Completeness`` of a stream that ended between two events.
-
-    Its caller already has the head, which promises a mark of the end.
-    """
-    return Completeness.COMPLETE if is_marked else Completeness.INCOMPLETE
-
-
-def of_plain(framing, is_marked):
-    """The ``Completeness`` of a plain answer that ended by its mark or in order.
+def of_unmarked(was_left_unread, has_crashed, is_leaving):
+    """The ``Completeness`` of an answer whose connection was closed in order.
 
-    A head that announces neither a length, chunks nor the close (``Framing.NONE``) has
-    lost a field.
+    - *was_left_unread*: whether the endpoint may have given up because its answer was
+      not read.
+    - *has_crashed*: whether it refused connections a moment later.
+    - *is_leaving*: whether it has announced that it leaves. It may then stop listening
+      before it has sent its last answers.
     """
-    if is_marked:
+    if was_left_unread:
+        return Completeness.INCOMPLETE
+    if not has_crashed:
         return Completeness.COMPLETE
-    if framing is http_heads.Framing.CLOSE:
-        return Completeness.UNCONFIRMED
-    return Completeness.INCOMPLETE
+    return Completeness.UNCONFIRMED if is_leaving else Completeness.INCOMPLETE
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -11,6 +11,7 @@
     quarantine,
     responses,
     routes,
+    unmarked_ends,
 )
 from dunlinpoint.routing import outage, pick
 from dunlinpoint.suspects import registry
@@ -32,7 +33,7 @@
         capacity.leave(forwarder, call)
         cold_wait.leave(forwarder, call)
         quarantine.leave(forwarder, call)
-        exchange.drop_unconfirmed(forwarder, call)
+        unmarked_ends.drop(forwarder, call)
 
 
 @defer.inlineCallbacks
@@ -269,6 +270,8 @@
     request = call.request
     if call.disconnected:
         return
+    if exchange.pass_on_unconfirmed(forwarder, call):
+        return
     if call.started:
         forwarder.counters.incr("gave_up.stream_broken")
         log.warning(
@@ -281,8 +284,6 @@
             **exchange.log_fields(forwarder, call),
         )
         request.channel.loseConnection()
-    elif call.unconfirmed is not None:
-        exchange.pass_on_unconfirmed(forwarder, call)
     elif call.last_failure is not None:
         forwarder.counters.incr("answered.endpoint_failure")
         answer = call.last_failure
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 from twisted.web import iweb
 
-from dunlinpoint.answers import completeness, continuation
+from dunlinpoint.answers import continuation
 from dunlinpoint.forward import pool, quarantine, responses
 from dunlinpoint.routing import backpressure, pick
 
@@ -102,6 +102,12 @@
         yield piece
 
 
+def release(forwarder, call, answer):
+    """Discard *answer*, a ``PlainAnswer``, whose body no longer counts as held."""
+    call.caller.hold(-answer.length, forwarder.clock.now())
+    answer.pieces.clear()
+
+
 def drain_body(forwarder, connection, head):
     """Read the body of a refusal, so that its connection can be reused.
 
@@ -176,15 +182,14 @@
         caller.hold(-partial_bytes, forwarder.clock.now())
         call.events_by_attempt.append(call.events.count - events_before)
     if not call.has_marked_end:
-        call.has_ended_unmarked = True
         forwarder.counters.incr("endpoint.unmarked_end.stream")
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
         raise close_as_broken(connection, "stream ended within an event")
-    known = completeness.of_stream(call.has_marked_end)
-    if known is not completeness.Completeness.COMPLETE:
-        raise close_as_broken(connection, "stream ended with its connection")
-    if not call.started:
+    if not call.has_marked_end:
+        if not call.started:
+            raise close_as_broken(connection, "stream ended without an event")
+    elif not call.started:
         call.started = True
         responses.copy_head(request, head, None)
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -4,8 +4,8 @@
 
 - Complete and authentic responses: a response is accepted only with the endpoint's
   signature and the echoed request id. Plain responses are passed on when complete,
-  streams event by event. The end of a response is marked for the caller only where the
-  endpoint marked it.
+  streams event by event. A response that ended with its connection is complete unless
+  its endpoint has crashed.
 - Reliable 503: it is sent only if certainly no attempt has run. After any attempt that
   may have run, the caller receives 502 or 504.
 - At most once: a request that must not be repeated is sent to another endpoint only
@@ -23,7 +23,14 @@
 from dunlinpoint import logs
 from dunlinpoint.admission import decision, urgency
 from dunlinpoint.answers import completeness
-from dunlinpoint.forward import bodies, pool, quarantine, responses, routes
+from dunlinpoint.forward import (
+    bodies,
+    pool,
+    quarantine,
+    responses,
+    routes,
+    unmarked_ends,
+)
 from dunlinpoint.forward import watchdog as watchdogs
 from dunlinpoint.routing import pick
 
@@ -36,10 +43,10 @@
 PAST_TARGET_PRIORITY_PENALTY = 5
 # Outcomes of an attempt.
 DONE, NOT_RUN, BROKEN, FAILED = "done", "not_run", "broken", "failed"
-# A plain answer came whose end was not marked.
+# The answer ended in order with its connection.
+UNMARKED = "unmarked"
+# Such an answer of an endpoint that leaves, which may be whole.
 UNCONFIRMED = "unconfirmed"
-# Share of the remaining time after which the check for a crash begins at the latest.
-CRASH_CHECK_SHARE = 0.25
 # The endpoint closed the connection because this entry did not read it.
 UNREAD = "unread"
 
@@ -68,7 +75,7 @@
     may_have_crashed = (
         outcome == BROKEN and not call.is_over and call.events.count == events_before
     )
-    if outcome == DONE and call.has_marked_end:
+    if outcome == DONE:
         quarantine.request_served(forwarder, call)
     elif may_have_crashed:
         quarantine.connection_ended(forwarder, call, member)
@@ -93,6 +100,22 @@
 @defer.inlineCallbacks
 def send_to(forwarder, call, member):
     """Send the request to *member*; return the outcome of the attempt."""
+    outcome = yield run_at(forwarder, call, member)
+    if outcome == UNMARKED:
+        outcome = yield settle_unmarked(forwarder, call)
+    elif outcome == DONE:
+        forwarder.picker.succeeded(pick.incarnation_key(member))
+        forwarder.outages.data_received(member)
+    if outcome == DONE:
+        record_done(forwarder, call, member)
+    elif outcome in (UNCONFIRMED, FAILED):
+        call.may_have_run = True
+    return outcome
+
+
+@defer.inlineCallbacks
+def run_at(forwarder, call, member):
+    """Run the request at *member*; return the outcome, or ``UNMARKED``."""
     incarnation = pick.incarnation_key(member)
     forwarder.picker.began(incarnation)
     forwarder.picker.signals.sent(incarnation, forwarder.clock.now())
@@ -100,7 +123,6 @@
         forwarder.counters.incr("endpoint.sent_cold")
     watchdog = None
     call.framing, call.has_marked_end, call.error = None, False, None
-    call.has_ended_unmarked = False
     call.source.reset()
     try:
         connection = yield forwarder.pool.connect(
@@ -117,7 +139,7 @@
         else:
             forwarder.counters.incr(f"sent.repeat.{call.service}")
         watchdog = watchdogs.start(forwarder, call, member, connection)
-        outcome = yield exchange(forwarder, call, member, connection)
+        return (yield exchange(forwarder, call, member, connection))
     except pool.NotSent:
         forwarder.counters.retried("endpoint_unreachable")
         forwarder.picker.failed(incarnation, forwarder.clock.now())
@@ -138,17 +160,28 @@
         forwarder.picker.cold.answered(member, call, forwarder.clock.now())
         if watchdog is not None:
             watchdog.stop()
-    if outcome == DONE:
-        forwarder.picker.succeeded(incarnation)
-        forwarder.outages.data_received(member)
-        record_done(forwarder, call, member)
-    elif outcome == UNCONFIRMED:
-        call.may_have_run = True
-        forwarder.picker.succeeded(incarnation)
-        forwarder.outages.data_received(member)
-    elif outcome == FAILED:
+
+
+@defer.inlineCallbacks
+def settle_unmarked(forwarder, call):
+    """Pass on or drop the answer of *call* that ended with its connection.
+
+    Returns the outcome of the attempt.
+    """
+    answer, call.unmarked = call.unmarked, None
+    known = yield unmarked_ends.judge(forwarder, call, answer)
+    if call.is_over or known is completeness.Completeness.INCOMPLETE:
+        unmarked_ends.release(forwarder, call, answer)
         call.may_have_run = True
-    return outcome
+        call.error = "answer ended with its connection"
+        return BROKEN
+    if unmarked_ends.may_be_asked_again(call, known):
+        unmarked_ends.keep(forwarder, call, answer)
+        return UNCONFIRMED
+    if answer.plain is None:
+        finish_stream(forwarder, call)
+        return DONE
+    return settle_plain(forwarder, call, answer.plain)
 
 
 def record_done(forwarder, call, member):
@@ -279,86 +312,50 @@
             call.error = f"{head.code} is no rest of the stream"
             connection.close()
             return FAILED
-        try:
-            yield bodies.relay(forwarder, call, member, connection, head)
-        except pool.Broken:
-            if call.has_ended_unmarked:
-                record_unmarked_end(forwarder, call, member)
-            raise
-        forwarder.counters.incr("answered.stream")
-        responses.finish(forwarder, call.request)
+        yield bodies.relay(forwarder, call, member, connection, head)
+        if not call.has_marked_end:
+            call.unmarked = unmarked_ends.UnmarkedAnswer.from_call(
+                call, member, forwarder.clock.now()
+            )
+            return UNMARKED
+        finish_stream(forwarder, call)
         return DONE
     answer = yield bodies.read_plain(forwarder, call, connection, head)
-    can_pass_on = yield may_be_passed_on(forwarder, call, member)
-    if not can_pass_on:
-        release(forwarder, call, answer)
-        answer.pieces.clear()
-        raise bodies.close_as_broken(connection, "response ended with its connection")
-    if head.code >= 500:
-        release(forwarder, call, answer)
-        call.last_failure = attrs.evolve(answer, pieces=(b"".join(answer.pieces),))
+    if not answer.has_marked_end:
+        call.unmarked = unmarked_ends.UnmarkedAnswer.from_call(
+            call, member, forwarder.clock.now(), answer
+        )
+        return UNMARKED
+    outcome = settle_plain(forwarder, call, answer)
+    if outcome == BROKEN:
+        raise bodies.close_as_broken(connection, "caller disconnected")
+    return outcome
+
+
+def finish_stream(forwarder, call):
+    """End the stream of *call* as complete."""
+    forwarder.counters.incr("answered.stream")
+    responses.finish(forwarder, call.request)
+
+
+def settle_plain(forwarder, call, answer):
+    """Pass on *answer*, a plain one that is whole, or drop it; return the outcome."""
+    if answer.head.code >= 500:
+        pieces = (b"".join(answer.pieces),)
+        bodies.release(forwarder, call, answer)
+        call.last_failure = attrs.evolve(answer, pieces=pieces)
         return FAILED
     if call.started:
         # The caller, who has the head of another answer, would take this for events.
-        release(forwarder, call, answer)
+        bodies.release(forwarder, call, answer)
         return FAILED
     if call.is_over:
-        release(forwarder, call, answer)
-        raise bodies.close_as_broken(connection, "caller disconnected")
-    if not answer.has_marked_end and routes.is_repeatable(call.route):
-        drop_unconfirmed(forwarder, call)
-        call.unconfirmed = Unconfirmed(answer, member, call.in_flight_at_endpoint)
-        return UNCONFIRMED
+        bodies.release(forwarder, call, answer)
+        return BROKEN
     pass_on_plain(forwarder, call, answer)
     return DONE
 
 
-@defer.inlineCallbacks
-def record_unmarked_end(forwarder, call, member):
-    """Count and log whether *member*, which marked no end, has crashed."""
-    limit_ms = (call.deadline_ms - forwarder.clock.now()) * CRASH_CHECK_SHARE
-    has_crashed = yield forwarder.crash_checks.has_crashed(member, max(0, limit_ms))
-    kind = "crashed" if has_crashed else "listening"
-    forwarder.counters.incr(f"endpoint.unmarked_end.{kind}")
-    log.info(
-        "unmarked_end",
-        request=responses.header_text(call.request_id),
-        endpoint_id=member.endpoint_id,
-        has_crashed=has_crashed,
-        announced_leave=forwarder.view.is_leaving(member.endpoint_id),
-        events=call.events.count,
-        framing=call.framing.value,
-    )
-
-
-@attrs.frozen
-class Unconfirmed:
-    """A plain answer of *member* that may be complete, while another is asked for.
-
-    ``at_endpoint`` is the number of this entry's requests that were in flight there.
-    """
-
-    answer: responses.PlainAnswer
-    member: object
-    at_endpoint: int
-
-
-@defer.inlineCallbacks
-def may_be_passed_on(forwarder, call, member):
-    """Whether the plain answer of *member* that has ended may be the whole one."""
-    known = completeness.of_plain(call.framing, call.has_marked_end)
-    if known is not completeness.Completeness.UNCONFIRMED:
-        return known is completeness.Completeness.COMPLETE
-    remaining_ms = max(0, call.deadline_ms - forwarder.clock.now())
-    yield forwarder.clock.sleep(
-        min(quarantine.CRASH_CHECK_DELAY_MS, remaining_ms * CRASH_CHECK_SHARE)
-    )
-    if forwarder.view.is_leaving(member.endpoint_id):
-        # It may stop listening before it has sent its last answers.
-        return True
-    return not (yield forwarder.pool.refuses_connections(member))
-
-
 def pass_on_plain(forwarder, call, answer):
     """Pass on *answer*, whose body counts as held."""
     forwarder.counters.incr("answered.plain")
@@ -367,24 +364,18 @@
 
 
 def pass_on_unconfirmed(forwarder, call):
-    """Pass on the answer of *call* whose end was not marked, as no other one came."""
-    found, call.unconfirmed = call.unconfirmed, None
-    call.framing, call.has_marked_end = found.answer.head.framing, False
+    """Pass on the answer of *call* that was kept; ``False`` if there is none."""
+    found = unmarked_ends.take(call)
+    if found is None:
+        return False
+    call.framing, call.has_marked_end = found.framing, False
     call.in_flight_at_endpoint = found.at_endpoint
-    pass_on_plain(forwarder, call, found.answer)
+    if found.plain is None:
+        finish_stream(forwarder, call)
+    else:
+        pass_on_plain(forwarder, call, found.plain)
     record_done(forwarder, call, found.member)
-
-
-def drop_unconfirmed(forwarder, call):
-    """Release the answer whose end was not marked, if there is one."""
-    if call.unconfirmed is not None:
-        release(forwarder, call, call.unconfirmed.answer)
-        call.unconfirmed = None
-
-
-def release(forwarder, call, answer):
-    """Take the body of *answer* out of the bytes held for its caller."""
-    call.caller.hold(-answer.length, forwarder.clock.now())
+    return True
 
 
 def record_invalid_head(forwarder, call, member, exc):
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -374,9 +374,9 @@
     - ``events_by_attempt``: the events passed on, of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
-    - ``has_ended_unmarked``: whether it ended in order with its connection.
+    - ``unmarked``: its answer that has just ended with its connection.
     - ``stream_head``: the head of its stream, once events were passed on.
-    - ``unconfirmed``: a plain answer that may be complete, while another is asked for.
+    - ``unconfirmed``: such an answer that may be whole, while another is asked for.
     - ``last_failure``: the last 5xx response of an endpoint.
     - ``body``: the request's body, once an attempt has read it.
     - ``prompt_parts``: ids (``str``) of the parts of its prompt, in order.
@@ -417,8 +417,8 @@
     error: str | None = None
     events_by_attempt: list = attrs.field(factory=list)
     has_marked_end: bool = False
-    has_ended_unmarked: bool = False
     stream_head: continuation.StreamHead | None = None
+    unmarked: object | None = None
     unconfirmed: object | None = None
     last_failure: responses.PlainAnswer | None = None
     body: bytes | None = None
--- /dev/null
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -0,0 +1,116 @@
+"""Answers that ended with their connection: whole, broken, or asked for once more.
+
+The endpoint is checked for a crash. Meanwhile the request no longer counts as running
+there.
+"""
+
+import attrs
+from twisted.internet import defer
+
+from dunlinpoint import http_heads, logs
+from dunlinpoint.answers import completeness
+from dunlinpoint.forward import bodies, responses, routes
+from dunlinpoint.routing import pick
+
+log = logs.logger("entry")
+
+# Share of the remaining time that the check for a crash takes at most.
+CHECK_SHARE = 0.25
+
+
+@attrs.frozen
+class UnmarkedAnswer:
+    """An answer of *member* that ended with its connection.
+
+    - ``plain``: the ``PlainAnswer``, ``None`` for a stream.
+    - ``framing``: the ``Framing`` of its head.
+    - ``events``: the events of the stream that were passed on by its end.
+    - ``at_endpoint``: this entry's requests that were in flight there.
+    - ``was_left_unread``: whether it may have ended because it was not read.
+    """
+
+    member: object
+    plain: responses.PlainAnswer | None
+    framing: http_heads.Framing
+    events: int
+    at_endpoint: int
+    was_left_unread: bool
+
+    @classmethod
+    def from_call(cls, call, member, now, plain=None):
+        """The answer to *call* that ended at *now* (ms of the local clock)."""
+        return cls(
+            member,
+            plain,
+            call.framing,
+            call.events.count,
+            call.in_flight_at_endpoint,
+            call.source.explains_cut(now),
+        )
+
+
+@defer.inlineCallbacks
+def judge(forwarder, call, answer):
+    """Check the endpoint of *answer*; a Deferred of the ``Completeness``."""
+    member = answer.member
+    remaining_ms = max(0, call.deadline_ms - forwarder.clock.now())
+    has_crashed = yield forwarder.crash_checks.has_crashed(
+        member, remaining_ms * CHECK_SHARE
+    )
+    is_leaving = forwarder.view.is_leaving(member.endpoint_id)
+    known = completeness.of_unmarked(answer.was_left_unread, has_crashed, is_leaving)
+    forwarder.counters.incr(f"endpoint.unmarked_end.{known.value}")
+    log.info(
+        "unmarked_end",
+        request=responses.header_text(call.request_id),
+        endpoint_id=member.endpoint_id,
+        outcome=known.value,
+        has_crashed=has_crashed,
+        announced_leave=is_leaving,
+        unread=answer.was_left_unread,
+        events=answer.events,
+        framing=answer.framing.value,
+    )
+    if has_crashed:
+        forwarder.picker.failed(pick.incarnation_key(member), forwarder.clock.now())
+    else:
+        forwarder.picker.succeeded(pick.incarnation_key(member))
+        forwarder.outages.data_received(member)
+    return known
+
+
+def may_be_asked_again(call, known):
+    """Whether another endpoint is asked before an answer is passed on."""
+    return known is completeness.Completeness.UNCONFIRMED and routes.is_repeatable(
+        call.route
+    )
+
+
+def keep(forwarder, call, answer):
+    """Keep *answer* while another endpoint is asked."""
+    drop(forwarder, call)
+    call.unconfirmed = answer
+
+
+def take(call):
+    """The answer that was kept, which is the best one, or ``None``.
+
+    A stream to which another endpoint has added events had not ended.
+    """
+    found, call.unconfirmed = call.unconfirmed, None
+    if found is None or found.events != call.events.count:
+        return None
+    return found
+
+
+def drop(forwarder, call):
+    """Release the answer that was kept, if there is one."""
+    if call.unconfirmed is not None:
+        release(forwarder, call, call.unconfirmed)
+        call.unconfirmed = None
+
+
+def release(forwarder, call, answer):
+    """Discard *answer*, whose body no longer counts as held."""
+    if answer.plain is not None:
+        bodies.release(forwarder, call, answer.plain)
