Answers: a stream that was silent before its unmarked end is broken

A rank that loses another one of its group stalls (1.5 s on the users' sites) and then cuts its streams, though it goes on listening itself. Where its streams have neither a length nor chunks, and it closes them in order between two events, callers would get the part as whole: an endpoint that ends a stream as planned does so right after its last event, so a silence of a second before the end tells the two apart. The rest is asked for where the route allows it (an empty rest ends the stream), otherwise the last chunk is left out.

--- a/dunlinpoint/answers/completeness.py
+++ b/dunlinpoint/answers/completeness.py
@@ -8,6 +8,10 @@
 
 import enum
 
+# An endpoint ends a stream right after its last event. One whose rank group lost a rank
+# sends nothing for a while, and then cuts its streams.
+MAX_SILENCE_MS = 1000
+
 
 class Completeness(enum.Enum):
     """What is known of an answer whose connection was closed in order.
@@ -23,16 +27,17 @@
     INCOMPLETE = "incomplete"
 
 
-def of_unmarked(was_left_unread, has_crashed, is_leaving):
+def of_unmarked(was_left_unread, silence_ms, has_crashed, is_leaving):
     """The ``Completeness`` of an answer whose connection was closed in order.
 
     - *was_left_unread*: whether the endpoint may have given up because its answer was
       not read.
+    - *silence_ms*: of a stream, the time from its last byte to the end; else 0.
     - *has_crashed*: whether it refused connections a moment later.
     - *is_leaving*: whether it has announced that it leaves. It may then stop listening
       before it has sent its last answers.
     """
-    if was_left_unread:
+    if was_left_unread or silence_ms >= MAX_SILENCE_MS:
         return Completeness.INCOMPLETE
     if not has_crashed:
         return Completeness.COMPLETE
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -147,7 +147,7 @@
 
     def on_data(data):
         nonlocal last_ms, partial_bytes, has_begun
-        now = forwarder.clock.now()
+        now = call.last_data_ms = forwarder.clock.now()
         forwarder.picker.data_received(pick.incarnation_key(member), now)
         forwarder.outages.data_received(member)
         out = call.events.feed(data)
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -282,7 +282,7 @@
     except pool.InvalidHead as exc:
         record_invalid_head(forwarder, call, member, exc)
         raise
-    call.framing = head.framing
+    call.framing, call.last_data_ms = head.framing, forwarder.clock.now()
     own = forwarder.names
     echoed_ids = set(head.headers.getRawHeaders(own.request_id, []))
     if call.request_id is not None and echoed_ids != {call.request_id}:
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -380,6 +380,7 @@
     - ``last_failure``: the last 5xx response of an endpoint.
     - ``body``: the request's body, once an attempt has read it.
     - ``prompt_parts``: ids (``str``) of the parts of its prompt, in order.
+    - ``last_data_ms``: time at which bytes of its stream were last received.
     - ``last_event_ms``: time of the last event, or of the arrival.
     - ``first_ms``: time from the arrival to the first event.
     - ``longest_gap_ms``: the longest inter-event gap so far.
@@ -424,6 +425,7 @@
     body: bytes | None = None
     prompt_parts: tuple = ()
     arrived_ms: int = 0
+    last_data_ms: int = 0
     last_event_ms: int = 0
     first_ms: int | None = None
     longest_gap_ms: int = 0
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -27,6 +27,7 @@
     - ``events``: the events of the stream that were passed on by its end.
     - ``at_endpoint``: this entry's requests that were in flight there.
     - ``was_left_unread``: whether it may have ended because it was not read.
+    - ``silence_ms``: of a stream, the time from its last byte to its end; else 0.
     """
 
     member: object
@@ -35,6 +36,7 @@
     events: int
     at_endpoint: int
     was_left_unread: bool
+    silence_ms: int
 
     @classmethod
     def from_call(cls, call, member, now, plain=None):
@@ -46,6 +48,7 @@
             call.events.count,
             call.in_flight_at_endpoint,
             call.source.explains_cut(now),
+            now - call.last_data_ms if plain is None else 0,
         )
 
 
@@ -58,7 +61,9 @@
         member, remaining_ms * CHECK_SHARE
     )
     is_leaving = forwarder.view.is_leaving(member.endpoint_id)
-    known = completeness.of_unmarked(answer.was_left_unread, has_crashed, is_leaving)
+    known = completeness.of_unmarked(
+        answer.was_left_unread, answer.silence_ms, has_crashed, is_leaving
+    )
     forwarder.counters.incr(f"endpoint.unmarked_end.{known.value}")
     log.info(
         "unmarked_end",
@@ -68,10 +73,12 @@
         has_crashed=has_crashed,
         announced_leave=is_leaving,
         unread=answer.was_left_unread,
+        silence_ms=answer.silence_ms,
         events=answer.events,
         framing=answer.framing.value,
     )
-    if has_crashed:
+    is_broken = known is completeness.Completeness.INCOMPLETE
+    if has_crashed or (is_broken and not answer.was_left_unread):
         forwarder.picker.failed(pick.incarnation_key(member), forwarder.clock.now())
     else:
         forwarder.picker.succeeded(pick.incarnation_key(member))
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -59,6 +59,7 @@
     "parts": "ids of the parts of a request's prompt",
     "subject": "what a digest identifies, if not a whole request",
     "has_crashed": "whether the endpoint refuses connections after an unmarked end",
+    "silence_ms": "time from the last byte of a stream to its end",
     "unread": "whether it may have ended because it was not read",
     "announced_leave": "whether the endpoint has announced that it leaves, or has left",
     "checked": "whether the endpoint is checked for a crash under the request",
--- a/tests/integration/endpoint_process.py
+++ b/tests/integration/endpoint_process.py
@@ -12,6 +12,8 @@
 - ``crash``: the first run of a request ends by the end of the process, whose
   connections the kernel closes in order. Other runs are whole.
 - ``crashes``: every run ends so, a stream after two further events.
+- ``stalls``: the first run of a request sends nothing for a while before its end, as a
+  rank does whose group has lost another one. Other runs are whole.
 - ``unsigned``: the answer has no signature.
 - ``leaves``: the answer takes its time, the process stops listening before its end, and
   exits a moment after it.
@@ -32,6 +34,8 @@
 EVENT_INTERVAL_S = 0.2
 # A socket that is closed with unread bytes is reset, and so are bytes on their way.
 PAUSE_S = 0.05
+# How long a rank waits for one that its group has lost.
+STALL_S = 1.5
 # How long a process that leaves stays after its last answer.
 EXIT_DELAY_S = 0.3
 BODY = b"0123456789" * 400
@@ -78,7 +82,7 @@
         is_first = self.server.began_run(self.headers[platform_lab.ATTEMPT])
         body, framing, count, fault = self.path.rsplit("/", 1)[1].split("_")
         count = int(count)
-        if fault == "crash" and not is_first:
+        if fault in ("crash", "stalls") and not is_first:
             fault, count = "whole", EVENT_COUNT if body == "stream" else len(BODY)
         last = int(self.headers.get("Last-Event-Id", 0))
         if fault == "crashes" and not is_first:
@@ -126,6 +130,8 @@
         if fault in ("crash", "crashes"):
             time.sleep(PAUSE_S)
             os.kill(os.getpid(), signal.SIGKILL)
+        if fault == "stalls":
+            time.sleep(STALL_S)
         if fault == "leaves":
             self.server.socket.close()
             threading.Timer(EXIT_DELAY_S, os._exit, [0]).start()
--- a/tests/integration/test_close_delimited_ends.py
+++ b/tests/integration/test_close_delimited_ends.py
@@ -351,6 +351,22 @@
     unmarked.assert_incomplete(received, sent)
 
 
+@pytest.mark.parametrize("framing", UNMARKED)
+@pytest.mark.parametrize("prefix", STREAMS)
+def test_a_stream_that_a_stalled_endpoint_cuts_never_looks_whole(
+    endpoints, prefix, framing
+):
+    # Failure: a rank of a group crashes, the others stall and cut their streams between
+    # two events, and the caller takes what came before for the whole answer.
+    received = call(endpoints.platform, faulty(prefix, framing, "stalls"))
+    if prefix == RESUMABLE:
+        assert_whole(received, prefix)
+        assert len(set(endpoints.runs(received.attempt))) == 2
+    else:
+        assert received.status != 200 or not looks_complete(received), received
+        assert len(endpoints.runs(received.attempt)) == 1
+
+
 @pytest.mark.parametrize("framing", UNMARKED)
 @pytest.mark.parametrize("prefix", STREAMS + PLAIN)
 def test_a_leaving_endpoint_may_stop_listening_before_its_last_answer(
