--- a/dunlinpoint/answers/tests/test_completeness.py
+++ b/dunlinpoint/answers/tests/test_completeness.py
@@ -32,7 +32,7 @@
 
 
 @pytest.mark.parametrize(
-    "has_crashed, is_leaving", itertools.product([False, True], repeat=2)
+    "has_crashed, is_leaving", list(itertools.product([False, True], repeat=2))
 )
 def test_an_answer_that_was_left_unread_is_incomplete(has_crashed, is_leaving):
     # Guards against the beginning of an answer that looks whole, because its endpoint
