Answers: a check for a crash that ends late is no sign that there was none

What callers saw: the part that a crashed endpoint had sent of a stream, with a last chunk, if the entry did not run for a while (suspended, frozen, busy) between the end of the connection and its check, or with a few ms left until the deadline. The time for the check ran from the end of the connection, so it was over before the connection to the endpoint was even tried, and "nothing is known" counted as "goes on".

An entry that stands still in the ms between the attempt to connect and the refusal still misses a crash.

--- a/dunlinpoint/answers/tests/test_crash_check.py
+++ b/dunlinpoint/answers/tests/test_crash_check.py
@@ -1,5 +1,6 @@
 """Checks for a crash after a connection to an endpoint has ended."""
 
+import pytest
 from twisted.internet import defer, task
 
 from dunlinpoint import clock
@@ -70,14 +71,30 @@
 def test_a_host_that_does_not_answer_has_not_refused():
     # Guards against a caller who waits for a check past its deadline.
     host = Host()
-    host.connection_ended("a", limit_ms=20)
-    host.reactor.advance(0.02)
+    host.connection_ended("a", limit_ms=60)
+    host.reactor.advance(0.03)
     assert len(host.checked) == 1
+    host.reactor.advance(0.028)
+    assert not host.results
+    host.reactor.advance(0.003)
     assert host.results == [False]
     host.checked[0][1].callback(True)
     assert host.results == [False]
 
 
+@pytest.mark.parametrize("limit_ms, late_s", [(0, 0), (4, 0), (LIMIT_MS, 2)])
+def test_a_crash_is_seen_though_little_time_is_left(limit_ms, late_s):
+    # Guards against a crash that counts as none because the time for the check ended
+    # before the host could refuse: shortly before a deadline, or while this process
+    # did not run.
+    host = Host()
+    host.connection_ended("a", limit_ms)
+    host.reactor.advance(max(limit_ms / 2000, late_s))
+    host.reactor.advance(0.01)
+    host.checked[0][1].callback(True)
+    assert host.results == [True]
+
+
 def test_a_check_that_fails_reaches_all_that_wait_for_it():
     # Guards against answers that wait until their deadlines.
     host = Host()
