--- a/tests/integration/endpoint_process.py
+++ b/tests/integration/endpoint_process.py
@@ -4,13 +4,15 @@
 127.0.0.1:PORT. It adds a line to the file ``runs`` in FOLDER for each request that it
 runs. The last segment of a request's path selects the answer,
 ``<body>_<framing>_<count>_<fault>``: *body* is ``stream``, ``unnumbered`` (a stream of
-events without ids) or ``plain``, *count* the number of events or bytes that are sent
-before the end, and *framing* tells how the end is marked; without a mark, the
-connection is closed in order. The faults:
+events without ids), ``flood`` (large events, as fast as they are read) or ``plain``,
+*count* the number of events or bytes that are sent before the end, and *framing* tells
+how the end is marked; without a mark, the connection is closed in order. The
+faults:
 
 - ``whole``: none.
 - ``crash``: the first run of a request ends by the end of the process, whose
   connections the kernel closes in order. Other runs are whole.
+- ``crash-reset``: the first run ends so, the others by a reset after their heads.
 - ``crashes``: every run ends so, a stream after two further events.
 - ``unsigned``: the answer has no signature.
 - ``leaves``: the answer takes its time, the process stops listening before its end, and
@@ -22,6 +24,7 @@
 import pathlib
 import signal
 import socket
+import struct
 import sys
 import threading
 import time
@@ -78,6 +81,11 @@
         is_first = self.server.began_run(self.headers[platform_lab.ATTEMPT])
         body, framing, count, fault = self.path.rsplit("/", 1)[1].split("_")
         count = int(count)
+        if fault == "crash-reset" and not is_first:
+            self.send_head(body, framing, 1, is_signed=True)
+            time.sleep(PAUSE_S)
+            self.reset()
+            return
         if fault == "crash" and not is_first:
             fault, count = "whole", EVENT_COUNT if body == "stream" else len(BODY)
         last = int(self.headers.get("Last-Event-Id", 0))
@@ -86,6 +94,9 @@
         if body == "stream":
             pieces = [platform_lab.event(n) for n in range(last + 1, count + 1)]
             length = len(events(last + 1, EVENT_COUNT))
+        elif body == "flood":
+            pieces = [platform_lab.flood_event(n) for n in range(1, count + 1)]
+            length = sum(map(len, pieces))
         elif body == "unnumbered":
             pieces, length = UNNUMBERED[:count], sum(map(len, UNNUMBERED))
         else:
@@ -94,7 +105,7 @@
             time.sleep(EVENT_COUNT * EVENT_INTERVAL_S)
         self.send_head(body, framing, length, is_signed=fault != "unsigned")
         for piece in pieces:
-            time.sleep(0 if body == "plain" else EVENT_INTERVAL_S)
+            time.sleep(0 if body in ("plain", "flood") else EVENT_INTERVAL_S)
             self.send_piece(framing, piece)
         self.end(framing, fault)
 
@@ -121,9 +132,15 @@
             piece = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
         self.wfile.write(piece)
 
+    def reset(self):
+        linger = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close_connection = True
+        socket.close(self.connection.detach())
+
     def end(self, framing, fault):
         """End the answer as *framing* says, or show *fault*."""
-        if fault in ("crash", "crashes"):
+        if fault in ("crash", "crash-reset", "crashes"):
             time.sleep(PAUSE_S)
             os.kill(os.getpid(), signal.SIGKILL)
         if fault == "leaves":
