Answers: a failure with an unmarked end does not clear an endpoint's record

A 5xx that ended with its connection counted as a success in the record by which failing endpoints are avoided, one with a length does not. Callers were sent to endpoints that were to be avoided. The answer still shows that the endpoint's group sends data.

forward/tests/test_unmarked_ends.py: 2 of 3 cases red before, 3 of 3 pass.

--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -74,8 +74,9 @@
     if has_crashed:
         forwarder.picker.failed(pick.incarnation_key(member), forwarder.clock.now())
     else:
-        forwarder.picker.succeeded(pick.incarnation_key(member))
         forwarder.outages.data_received(member)
+        if answer.plain is None or answer.plain.head.code < 500:
+            forwarder.picker.succeeded(pick.incarnation_key(member))
     return known
 
 
