--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -82,8 +82,9 @@
     if has_crashed or (is_broken and not answer.was_left_unread):
         forwarder.picker.failed(pick.incarnation_key(member), forwarder.clock.now())
     else:
-        forwarder.picker.succeeded(pick.incarnation_key(member))
         forwarder.outages.data_received(member)
+        if answer.plain is None or answer.plain.head.code < 500:
+            forwarder.picker.succeeded(pick.incarnation_key(member))
     return known
 
 
