Reads: an object in JSON whose end nobody marked is whole by its content

Seen: the reports and counts of an engine that ends its answers by closing the connection in order, as RFC 9112 (6.3) allows, count as faults: its agent changes no map ("load_report_failed" each second), a leader cannot read the rank.

Cause: as for the answers of endpoints, since an end that nobody marked counts as a cut, as a crash looks the same. For an object in JSON its content decides: no part of one parses as one, but part of a number does.

Change: http_client tells an orderly end (OrderlyEnd) from a reset, which the library reports the same way, and leaves it to the reader whether the body is whole (is_whole). read_object accepts an orderly end if the body is a JSON object, and nothing else. Reports, counts and lists of experts are read by it. A reset stays a failure. Commands and orders, of which only the status counts, are as before, also with a reset.

The name in the error of an orderly end is OrderlyEnd, a kind of UnmarkedEnd.

Conclusion: whole reports are read, no part of one is. What is open: nothing known for objects.

--- a/dunlinpoint/agent/rebalance_loop.py
+++ b/dunlinpoint/agent/rebalance_loop.py
@@ -79,7 +79,7 @@
         response = yield http_calls.default().get(
             f"{settings.backend}/load", timeout=2, unbuffered=True
         )
-        report = json.loads((yield http_client.read(state.clock.reactor, response)))
+        report = yield http_client.read_object(state.clock.reactor, response)
     except Exception:
         state.counters.retried("load_report_failed")
         return
--- a/dunlinpoint/experts/engine.py
+++ b/dunlinpoint/experts/engine.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import json
-
 import attrs
 import treq
 from twisted.internet import defer
@@ -63,8 +61,7 @@
             response = yield self.http.get(
                 self.url + path, timeout=clock.seconds(TIMEOUT_MS), unbuffered=True
             )
-            body = yield http_client.read(self.reactor, response, timeout_ms=TIMEOUT_MS)
-            return json.loads(body)
+            return (yield http_client.read_object(self.reactor, response, TIMEOUT_MS))
         except Exception as exc:
             raise RankError(repr(exc)) from exc
 
--- a/dunlinpoint/http_client.py
+++ b/dunlinpoint/http_client.py
@@ -5,7 +5,10 @@
 and its timeout ends with the head. It also reads heads that are none of the protocol.
 """
 
-from twisted.internet import defer, protocol
+import json
+
+from twisted.internet import defer, error, protocol
+from twisted.python import failure
 from twisted.web import _newclient, client, http
 
 from dunlinpoint import clock, http_heads
@@ -28,6 +31,17 @@
     """
 
 
+class OrderlyEnd(UnmarkedEnd):
+    """The connection was closed in order, not reset.
+
+    The body is whole, unless the peer has crashed (RFC 9112, 8).
+    """
+
+
+class _ClosedInOrder(client.PotentialDataLoss):
+    """The connection of a body whose end is not marked was closed in order."""
+
+
 class StrictChunkDecoder(http._ChunkedTransferDecoder):
     """Decodes a body in chunks, whose trailer must consist of field lines.
 
@@ -59,6 +73,16 @@
             http_heads.check_field_line(content)
         super().lineReceived(line)
 
+    def connectionLost(self, reason):
+        is_unmarked = self.bodyDecoder is not None and (
+            self.response.framing in http_heads.UNMARKED
+        )
+        if is_unmarked and reason.check(error.ConnectionDone):
+            # The library reports a reset the same way.
+            self.response._bodyDataFinished(failure.Failure(_ClosedInOrder()))
+        else:
+            super().connectionLost(reason)
+
     def allHeadersReceived(self):
         codings = self.connHeaders.getRawHeaders(b"transfer-encoding", [])
         lengths = self.connHeaders.getRawHeaders(b"content-length", [])
@@ -150,6 +174,8 @@
             return
         if reason.check(client.ResponseDone):
             self.done.callback(None)
+        elif reason.check(_ClosedInOrder):
+            self.done.errback(OrderlyEnd(f"incomplete: {reason.value!r}"))
         elif reason.check(client.PotentialDataLoss):
             self.done.errback(UnmarkedEnd(f"incomplete: {reason.value!r}"))
         else:
@@ -183,8 +209,19 @@
     return collector.done
 
 
-def read(reactor, response, max_bytes=MAX_BODY_BYTES, timeout_ms=BODY_TIMEOUT_MS):
-    """A Deferred of the body of *response* (``bytes``); fails with ``AnswerError``."""
+@defer.inlineCallbacks
+def read(
+    reactor,
+    response,
+    max_bytes=MAX_BODY_BYTES,
+    timeout_ms=BODY_TIMEOUT_MS,
+    is_whole=None,
+):
+    """A Deferred of the body of *response* (``bytes``); fails with ``AnswerError``.
+
+    A body whose connection was closed in order without a mark is read if
+    ``is_whole(body)``, which may return a Deferred, tells that it is whole.
+    """
     body = bytearray()
 
     def on_data(data):
@@ -195,14 +232,44 @@
     collector = _Collector(on_data)
     late = AnswerError(f"not complete after {timeout_ms} ms")
     timer = reactor.callLater(clock.seconds(timeout_ms), collector.fail, late)
-
-    def ended(result):
+    response.deliverBody(collector)
+    try:
+        yield collector.done
+    except OrderlyEnd:
+        if is_whole is None or not (yield is_whole(bytes(body))):
+            raise
+    finally:
         if timer.active():
             timer.cancel()
-        return result
+    return bytes(body)
 
-    response.deliverBody(collector)
-    return collector.done.addBoth(ended).addCallback(lambda _: bytes(body))
+
+def _parse_object(body):
+    """The JSON object in *body*, or ``None``."""
+    try:
+        found = json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+    return found if isinstance(found, dict) else None
+
+
+@defer.inlineCallbacks
+def read_object(reactor, response, timeout_ms=BODY_TIMEOUT_MS):
+    """A Deferred of the JSON object (``dict``) that is the body of *response*.
+
+    No part of an object is one, so that the end of the body need not be marked. Fails
+    with ``AnswerError``, like :func:`read`, also if the body is no JSON object.
+    """
+    body = yield read(
+        reactor,
+        response,
+        timeout_ms=timeout_ms,
+        is_whole=lambda body: _parse_object(body) is not None,
+    )
+    found = _parse_object(body)
+    if found is None:
+        raise AnswerError("no JSON object")
+    return found
 
 
 def discard(reactor, response, timeout_ms=BODY_TIMEOUT_MS):
@@ -212,5 +279,5 @@
     be marked. Fails with ``AnswerError`` otherwise, like :func:`read`.
     """
     reading = read(reactor, response, timeout_ms=timeout_ms)
-    reading.addErrback(lambda failure: failure.trap(UnmarkedEnd))
+    reading.addErrback(lambda found: found.trap(UnmarkedEnd))
     return reading.addCallback(lambda _: None)
--- a/dunlinpoint/http_heads.py
+++ b/dunlinpoint/http_heads.py
@@ -38,6 +38,10 @@
     NONE = "none"
 
 
+# Framings of bodies that end with their connection alone.
+UNMARKED = (Framing.CLOSE, Framing.NONE)
+
+
 def check_status_line(line):
     """Raise ``HeadError`` if *line* (``bytes``, without its end) is no status line."""
     if not STATUS_LINE.fullmatch(line):
--- a/dunlinpoint/tests/test_http_client.py
+++ b/dunlinpoint/tests/test_http_client.py
@@ -161,6 +161,89 @@
     assert len(results) == 1 and results[0].check(http_client.AnswerError)
 
 
+def read_object(response):
+    return http_client.read_object(task.Clock(), response)
+
+
+OBJECT = b'{"rank": 0, "counts": [1, {"a": 2}]}'
+ORDERLY, *RESETS = ENDS
+
+
+@pytest.mark.parametrize("head", UNMARKED)
+def test_an_object_is_whole_by_its_content(head):
+    # Failure: the reports of a peer that marks no ends count as faults, and its group
+    # is not planned for.
+    before, results = results_of(read_object, head + b"\r\n" + OBJECT, ORDERLY)
+    assert before == []
+    assert results == [{"rank": 0, "counts": [1, {"a": 2}]}]
+
+
+@pytest.mark.parametrize("count", range(len(OBJECT)))
+def test_no_part_of_an_object_is_read(count):
+    # Failure: the part of a report that a peer sent before it crashed counts as whole.
+    _, results = results_of(read_object, HEAD + b"\r\n" + OBJECT[:count], ORDERLY)
+    assert len(results) == 1 and results[0].check(http_client.UnmarkedEnd)
+
+
+@pytest.mark.parametrize("end", RESETS, ids=repr)
+def test_an_object_whose_connection_was_reset_is_not_read(end):
+    # Failure: the report of a peer in trouble is used.
+    _, results = results_of(read_object, HEAD + b"\r\n" + OBJECT, end)
+    assert len(results) == 1 and results[0].check(http_client.UnmarkedEnd)
+
+
+@pytest.mark.parametrize("is_marked", [True, False])
+@pytest.mark.parametrize(
+    "body", [b"12", b"true", b'"a"', b"[1]", b"", b"{}{}", b"{\xff}"]
+)
+def test_what_is_no_object_is_not_read(body, is_marked):
+    # Failure: the first digits of a number count as the number.
+    length = b"Content-Length: %d\r\n" % len(body) if is_marked else b""
+    _, results = results_of(read_object, HEAD + length + b"\r\n" + body, ORDERLY)
+    assert len(results) == 1 and results[0].check(http_client.AnswerError)
+
+
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_an_unmarked_body_is_read_if_its_reader_takes_it_for_whole(is_whole):
+    # Failure: a part of a body counts as whole before it is known that its peer goes
+    # on, or a whole one as a part.
+    asked = []
+
+    def ask(body):
+        asked.append((body, defer.Deferred()))
+        return asked[0][1]
+
+    def read(response):
+        return http_client.read(task.Clock(), response, is_whole=ask)
+
+    _, results = results_of(read, HEAD + b"\r\nbody", ORDERLY)
+    assert results == [] and asked[0][0] == b"body"
+    asked[0][1].callback(is_whole)
+    assert len(asked) == len(results) == 1
+    if is_whole:
+        assert results == [b"body"]
+    else:
+        assert results[0].check(http_client.UnmarkedEnd)
+
+
+@pytest.mark.parametrize(
+    "fields, end",
+    [(b"", end) for end in RESETS]
+    + [(b"Content-Length: 5\r\n", end) for end in ENDS]
+    + [(b"Content-Length: 4\r\n", end) for end in ENDS],
+)
+def test_a_body_with_another_end_is_not_asked_about(fields, end):
+    # Failure: a body that its peer cut counts as whole because the peer goes on.
+    def read(response):
+        return http_client.read(task.Clock(), response, is_whole=lambda _: 1 / 0)
+
+    _, results = results_of(read, HEAD + fields + b"\r\nbody", end)
+    if b"4" in fields:
+        assert results == [b"body"]
+    else:
+        assert len(results) == 1 and results[0].check(http_client.AnswerError)
+
+
 @pytest.mark.parametrize("end", [None, *ENDS], ids=repr)
 @pytest.mark.parametrize(
     "sent, body",
