Probe: whether a host refuses connections, for entries and agents

The check for a crash (answers/crash_check.py) is about to be used by agents, too. The pool of the entry held the probe that it runs; it moves to probe.py, with the same timeout of 400 ms. crash_check.py takes the key of an incarnation from routing/incarnations.py, so that an agent does not load the choice of endpoints.

--- a/dunlinpoint/answers/crash_check.py
+++ b/dunlinpoint/answers/crash_check.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import clock
-from dunlinpoint.routing import pick
+from dunlinpoint.routing import incarnations
 
 # A crashed process stops listening at once and takes seconds to restart.
 DELAY_MS = 50
@@ -44,7 +44,7 @@
         A Deferred of ``True``, or ``False`` if it takes connections, or if nothing is
         known after *limit_ms*: a host that does not answer has not refused.
         """
-        incarnation = pick.incarnation_key(member)
+        incarnation = incarnations.incarnation_key(member)
         begin_ms = self.clock.now() + min(DELAY_MS, limit_ms / 2)
         pending = self.pending_by_incarnation.get(incarnation)
         if pending is None or not 0 <= begin_ms - pending.begin_ms <= SHARED_MS:
--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -24,7 +24,7 @@
 from twisted.web import _newclient, client, iweb
 from zope.interface import implementer
 
-from dunlinpoint import clock, http_client
+from dunlinpoint import clock, http_client, probe
 from dunlinpoint.routing import pick
 
 CONNECT_TIMEOUT_MS = 400
@@ -218,19 +218,10 @@
         self._put_idle(pick.incarnation_key(member), connection)
         return True
 
-    @defer.inlineCallbacks
     def refuses_connections(self, member):
-        """Whether the host of *member* refuses connections to the member's port.
-
-        A connection that is accepted is closed at once. An endpoint that serves one
-        connection at a time would else wait for a request on it and serve no other.
-        """
-        try:
-            connection = yield self._open(member)
-        except NotSent as exc:
-            return isinstance(exc.__cause__, error.ConnectionRefusedError)
-        connection.transport.loseConnection()
-        return False
+        """Whether the host of *member* refuses connections to the member's port."""
+        self.opened += 1
+        return probe.refuses_connections(self.reactor, member.host, member.port)
 
     @defer.inlineCallbacks
     def _open(self, member):
