Agent: a call whose service marks no ends is done if the service goes on

Seen: a call whose answer has neither a length nor chunks and ends with its connection, closed in order, is "unknown", though the answer is whole (RFC 9112, 6.3). With a service that ends all answers so, no call has an outcome, and a call that may run once stays unknown for good.

A crash looks the same, and half an answer must never be recorded as done and replayed.

Change: 50 ms after such an end the agent checks its service, by the check that entries use (answers/crash_check.py, decided by answers/completeness.py). If it refuses connections, the outcome is "unknown" as before; otherwise it is "done". Meanwhile the key is "running". A reset is "unknown" without a check. A line "unmarked_end" tells the decision.

Evidence: test_agent_reads.py, real processes: 1 of the 6 new cases red on the commit before (a whole answer of a service that goes on); with a service killed by SIGKILL after 40, 0 or all bytes, or a reset after 40 or all, the outcome is "unknown", once run, and "{}" recorded. Unit tests: 6 red on the commit before (without the line that sets the check, which does not exist there).

Checks that changed: "an answer that may be cut is unknown", for an orderly end, did not ask whether the service goes on. In its place, for the same bodies and both ends: unknown after a crash or a reset, done with the body as it came where the service goes on; once run and recorded the same way in all cases. A part that a service sends before it closes in order and goes on cannot be told from a whole answer by the protocol.

test_agent_reads.py, agent/, answers/, test_start.py: 539 passed.

Conclusion: whole answers have their outcome, parts of crashed services have none. Open: a service that is restarted within 50 ms, or one process of several on a port that crashes, counts as going on; a service that stops listening before its last answer counts as crashed ("unknown").

--- a/dunlinpoint/agent/calls.py
+++ b/dunlinpoint/agent/calls.py
@@ -4,7 +4,7 @@
 from twisted.web import _newclient
 
 from dunlinpoint import clock, http_calls, http_client
-from dunlinpoint.agent import keys
+from dunlinpoint.agent import keys, unmarked_ends
 from dunlinpoint.wire import errors
 from dunlinpoint.wire.gen.dunlin import ttypes
 
@@ -34,9 +34,10 @@
     The outcome is ``not_run`` only if the connection was refused, as the service
     cannot have seen the call then. After any failure at which the request may
     have been written it is ``unknown``, since the service may have executed it; also if
-    nothing marked the end of its answer, which may be cut.
+    nothing marked the end of its answer and it has crashed.
     """
-    url = f"{state.settings.backend}/call/{order.operation}"
+    backend = state.settings.backend
+    url = f"{backend}/call/{order.operation}"
     headers = {"Idempotency-Key": order.idempotency_key or order.request_id}
     try:
         response = yield http_calls.default().post(
@@ -47,7 +48,10 @@
             unbuffered=True,
         )
         body = yield http_client.read(
-            state.clock.reactor, response, timeout_ms=SERVICE_TIMEOUT_MS
+            state.clock.reactor,
+            response,
+            timeout_ms=SERVICE_TIMEOUT_MS,
+            is_whole=unmarked_ends.checker(state, backend, request=order.request_id),
         )
     except (error.ConnectionRefusedError, error.ConnectError):
         state.counters.incr("service_refused_connection")
--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -22,7 +22,15 @@
 from zope.interface import implementer
 
 from dunlinpoint import clock, http_calls, http_client, logs, metrics
-from dunlinpoint.agent import announce, calls, keys, rebalance_loop, streams
+from dunlinpoint.agent import (
+    announce,
+    calls,
+    keys,
+    rebalance_loop,
+    streams,
+    unmarked_ends,
+)
+from dunlinpoint.answers import crash_check
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.wire import errors, rpc
@@ -73,6 +81,7 @@
     streams: streams.Streams
     keys: keys.Keys
     backups: rpc.Links
+    crash_checks: crash_check.CrashChecks
     calls_in_flight: int = 0
     stopping: bool = False
     listed_as_leaving: bool = False
@@ -97,6 +106,7 @@
             streams.Streams(ms_clock),
             keys.Keys(ms_clock),
             rpc.Links(reactor, Agent.Client, BACKUP_TIMEOUT_MS),
+            unmarked_ends.checks(reactor),
         )
 
     @property
--- a/tests/integration/test_agent_reads.py
+++ b/tests/integration/test_agent_reads.py
@@ -60,6 +60,26 @@
         process.wait()
 
 
+def test_a_call_whose_service_goes_on_is_done(read):
+    # Failure: no outcome is known of a call whose service marks no ends.
+    body = agent_backend.body_of("/call/").decode()
+    made = read("call", "/call/", "order")
+    assert made.found["results"] == [["done", 200, body]] * 2
+    assert made.found["record"]["state"] == "done"
+    assert made.paths == ["/call/slot_confirm"]
+
+
+@pytest.mark.parametrize("end, count", [*BROKEN, ("crash", None)])
+def test_a_call_whose_service_crashed_has_no_known_outcome(read, end, count):
+    # Failure: the half of an answer that a service sent before it crashed is recorded
+    # as the outcome of a call that may run once, and every repetition gets it.
+    made = read("call", "/call/", end, count)
+    assert made.found["results"] == [["unknown", 0, "{}"]] * 2
+    assert made.found["record"]["state"] == "unknown"
+    assert made.found["record"]["body_json"] == "{}"
+    assert made.paths == ["/call/slot_confirm"]
+
+
 def test_a_whole_report_changes_the_map(read):
     # Failure: the map of an engine that marks no ends is never changed.
     made = read("rebalance", "/load", "order")
