Agent: weights whose store marks no ends are loaded if the store goes on

Seen: weights whose answer ends with its connection, closed in order, count as broken. With a store that ends all answers so, no map that moves an expert is ever ordered ("rebalance_failed" each second).

Cause: the same as for calls: a crash of the store looks the same.

Change: the check of calls, for the store's address. Only the arrival of weights counts here, and nothing in their bytes tells a part from the whole (there is no length or digest from elsewhere), so the question is the same and so is the answer; a second rule for weights would be more code.

--- a/dunlinpoint/agent/rebalance_loop.py
+++ b/dunlinpoint/agent/rebalance_loop.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from dunlinpoint import clock, http_calls, http_client, logs
-from dunlinpoint.agent import rebalance
+from dunlinpoint.agent import rebalance, unmarked_ends
 from dunlinpoint.config import packed
 
 log = logs.logger("agent")
@@ -57,7 +57,11 @@
             state.counters.retried("weights_rate_limited")
             return False
         yield http_client.read(
-            state.clock.reactor, response, MAX_WEIGHTS_BYTES, WEIGHTS_TIMEOUT_MS
+            state.clock.reactor,
+            response,
+            MAX_WEIGHTS_BYTES,
+            WEIGHTS_TIMEOUT_MS,
+            is_whole=unmarked_ends.checker(state, state.settings.weights),
         )
         state.fetched_experts.add((expert, b))
     return True
--- a/tests/integration/test_agent_reads.py
+++ b/tests/integration/test_agent_reads.py
@@ -95,6 +95,23 @@
     assert made.paths == ["/load"]
 
 
+def test_weights_of_a_store_that_goes_on_are_loaded(read):
+    # Failure: the map of an engine whose store of weights marks no ends is not changed.
+    made = read("rebalance", "/weights/", "order")
+    assert made.found["counted"]["rebalanced"] == 1
+    assert made.paths[-1] == "/orders" and made.paths.count("/orders") == 1
+    assert made.found["failure"] == ""
+
+
+@pytest.mark.parametrize("end, count", [*BROKEN, ("crash", None)])
+def test_weights_of_a_store_that_crashed_are_not_loaded(read, end, count):
+    # Failure: an engine is told to use experts of which a part was loaded.
+    made = read("rebalance", "/weights/", end, count)
+    assert made.found["experts"] == [] and "/orders" not in made.paths
+    assert made.found["counted"] == {}
+    assert "End(" in made.found["failure"]
+
+
 def test_whole_counts_of_a_rank_are_read(read):
     # Failure: a leader cannot plan for a rank whose engine marks no ends.
     made = read("counts", "/api/", "order")
