Agent: weights that a store answers with an error are not loaded

Cause: only the status 429 was looked at.

Change: weights come with a 200. With any other status nothing is loaded, and the map is tried again at the next report, as after a 429; counted as `retried.weights_refused`.

--- a/dunlinpoint/agent/rebalance_loop.py
+++ b/dunlinpoint/agent/rebalance_loop.py
@@ -38,7 +38,7 @@
 
 @defer.inlineCallbacks
 def fetch_weights(state, old, new):
-    """Load the weights of moved experts; ``False`` if the store answers 429.
+    """Load the weights of moved experts; ``False`` if the store does not send them.
 
     *old* and *new* are placements (``[rank]`` by expert). The store is limited
     to a few experts per second. A map that moves more than that would start from
@@ -52,9 +52,11 @@
             continue
         url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
         response = yield http_calls.default().get(url, timeout=5, unbuffered=True)
-        if response.code == 429:
+        if response.code != 200:
             yield http_client.discard(state.clock.reactor, response, WEIGHTS_TIMEOUT_MS)
-            state.counters.retried("weights_rate_limited")
+            is_limited = response.code == 429
+            reason = "weights_rate_limited" if is_limited else "weights_refused"
+            state.counters.retried(reason)
             return False
         yield http_client.read(
             state.clock.reactor,
--- a/dunlinpoint/agent/tests/test_unmarked_ends.py
+++ b/dunlinpoint/agent/tests/test_unmarked_ends.py
@@ -190,6 +190,22 @@
     assert not http.sent("/orders")
 
 
+@pytest.mark.parametrize("is_marked", [True, False])
+@pytest.mark.parametrize("status", [b"404 No", b"500 No", b"503 No", b"204 No Content"])
+def test_weights_that_a_store_does_not_have_are_not_loaded(agent, status, is_marked):
+    # Failure: an engine is told to use experts of which nothing was loaded but the page
+    # of an error.
+    handler, http = agent(
+        ("/load", answer(REPORT_BODY, is_marked=True)),
+        ("/weights/", answer(b"" if b"204" in status else b"{}", status, is_marked)),
+        ("/orders", answer(b"{}", is_marked=True)),
+    )
+    assert rebalance(handler) is None
+    assert handler.state.counters.by_name["retried.weights_refused"] == 1
+    assert not handler.state.fetched_experts
+    assert not http.sent("/orders")
+
+
 def test_a_report_is_whole_by_its_content(agent):
     # Failure: the map of an engine that marks no ends is never changed.
     handler, http = agent(
