Agent: a stream in which its engine left out a piece is not done

Cause: a piece that comes again (which is dropped rightly) and one that comes too early were treated alike.

Change: a piece with a number past the next one ends the attempt; the rest is asked for from the last token on, up to three requests in all, after which the stream ends with an error, as after a broken connection. A piece that comes again is dropped, as before.

A final line that comes before the last piece is a marked end, which nothing tells from a sound one.

--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -246,7 +246,7 @@
     """Read tokens from the engine by one POST, from ``len(stream.tokens)`` on.
 
     Raises ``errors.OutcomeUnknown`` if the engine's response ends without its final
-    line.
+    line, or leaves out a piece.
     """
     payload = {
         "request_id": order.request_id,
@@ -273,6 +273,8 @@
             piece = json.loads(line)
             if piece.get("done"):
                 ended.append(piece)
+            elif piece["i"] > len(stream.tokens):
+                raise http_client.AnswerError("the engine left out a piece")
             elif piece["i"] == len(stream.tokens):
                 stream.add([piece["t"]])
         too_many = len(stream.tokens) > order.max_tokens
--- a/dunlinpoint/agent/tests/test_unmarked_ends.py
+++ b/dunlinpoint/agent/tests/test_unmarked_ends.py
@@ -278,6 +278,30 @@
     assert body.startswith(lines(*TOKENS[: len(stream.tokens)]))
 
 
+@pytest.mark.parametrize("is_marked", [True, False])
+@pytest.mark.parametrize("numbers", [[0, 2], [1], [0, 2, 1], [0, 1, 3, 2]])
+def test_a_stream_with_a_gap_is_not_done(agent, numbers, is_marked):
+    # Failure: tokens that an engine left out, or sent too early, are missing from a
+    # stream that ends as complete.
+    pieces = [{"i": number, "t": str(number)} for number in numbers]
+    body = lines(*pieces, {"done": True})
+    handler, http = agent(("/generate", answer(body, is_marked=is_marked)))
+    stream = generate(handler, max_tokens=4)
+    assert stream.done and stream.error
+    assert stream.tokens == ["0", "1"][: numbers.index(max(numbers))]
+    resumed = [json.loads(data)["resume_from"] for data in http.sent("/generate")]
+    assert resumed == [0] + [len(stream.tokens)] * (server.RESUME_ATTEMPTS - 1)
+
+
+def test_a_piece_that_comes_again_is_not_added(agent):
+    # Failure: a token stands twice in a stream whose engine resumes it too early.
+    body = lines(TOKENS[0], *TOKENS, {"done": True})
+    handler, http = agent(("/generate", answer(body, is_marked=True)))
+    stream = generate(handler)
+    assert (stream.done, stream.error, stream.tokens) == (True, "", ["a", "b"])
+    assert len(http.sent("/generate")) == 1
+
+
 def test_the_final_line_marks_the_end_of_a_stream(agent):
     # Failure: a stream that its engine has ended is asked for again and fails, as
     # nothing but its final line marked the end.
