--- a/dunlinpoint/agent/unmarked_ends.py
+++ b/dunlinpoint/agent/unmarked_ends.py
@@ -32,7 +32,9 @@
     """
     parts = urllib.parse.urlsplit(url)
     port = parts.port or PORT_BY_SCHEME[parts.scheme]
-    member = ttypes.Member(endpoint_id=parts.netloc, host=parts.hostname, port=port)
+    # Not the part of the URL: it may hold a user and a password.
+    address = f"{parts.hostname}:{port}"
+    member = ttypes.Member(endpoint_id=address, host=parts.hostname, port=port)
 
     @defer.inlineCallbacks
     def is_whole(body):
@@ -41,7 +43,7 @@
         log.info(
             "unmarked_end",
             endpoint_id=state.settings.endpoint_id,
-            host=parts.netloc,
+            host=address,
             outcome=known.value,
             has_crashed=has_crashed,
             **fields,
