--- a/dunlinpoint/agent/rebalance_loop.py
+++ b/dunlinpoint/agent/rebalance_loop.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from dunlinpoint import clock, http_calls, http_client, logs
-from dunlinpoint.agent import rebalance
+from dunlinpoint.agent import rebalance, unmarked_ends
 from dunlinpoint.config import packed
 
 log = logs.logger("agent")
@@ -38,7 +38,7 @@
 
 @defer.inlineCallbacks
 def fetch_weights(state, old, new):
-    """Load the weights of moved experts; ``False`` if the store answers 429.
+    """Load the weights of moved experts; ``False`` if the store does not send them.
 
     *old* and *new* are placements (``[rank]`` by expert). The store is limited
     to a few experts per second. A map that moves more than that would start from
@@ -52,12 +52,18 @@
             continue
         url = f"{state.settings.weights}/weights/{state.settings.group}/{expert}"
         response = yield http_calls.default().get(url, timeout=5, unbuffered=True)
-        if response.code == 429:
+        if response.code != 200:
             yield http_client.discard(state.clock.reactor, response, WEIGHTS_TIMEOUT_MS)
-            state.counters.retried("weights_rate_limited")
+            is_limited = response.code == 429
+            reason = "weights_rate_limited" if is_limited else "weights_refused"
+            state.counters.retried(reason)
             return False
         yield http_client.read(
-            state.clock.reactor, response, MAX_WEIGHTS_BYTES, WEIGHTS_TIMEOUT_MS
+            state.clock.reactor,
+            response,
+            MAX_WEIGHTS_BYTES,
+            WEIGHTS_TIMEOUT_MS,
+            is_whole=unmarked_ends.checker(state, state.settings.weights),
         )
         state.fetched_experts.add((expert, b))
     return True
@@ -79,7 +85,7 @@
         response = yield http_calls.default().get(
             f"{settings.backend}/load", timeout=2, unbuffered=True
         )
-        report = json.loads((yield http_client.read(state.clock.reactor, response)))
+        report = yield http_client.read_object(state.clock.reactor, response)
     except Exception:
         state.counters.retried("load_report_failed")
         return
--- a/dunlinpoint/agent/server.py
+++ b/dunlinpoint/agent/server.py
@@ -22,7 +22,15 @@
 from zope.interface import implementer
 
 from dunlinpoint import clock, http_calls, http_client, logs, metrics
-from dunlinpoint.agent import announce, calls, keys, rebalance_loop, streams
+from dunlinpoint.agent import (
+    announce,
+    calls,
+    keys,
+    rebalance_loop,
+    streams,
+    unmarked_ends,
+)
+from dunlinpoint.answers import crash_check
 from dunlinpoint.config import document as config
 from dunlinpoint.config import packed
 from dunlinpoint.wire import errors, rpc
@@ -73,6 +81,7 @@
     streams: streams.Streams
     keys: keys.Keys
     backups: rpc.Links
+    crash_checks: crash_check.CrashChecks
     calls_in_flight: int = 0
     stopping: bool = False
     listed_as_leaving: bool = False
@@ -97,6 +106,7 @@
             streams.Streams(ms_clock),
             keys.Keys(ms_clock),
             rpc.Links(reactor, Agent.Client, BACKUP_TIMEOUT_MS),
+            unmarked_ends.checks(reactor),
         )
 
     @property
@@ -236,7 +246,7 @@
     """Read tokens from the engine by one POST, from ``len(stream.tokens)`` on.
 
     Raises ``errors.OutcomeUnknown`` if the engine's response ends without its final
-    line.
+    line, or leaves out a piece.
     """
     payload = {
         "request_id": order.request_id,
@@ -263,6 +273,8 @@
             piece = json.loads(line)
             if piece.get("done"):
                 ended.append(piece)
+            elif piece["i"] > len(stream.tokens):
+                raise http_client.AnswerError("the engine left out a piece")
             elif piece["i"] == len(stream.tokens):
                 stream.add([piece["t"]])
         too_many = len(stream.tokens) > order.max_tokens
--- a/dunlinpoint/answers/crash_check.py
+++ b/dunlinpoint/answers/crash_check.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from dunlinpoint import clock
-from dunlinpoint.routing import pick
+from dunlinpoint.routing import incarnations
 
 # A crashed process stops listening at once and takes seconds to restart.
 DELAY_MS = 50
@@ -55,7 +55,7 @@
         known after *limit_ms* and ``MIN_WAIT_MS``: a host that does not answer has not
         refused.
         """
-        incarnation = pick.incarnation_key(member)
+        incarnation = incarnations.incarnation_key(member)
         now = self.clock.now()
         begin_ms = now + min(DELAY_MS, limit_ms / 2)
         pending = self.pending_by_incarnation.get(incarnation)
