Slow readers: an end that had come whole before its caller read on is no cut

What callers saw: a whole stream without a mark was cut (one run) or run twice (resumable) when its caller had read nothing for a second, though its endpoint had long sent it all and closed in order.

Cause: an end up to a second after a pause of a second or more counted as that of an endpoint that gave up because it was not read. Whether the endpoint had to wait at all was not asked.

Change: when a pause ends, the entry asks its operating system whether the connection has ended in order. The end comes behind all bytes, so an endpoint whose end came during the pause never waited for room, and that pause explains nothing. Resets, and ends that come later, count as before. The fake connections of two tests get the new method.

Larger streams, whose end waits in their endpoint's buffer, are as before.

--- a/dunlinpoint/forward/pool.py
+++ b/dunlinpoint/forward/pool.py
@@ -18,6 +18,7 @@
 """
 
 import re
+import select
 
 import attrs
 from twisted.internet import defer, endpoints, error, protocol
@@ -133,6 +134,18 @@
         if self.transport is not None:
             self.transport.resumeProducing()
 
+    def has_sent_all(self):
+        """Whether the end of the connection, in order, has come, read or not.
+
+        It comes behind all bytes, so the endpoint did not have to wait for room.
+        """
+        if self.transport is None:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.getHandle(), select.POLLRDHUP)
+        # A reset comes with further events.
+        return [found for _, found in poll.poll(0)] == [select.POLLRDHUP]
+
     def close(self):
         """Abort the connection and any exchange in progress."""
         if self.transport is not None:
--- a/dunlinpoint/forward/tests/test_exchange.py
+++ b/dunlinpoint/forward/tests/test_exchange.py
@@ -123,7 +123,10 @@
     )
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
     connection = types.SimpleNamespace(
-        pause=lambda: None, resume=lambda: None, was_closed_in_order=True
+        pause=lambda: None,
+        resume=lambda: None,
+        has_sent_all=lambda: False,
+        was_closed_in_order=True,
     )
     head = Response()
     ended = bodies.relay(forwarder, call, member, connection, head)
--- a/dunlinpoint/routing/backpressure.py
+++ b/dunlinpoint/routing/backpressure.py
@@ -65,8 +65,9 @@
 class Source:
     """The endpoint's connection from which an answer is read, and its pauses.
 
-    ``connection`` has the methods ``pause()`` and ``resume()`` and is ``None`` while no
-    attempt is under way. Times are in ms of the local clock.
+    ``connection`` has the methods ``pause()``, ``resume()`` and ``has_sent_all()`` and
+    is ``None`` while no attempt is under way. ``longest_pause_ms`` leaves out pauses by
+    whose end the endpoint had sent all. Times are in ms of the local clock.
     """
 
     connection: object = None
@@ -111,7 +112,8 @@
         if self.connection is None or not self.is_paused:
             return
         pause_ms = now - self.paused_since_ms
-        self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        if pause_ms > self.longest_pause_ms and not self.connection.has_sent_all():
+            self.longest_pause_ms = pause_ms
         self.paused_since_ms, self.resumed_ms = None, now
         self.connection.resume()
 
@@ -125,7 +127,8 @@
         """Whether a pause explains that the endpoint closed the connection.
 
         The bytes that arrived before the end may be read with many short pauses, so it
-        is the longest one that counts.
+        is the longest one that counts. An endpoint that could send all did not close it
+        because of a pause.
         """
         longest_ms = self.longest_pause_ms
         if self.is_paused:
--- a/dunlinpoint/routing/tests/test_backpressure.py
+++ b/dunlinpoint/routing/tests/test_backpressure.py
@@ -13,6 +13,10 @@
 
     reading: bool = True
     pauses: int = 0
+    is_ended: bool = False
+
+    def has_sent_all(self):
+        return self.is_ended
 
     def pause(self):
         self.reading = False
@@ -198,3 +202,21 @@
     assert not source.explains_cut(3300 + backpressure.AFTER_PAUSE_MS)
     source.reset()
     assert not source.explains_cut(3100)
+
+
+def test_a_pause_does_not_explain_the_end_of_an_endpoint_that_had_sent_all():
+    # Failure: a whole answer whose end waited in the entry, because its caller read
+    # nothing for a while, counts as given up by its endpoint.
+    source, connection = backpressure.Source(), Connection()
+    source.begin(connection)
+    source.pause(0)
+    connection.is_ended = True
+    source.resume(3000)
+    assert not source.explains_cut(3100)
+    connection.is_ended = False
+    source.pause(3200)
+    source.resume(3200 + backpressure.MIN_CUT_PAUSE_MS)
+    connection.is_ended = True
+    source.pause(5000)
+    source.resume(9000)
+    assert source.explains_cut(9100)
