--- a/dunlinpoint/answers/crash_check.py
+++ b/dunlinpoint/answers/crash_check.py
@@ -21,7 +21,7 @@
 
 
 @attrs.define(eq=False)
-class PendingCheck:
+class SharedCheck:
     """A check that begins at ``begin_ms``, and the Deferreds that wait for it.
 
     ``waiters`` holds each with the time until which it waits.
@@ -60,7 +60,7 @@
         begin_ms = now + min(DELAY_MS, limit_ms / 2)
         pending = self.pending_by_incarnation.get(incarnation)
         if pending is None or not 0 <= begin_ms - pending.begin_ms <= SHARED_MS:
-            pending = self.pending_by_incarnation[incarnation] = PendingCheck(begin_ms)
+            pending = self.pending_by_incarnation[incarnation] = SharedCheck(begin_ms)
             self._run(member, incarnation, pending)
         waiter = defer.Deferred()
         pending.waiters.append((waiter, now + limit_ms))
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -187,9 +187,9 @@
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
         raise close_as_broken(connection, "stream ended within an event")
+    if call.started:
+        return
     if not call.has_marked_end:
-        if not call.started:
-            raise close_as_broken(connection, "stream ended without an event")
-    elif not call.started:
-        call.started = True
-        responses.copy_head(request, head, None)
+        raise close_as_broken(connection, "stream ended without an event")
+    call.started = True
+    responses.copy_head(request, head, None)
--- a/dunlinpoint/forward/quarantine.py
+++ b/dunlinpoint/forward/quarantine.py
@@ -23,15 +23,14 @@
 from twisted.internet import defer
 
 from dunlinpoint import logs
+from dunlinpoint.answers import crash_check
 from dunlinpoint.forward import responses
 from dunlinpoint.routing import pick
 from dunlinpoint.suspects import cause, digest, registry, sharing
 
 log = logs.logger("entry")
 
-# Delay between the end of a connection and the check of whether its endpoint still
-# listens. A crashed process stops listening at once and takes seconds to restart.
-CRASH_CHECK_DELAY_MS = 50
+CRASH_CHECK_DELAY_MS = crash_check.DELAY_MS
 # How long others wait for the outcome of that check.
 RELEASE_DELAY_MS = 2 * CRASH_CHECK_DELAY_MS
 # How long after the end of a connection a new incarnation still confirms a crash.
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -78,16 +78,22 @@
         events=call.events.count,
         framing=answer.framing.value,
     )
-    is_broken = known is completeness.Completeness.INCOMPLETE
-    if has_crashed or (is_broken and not answer.was_left_unread):
-        forwarder.picker.failed(pick.incarnation_key(member), forwarder.clock.now())
-    else:
-        forwarder.outages.data_received(member)
-        if answer.plain is None or answer.plain.head.code < 500:
-            forwarder.picker.succeeded(pick.incarnation_key(member))
+    record(forwarder, answer, known)
     return known
 
 
+def record(forwarder, answer, known):
+    """Record what *answer*, of which *known* is known, tells of its endpoint."""
+    incarnation = pick.incarnation_key(answer.member)
+    if known is completeness.Completeness.INCOMPLETE:
+        if not answer.was_left_unread:
+            forwarder.picker.failed(incarnation, forwarder.clock.now())
+        return
+    forwarder.outages.data_received(answer.member)
+    if answer.plain is None or answer.plain.head.code < 500:
+        forwarder.picker.succeeded(incarnation)
+
+
 def may_be_asked_again(call, known):
     """Whether another endpoint is asked before an answer is passed on."""
     return known is completeness.Completeness.UNCONFIRMED and routes.is_repeatable(
--- a/tests/integration/test_close_delimited_ends.py
+++ b/tests/integration/test_close_delimited_ends.py
@@ -328,6 +328,15 @@
     assert len(endpoints.runs(received.attempt)) == 1
 
 
+def test_a_caller_without_chunks_sees_that_two_endpoints_crashed(endpoints):
+    # Failure: the caller of HTTP/1.0 gets an orderly end after a part of a stream, as
+    # the endpoint that was asked for the rest crashed as well.
+    path = faulty(RESUMABLE, "close", "crashes")
+    received = call(endpoints.platform, path, "1.0")
+    assert received.status == 200 and received.end == unmarked.RESET, received
+    assert len(set(endpoints.runs(received.attempt))) == 2
+
+
 @pytest.mark.parametrize("framing", MARKED + UNMARKED)
 @pytest.mark.parametrize("prefix", [RESUMABLE, IDEMPOTENT])
 def test_answers_of_crashed_endpoints_never_look_whole(endpoints, prefix, framing):
