Soak: unmarked answers are whole or look broken, and their share is a setting

Cause: since the entry takes an orderly unmarked end of an endpoint that goes on for the end of the answer, _check_marked_end and the leniency of is_answered state what callers are no longer promised: the first asks that whole unmarked answers look broken, the second accepts it.

Change: _check_marked_end is replaced by _check_whole_answer: an answer that a backend sent whole, marked or not, looks complete to its caller, at a planned stop of its entry and otherwise. Exempt are another fault of the entry during the request, a fault of the backend's link from 4 s before, an answer that its caller left unread for 1.5 s (the entry counts those as broken), and requests within 0.2 s of their deadline. That a stream that looks complete has all its events stays in _check_own_answer. is_answered is gone: at a planned stop and in the count of answered requests, only an answer that looks complete counts. A plain answer that a backend breaks off unmarked is reset, as an orderly end would be that of the answer. At a planned stop, unmarked answers left unread are exempt (new: large streams were always marked before).

--- a/dunlinpoint/soak/callers.py
+++ b/dunlinpoint/soak/callers.py
@@ -52,6 +52,7 @@
     signature: str | None
     body: bytes
     is_complete: bool
+    was_left_unread: bool
 
 
 @attrs.define(eq=False)
@@ -67,6 +68,7 @@
     connection: http.client.HTTPConnection | None = None
     node: cluster.Node | None = None
     request_count: int = 0
+    has_waited_long: bool = False
 
     def run(self):
         """Send requests one after the other until the run ends."""
@@ -91,6 +93,7 @@
         path_prefix = self.choose_path_prefix()
         request_id = f"{self.number}-{self.request_count}"
         incarnation, sent_s = self.node.start_count, time.monotonic()
+        self.has_waited_long = False
         status, signature, body, is_complete = self.exchange(path_prefix, request_id)
         ended_s = time.monotonic()
         name = self.node.name
@@ -106,6 +109,7 @@
                 signature,
                 body,
                 is_complete,
+                self.has_waited_long,
             )
         )
 
@@ -176,6 +180,7 @@
     def draw_wait_s(self):
         """Draw how long to wait before the next piece is read."""
         if self.rng.random() < LONG_WAIT_SHARE:
+            self.has_waited_long = True
             return LONG_WAIT_S
         return self.rng.uniform(*SLOW_READ_WAIT_S)
 
--- a/dunlinpoint/soak/checks.py
+++ b/dunlinpoint/soak/checks.py
@@ -11,7 +11,7 @@
 IN_FORCE_BOUND_S = 2.0
 # Time after a fault during which a process is exempt from time bounds.
 FAULT_GRACE_S = 4.0
-# A large stream that took longer may have been ended by its caller's deadline.
+# A request that took longer may have been ended by its caller's deadline.
 SLOW_READ_S = 2.8
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Response modes in which a backend sends part of an answer or none.
@@ -24,7 +24,9 @@
     found = []
     for request in results:
         found += _check_own_answer(request)
-        found += _check_marked_end(request, executions.get(request.request_id, []))
+        found += _check_whole_answer(
+            cluster, request, executions.get(request.request_id, [])
+        )
         found += _check_at_most_once(request, executions.get(request.request_id, []))
         found += _check_planned_stop(
             cluster, request, executions.get(request.request_id, [])
@@ -42,20 +44,6 @@
     return found
 
 
-def is_answered(request, executions):
-    """Whether a caller got the whole answer of an endpoint.
-
-    A stream whose endpoints do not mark its end has all its events, but does not look
-    complete, as one that a crash cuts short ends in the same way.
-    """
-    if request.status and request.is_complete:
-        return True
-    is_unmarked = any(not execution.marks_end for execution in executions)
-    return is_unmarked and request.body == servers.stream_of(
-        request.path_prefix, request.request_id
-    )
-
-
 def _check_own_answer(request):
     if request.status != 200:
         if request.signature and request.status != 500:
@@ -77,13 +65,33 @@
     return []
 
 
-def _check_marked_end(request, executions):
-    """An answer looks complete only if an endpoint marked its end."""
-    if request.status != 200 or not request.is_complete or not executions:
+def _check_whole_answer(cluster, request, executions):
+    """An answer that a backend sent whole looks complete, marked or not.
+
+    Not checked if a fault touched the backend or its link shortly before or meanwhile,
+    or its entry meanwhile (a planned stop is none), or if the caller left the answer
+    unread or its deadline was near.
+    """
+    if request.status == 200 and request.is_complete:
+        return []
+    span = request.sent_s, request.ended_s
+    if request.was_left_unread or span[1] - span[0] > SLOW_READ_S:
         return []
-    if any(execution.marks_end for execution in executions):
+    node = next(n for n in cluster.entries if n.name == request.entry)
+    if _any_within(set(node.disturbed_s) - set(node.stopped_s), *span):
         return []
-    return [f"{request.request_id}: complete, though no endpoint marked the end"]
+    return [
+        f"{request.request_id}: {execution.server_id} sent its answer whole"
+        f" (marked: {execution.marks_end}), its caller did not get it"
+        for execution in executions
+        if execution.is_whole and not _is_backend_faulted(cluster, execution, *span)
+    ]
+
+
+def _is_backend_faulted(cluster, execution, sent_s, ended_s):
+    """Whether a fault touched the backend or its link during a request or before."""
+    faults_s = cluster.link_faults_s_by_id.get(execution.server_id, ())
+    return _any_within(faults_s, sent_s - FAULT_GRACE_S, ended_s)
 
 
 def _check_at_most_once(request, executions):
@@ -101,14 +109,15 @@
 def _check_planned_stop(cluster, request, executions):
     """A request in flight at a planned stop of its entry gets its complete answer.
 
-    Not checked if a backend truncated the answer, or a link fault occurred shortly
-    before or during the request.
+    Not checked if a backend truncated the answer, if a link fault occurred shortly
+    before or during the request, or if an answer that nobody marked was left unread:
+    its backend may have given it up.
     """
     node = next(n for n in cluster.entries if n.name == request.entry)
     span = request.sent_s, request.ended_s
     if not _any_within(node.stopped_s, *span):
         return []
-    if is_answered(request, executions) or not executions:
+    if (request.status and request.is_complete) or not executions:
         return []
     if any(execution.response_mode in TRUNCATING_MODES for execution in executions):
         return []
@@ -117,6 +126,8 @@
     ):
         # Its caller may have read so slowly that its own deadline ended it.
         return []
+    if request.was_left_unread and not all(e.marks_end for e in executions):
+        return []
     if _any_within(cluster.link_faults_s, span[0] - FAULT_GRACE_S, span[1]):
         return []
     return [f"{request.request_id}: interrupted by a planned stop of {request.entry}"]
--- a/dunlinpoint/soak/cluster.py
+++ b/dunlinpoint/soak/cluster.py
@@ -109,6 +109,7 @@
     link_faults_s: list = attrs.field(factory=list)
     link_faults_s_by_id: dict = attrs.field(factory=dict)
     cold_per_s: float = 0
+    unmarked_percent: int = servers.UNMARKED_PERCENT
     stop_event: threading.Event = attrs.field(factory=threading.Event)
 
     @classmethod
@@ -160,15 +161,27 @@
         backend = servers.Backend(
             server_id, "desk", rng, self.executions, arrivals=self.arrivals
         )
+        backend.unmarked_percent = self.unmarked_percent
         backend.start()
+        self.backends.append(backend)
+        self.proxies.append(self.start_proxy(backend))
+
+    def start_proxy(self, backend):
+        """Start a proxy in front of *backend*; it and its two ports."""
+        server_id = backend.server_id
         listen_port, fault_port = deploy.free_port(), deploy.free_port()
         log = os.path.join(self.folder, f"proxy-{server_id}.log")
         argv = ["proxy", "--listen", str(listen_port), "--steer", str(fault_port)]
         argv += ["--target", f"127.0.0.1:{backend.port}"]
         proxy = deploy.Process(f"proxy-{server_id}", argv, listen_port, log)
         proxy.start()
-        self.backends.append(backend)
-        self.proxies.append((proxy, listen_port, fault_port))
+        return proxy, listen_port, fault_port
+
+    def record_backend_fault(self, backend):
+        """Record a fault of *backend* or its link now; its time (monotonic, s)."""
+        now_s = time.monotonic()
+        self.link_faults_s_by_id.setdefault(backend.server_id, []).append(now_s)
+        return now_s
 
     def zone_of(self, server_id):
         """The zone of a backend."""
@@ -176,9 +189,8 @@
 
     def set_link_fault(self, index, mode, direction="both", delay_ms=0):
         """Set the fault on the link to backend *index*."""
-        now_s, server_id = time.monotonic(), self.backends[index].server_id
-        self.link_faults_s.append(now_s)
-        self.link_faults_s_by_id.setdefault(server_id, []).append(now_s)
+        backend = self.backends[index]
+        self.link_faults_s.append(self.record_backend_fault(backend))
         client.fault(self.proxies[index][2], mode, direction, delay_ms)
 
     def post_to_any_control(self, path, body):
--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -11,7 +11,15 @@
 
 import attrs
 
-from dunlinpoint.soak import callers, checks, cold, evacuations, faults, signals
+from dunlinpoint.soak import (
+    callers,
+    checks,
+    cold,
+    evacuations,
+    faults,
+    servers,
+    signals,
+)
 from dunlinpoint.soak import cluster as clusters
 
 READY_TIMEOUT_S = 20.0
@@ -23,27 +31,38 @@
 
 @attrs.frozen
 class Verdict:
-    """The result of one seed, printed as a JSON line."""
+    """The result of one seed, printed as a JSON line.
+
+    ``unmarked`` counts the answered requests whose answers nobody marked.
+    """
 
     seed: int
     requests: int
     answered: int
     documents: int
     faults: int
+    unmarked: int
     broken: list
     folder: str
 
 
-def run_seed(seed, with_signals=False, with_cold_starts=False):
+def run_seed(
+    seed,
+    with_signals=False,
+    with_cold_starts=False,
+    unmarked_percent=servers.UNMARKED_PERCENT,
+):
     """Run *seed*; its ``Verdict``.
 
     If *with_signals* is set, three backends send load signals, and no zone is
     evacuated, which would leave too few backends; if *with_cold_starts* is set, two
-    backends are cold for a while.
+    backends are cold for a while. *unmarked_percent* is the share of answers
+    whose end no backend marks.
     """
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     cluster = clusters.Cluster.from_seed(folder, seed)
     cluster.cold_per_s = cold.REQUESTS_PER_S if with_cold_starts else 0
+    cluster.unmarked_percent = unmarked_percent
     rng = random.Random(f"callers {seed}")
     operator = callers.Operator(cluster, random.Random(rng.random()))
     results, threads, violations = [], [], []
@@ -74,17 +93,19 @@
         cluster, results, operator.evacuator.acknowledged
     )
     executions = checks.by_request_id(cluster.executions)
-    answered = sum(
-        1
-        for s in results
-        if s.status == 200 and checks.is_answered(s, executions.get(s.request_id, []))
-    )
+    answered = [s for s in results if s.status == 200 and s.is_complete]
+    unmarked = [
+        s
+        for s in answered
+        if not all(e.marks_end for e in executions.get(s.request_id, ()))
+    ]
     return Verdict(
         seed,
         len(results),
-        answered,
+        len(answered),
         len(operator.acknowledged),
         len(planned),
+        len(unmarked),
         violations,
         folder,
     )
@@ -215,6 +236,13 @@
     parser.add_argument(
         "--cold", action="store_true", help="backends are cold for a while"
     )
+    parser.add_argument(
+        "--unmarked",
+        type=int,
+        default=servers.UNMARKED_PERCENT,
+        metavar="PERCENT",
+        help="share of answers whose end backends do not mark",
+    )
     args = parser.parse_args(argv)
     seeds = [int(seed) for seed in args.seeds.split(",") if seed]
     fresh = random.SystemRandom()
@@ -223,7 +251,7 @@
         parser.error(f"give 1 to {MAX_SEEDS} seeds")
     failed = 0
     for seed in seeds:
-        verdict = run_seed(seed, args.telling, args.cold)
+        verdict = run_seed(seed, args.telling, args.cold, args.unmarked)
         failed += bool(verdict.broken)
         print(json.dumps(attrs.asdict(verdict)), flush=True)
     sys.exit(1 if failed else 0)
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -8,6 +8,7 @@
 import http.server
 import random
 import socket
+import struct
 import threading
 import time
 import zlib
@@ -29,9 +30,9 @@
 LARGE_STREAM_PREFIX = "/large/"
 LARGE_EVENT_PADDING = b"x" * 128 * 1024
 UNREAD_TIMEOUT_S = 1.0
-# The share of streams that have neither a length nor chunks and end with their
-# connection, chosen by request.
-WITHOUT_LENGTH_PERCENT = 20
+# The share of answers that have neither a length nor chunks and end with their
+# connection, chosen by request, if a run sets no other.
+UNMARKED_PERCENT = 20
 # How a backend responds to a request, with weights in percent.
 RESPONSE_MODE_WEIGHTS = {
     "serve": 88,
@@ -78,7 +79,8 @@
 class Execution:
     """One request that a backend started to execute.
 
-    ``marks_end`` tells whether a last chunk or a length marks the end of its answer.
+    ``marks_end`` tells whether a last chunk or a length marks the end of its answer,
+    ``is_whole`` whether all of a good answer was sent.
     """
 
     server_id: str
@@ -86,6 +88,7 @@
     at_s: float
     response_mode: str
     marks_end: bool = True
+    is_whole: bool = False
 
 
 @attrs.define(eq=False)
@@ -104,6 +107,7 @@
     signal_period: signals.SignalPeriod | None = None
     arrivals: list = attrs.field(factory=list)
     cold: object = attrs.field(factory=cold.ColdStart)
+    unmarked_percent: int = UNMARKED_PERCENT
 
     def signal_at(self, now_s):
         """The kind of signal sent at *now_s*, or ``None``."""
@@ -128,6 +132,10 @@
         self.http_server.shutdown()
         self.http_server.server_close()
 
+    def marks_end(self, request_id):
+        """Whether the answer to a request has a length or chunks."""
+        return zlib.crc32(request_id.encode()) % 100 >= self.unmarked_percent
+
     def draw_response_mode(self):
         """Draw how to respond to the next request."""
         return self.rng.choices(
@@ -171,13 +179,18 @@
             self.respond(503, {NOT_EXECUTED_HEADER: "1"}, b"")
             return
         execution = Execution(
-            backend.server_id, request_id, time.monotonic(), response_mode
+            backend.server_id,
+            request_id,
+            time.monotonic(),
+            response_mode,
+            backend.marks_end(request_id),
         )
         backend.executions.append(execution)
         if response_mode == "drop":
             self.close_connection = True
         elif response_mode == "error":
-            self.respond(500, {SIGNATURE_HEADER: backend.server_id}, b"failed")
+            headers = {SIGNATURE_HEADER: backend.server_id}
+            self.respond(500, headers, b"failed", execution.marks_end)
         elif response_mode == "foreign":
             headers = {
                 SIGNATURE_HEADER: backend.server_id,
@@ -193,20 +206,36 @@
             last = int(self.headers.get("Last-Event-Id", 0))
             self.send_stream(execution, last, truncated=response_mode == "break")
         else:
+            self.send_plain(execution)
+
+    def send_plain(self, execution):
+        """Send a plain answer, or half of it; halves one by one if nobody marks it."""
+        time.sleep(PROCESSING_TIME_S)
+        data = body_of(execution.request_id)
+        headers = {SIGNATURE_HEADER: self.server.backend.server_id}
+        is_broken, sent = execution.response_mode == "break", len(data)
+        if is_broken or not execution.marks_end:
+            sent //= 2
+        self.respond(200, headers, data, execution.marks_end, sent)
+        if is_broken:
+            self.break_off(execution)
+            return
+        if sent < len(data):
             time.sleep(PROCESSING_TIME_S)
-            data = body_of(request_id)
-            if response_mode == "break":
-                self.respond(
-                    200,
-                    {SIGNATURE_HEADER: backend.server_id},
-                    data,
-                    sent=len(data) // 2,
-                )
-                self.close_connection = True
-            else:
-                self.respond(200, {SIGNATURE_HEADER: backend.server_id}, data)
-
-    def respond(self, status, headers, data, sent=None):
+            self.wfile.write(data[sent:])
+        execution.is_whole = True
+
+    def break_off(self, execution):
+        """End the connection in the middle of an answer, in a way that shows."""
+        self.close_connection = True
+        if not execution.marks_end:
+            # An end in order would be that of the answer.
+            linger = struct.pack("ii", 1, 0)
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            self.rfile.close()
+            self.connection.close()
+
+    def respond(self, status, headers, data, marks_end=True, sent=None):
         """Answer with *data*, or with only its first *sent* bytes."""
         self.send_status(status)
         self.send_header(
@@ -215,31 +244,42 @@
         )
         for name, value in headers.items():
             self.send_header(name, value)
-        self.send_header("Content-Length", str(len(data)))
+        if marks_end:
+            self.send_header("Content-Length", str(len(data)))
+        else:
+            self.send_unmarked()
         self.end_headers()
         self.wfile.write(data[:sent])
 
-    def begin_stream(self, request_id, is_chunked=True):
+    def send_unmarked(self):
+        """End the answer with its connection; half of the answers announce that."""
+        self.close_connection = True
+        if zlib.crc32(self.headers[ATTEMPT_ID_HEADER].encode()) // 100 % 2:
+            self.send_header("Connection", "close")
+
+    def begin_stream(self, request_id, is_chunked):
         """Send the head of a stream, of chunks or ended by its connection."""
         self.send_status(200)
         self.send_header(ATTEMPT_ID_HEADER, request_id)
         self.send_header(SIGNATURE_HEADER, self.server.backend.server_id)
         self.send_header("Content-Type", "text/event-stream")
         self.is_chunked = is_chunked
-        self.close_connection = not is_chunked
         if is_chunked:
             self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.send_unmarked()
         self.end_headers()
 
     def send_large_stream(self, execution, last):
         """Send large events after *last*, and give up when they stay unread."""
         self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
         self.connection.settimeout(UNREAD_TIMEOUT_S)
-        self.begin_stream(execution.request_id)
+        self.begin_stream(execution.request_id, execution.marks_end)
         try:
             for number in range(last + 1, EVENT_COUNT + 1):
                 self.send_chunk(large_event(execution.request_id, number))
             self.send_chunk(b"")
+            execution.is_whole = True
         except OSError:
             execution.response_mode = "drop"
             self.close_connection = True
@@ -247,8 +287,6 @@
     def send_stream(self, execution, last, truncated):
         """Send the events after *last*; if *truncated*, stop within the third one."""
         request_id = execution.request_id
-        draw = zlib.crc32(request_id.encode()) % 100
-        execution.marks_end = draw >= WITHOUT_LENGTH_PERCENT
         self.begin_stream(request_id, execution.marks_end)
         for number in range(last + 1, EVENT_COUNT + 1):
             time.sleep(EVENT_INTERVAL_S)
@@ -259,6 +297,7 @@
                 return
             self.send_chunk(data)
         self.send_chunk(b"")
+        execution.is_whole = True
 
     def send_chunk(self, data):
         """Send one chunk of the body; an empty one ends it."""
