Soak: backends crash in the middle of a stream

Cause: no fault of the soak ends the connections of a backend in order in the middle of an answer, so nothing showed that a part sent by a crashed backend never looks complete.

Change: twice in a run, a backend crashes in its next stream, after two more events: the proxy in front of it, which is the process that entries know, is killed, so the kernel closes its listening socket and its connections. It starts again on another port with a new start time (born), now sent by all backends. Exempt from the checks of whole answers and planned stops are requests that ran at a backend when it crashed. What looks complete is checked always.

--- a/dunlinpoint/soak/checks.py
+++ b/dunlinpoint/soak/checks.py
@@ -68,9 +68,9 @@
 def _check_whole_answer(cluster, request, executions):
     """An answer that a backend sent whole looks complete, marked or not.
 
-    Not checked if a fault touched the backend or its link shortly before or meanwhile,
-    or its entry meanwhile (a planned stop is none), or if the caller left the answer
-    unread or its deadline was near.
+    Not checked if a fault touched the link to the backend shortly before or meanwhile,
+    if the backend crashed or a fault touched the entry meanwhile (a planned stop is
+    none), or if the caller left the answer unread or its deadline was near.
     """
     if request.status == 200 and request.is_complete:
         return []
@@ -84,14 +84,20 @@
         f"{request.request_id}: {execution.server_id} sent its answer whole"
         f" (marked: {execution.marks_end}), its caller did not get it"
         for execution in executions
-        if execution.is_whole and not _is_backend_faulted(cluster, execution, *span)
+        if execution.is_whole
+        and not _has_crashed(cluster, execution, span)
+        and not _any_within(
+            cluster.link_faults_s_by_id.get(execution.server_id, ()),
+            span[0] - FAULT_GRACE_S,
+            span[1],
+        )
     ]
 
 
-def _is_backend_faulted(cluster, execution, sent_s, ended_s):
-    """Whether a fault touched the backend or its link during a request or before."""
-    faults_s = cluster.link_faults_s_by_id.get(execution.server_id, ())
-    return _any_within(faults_s, sent_s - FAULT_GRACE_S, ended_s)
+def _has_crashed(cluster, execution, span):
+    """Whether the backend of *execution* crashed during *span*."""
+    backends = {backend.server_id: backend for backend in cluster.backends}
+    return _any_within(backends[execution.server_id].crashed_s, *span)
 
 
 def _check_at_most_once(request, executions):
@@ -109,9 +115,9 @@
 def _check_planned_stop(cluster, request, executions):
     """A request in flight at a planned stop of its entry gets its complete answer.
 
-    Not checked if a backend truncated the answer, if a link fault occurred shortly
-    before or during the request, or if an answer that nobody marked was left unread:
-    its backend may have given it up.
+    Not checked if a backend truncated the answer or crashed, if a link fault occurred
+    shortly before or during the request, or if an answer that nobody marked was left
+    unread: its backend may have given it up.
     """
     node = next(n for n in cluster.entries if n.name == request.entry)
     span = request.sent_s, request.ended_s
@@ -130,6 +136,8 @@
         return []
     if _any_within(cluster.link_faults_s, span[0] - FAULT_GRACE_S, span[1]):
         return []
+    if any(_has_crashed(cluster, execution, span) for execution in executions):
+        return []
     return [f"{request.request_id}: interrupted by a planned stop of {request.entry}"]
 
 
--- a/dunlinpoint/soak/cluster.py
+++ b/dunlinpoint/soak/cluster.py
@@ -1,7 +1,8 @@
 """The processes of one run, each control and entry on its own loopback address.
 
 Controls and entries run as ``python -m dunlinpoint.platform`` roles. Each backend is
-reached through its own fault-injecting proxy.
+reached through its own fault-injecting proxy, the process that entries know: a backend
+crashes with it.
 """
 
 import http.client
@@ -177,11 +178,47 @@
         proxy.start()
         return proxy, listen_port, fault_port
 
-    def record_backend_fault(self, backend):
-        """Record a fault of *backend* or its link now; its time (monotonic, s)."""
-        now_s = time.monotonic()
-        self.link_faults_s_by_id.setdefault(backend.server_id, []).append(now_s)
-        return now_s
+    def order_crash(self, index):
+        """Let a backend crash in its next stream; a function that restarts it.
+
+        The backend in the small zone and those that drain go on. ``None`` if there is
+        no other.
+        """
+        others = [
+            i
+            for i, backend in enumerate(self.backends)
+            if self.zone_of(backend.server_id) != SMALL_ZONE and not backend.draining
+        ]
+        if not others:
+            return None
+        index = others[index % len(others)]
+        self.backends[index].crash = lambda: self.crash(index)
+        return lambda: self.restart(index)
+
+    def crash(self, index):
+        """Kill the process of a backend."""
+        backend = self.backends[index]
+        backend.stopped = True
+        backend.crashed_s.append(time.monotonic())
+        self.proxies[index][0].signal(signal.SIGKILL)
+
+    def restart(self, index):
+        """Start a backend that has crashed on another port, as a new incarnation."""
+        backend = self.backends[index]
+        backend.crash = None
+        if not backend.stopped:
+            return
+        self.proxies[index][0].wait()
+        self.proxies[index] = self.start_proxy(backend)
+        backend.born_ms = int(time.time() * 1000)
+        threading.Thread(target=self.go_on, args=(index,), daemon=True).start()
+
+    def go_on(self, index):
+        """Send heartbeats of a backend again, once its proxy listens on both ports."""
+        while not deploy.listening(self.proxies[index][2]):
+            if self.stop_event.wait(0.05):
+                return
+        self.backends[index].stopped = False
 
     def zone_of(self, server_id):
         """The zone of a backend."""
@@ -189,9 +226,15 @@
 
     def set_link_fault(self, index, mode, direction="both", delay_ms=0):
         """Set the fault on the link to backend *index*."""
-        backend = self.backends[index]
-        self.link_faults_s.append(self.record_backend_fault(backend))
-        client.fault(self.proxies[index][2], mode, direction, delay_ms)
+        now_s, backend = time.monotonic(), self.backends[index]
+        self.link_faults_s.append(now_s)
+        self.link_faults_s_by_id.setdefault(backend.server_id, []).append(now_s)
+        try:
+            client.fault(self.proxies[index][2], mode, direction, delay_ms)
+        except OSError:
+            # A proxy that starts again forwards at once.
+            if not backend.stopped:
+                raise
 
     def post_to_any_control(self, path, body):
         """Post to the controls in turn; whether one acknowledged."""
@@ -227,6 +270,7 @@
             "state": "draining" if backend.draining else "ready",
             "seqNo": backend.sequence,
             "coldLeftMs": backend.cold.left_ms(sent_s),
+            "born": backend.born_ms,
         }
         path = f"/api/instances/{backend.server_id}/heartbeat"
         is_acknowledged = self.post_to_any_control(path, json.dumps(heartbeat))
--- a/dunlinpoint/soak/faults.py
+++ b/dunlinpoint/soak/faults.py
@@ -35,6 +35,11 @@
     "change": 6,
     "race": 2,
 }
+# A backend that crashes in the middle of a stream: twice in a run, at these times, and
+# how long the order and the crash last together.
+CRASH_KIND = "crash"
+CRASH_RANGES_S = ((1.5, 4.0), (6.0, 8.5))
+CRASH_DURATION_S = (1.5, 2.5)
 # Faults that cost a control its disk, its writes or its process. Two of these never
 # overlap.
 DISK_KINDS = {"lose_disk", "disk_full", "kill_control", "freeze_control"}
@@ -53,10 +58,11 @@
     duration_s: float
 
 
-def schedule(seed, with_evacuation=True):
+def schedule(seed, with_evacuation=True, with_crashes=True):
     """The faults of *seed*, ordered by start time.
 
-    The evacuation of a zone, if any, leaves the other faults as they are without it.
+    The evacuation of a zone and the crashes of backends, if any, leave the other faults
+    as they are without them.
     """
     rng = random.Random(f"faults {seed}")
     faults, at_s, next_disk_fault_s = [], 1.0, 0.0
@@ -74,6 +80,11 @@
     if with_evacuation:
         at_s, duration_s = evacuations.plan(seed)
         faults.append(Fault(at_s, evacuations.KIND, 0, duration_s))
+    if with_crashes:
+        rng = random.Random(f"crashes {seed}")
+        for range_s in CRASH_RANGES_S:
+            at_s, duration_s = rng.uniform(*range_s), rng.uniform(*CRASH_DURATION_S)
+            faults.append(Fault(at_s, CRASH_KIND, rng.randrange(64), duration_s))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
@@ -91,6 +102,8 @@
         return None
     if kind == evacuations.KIND:
         return operator.evacuator.begin()
+    if kind == CRASH_KIND:
+        return cluster.order_crash(index)
     if kind == "drain":
         operator.drain(index)
         return None
--- a/dunlinpoint/soak/run.py
+++ b/dunlinpoint/soak/run.py
@@ -41,6 +41,7 @@
     answered: int
     documents: int
     faults: int
+    crashes: int
     unmarked: int
     broken: list
     folder: str
@@ -56,8 +57,8 @@
 
     If *with_signals* is set, three backends send load signals, and no zone is
     evacuated, which would leave too few backends; if *with_cold_starts* is set, two
-    backends are cold for a while. *unmarked_percent* is the share of answers
-    whose end no backend marks.
+    backends are cold for a while. In other runs, backends crash. *unmarked_percent* is
+    the share of answers whose end no backend marks.
     """
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     cluster = clusters.Cluster.from_seed(folder, seed)
@@ -66,7 +67,8 @@
     rng = random.Random(f"callers {seed}")
     operator = callers.Operator(cluster, random.Random(rng.random()))
     results, threads, violations = [], [], []
-    planned = faults.schedule(seed, not with_signals)
+    with_crashes = not (with_signals or with_cold_starts)
+    planned = faults.schedule(seed, not with_signals, with_crashes)
     try:
         cluster.start()
         wait_ready(cluster, operator)
@@ -105,6 +107,7 @@
         len(answered),
         len(operator.acknowledged),
         len(planned),
+        sum(len(backend.crashed_s) for backend in cluster.backends),
         len(unmarked),
         violations,
         folder,
@@ -218,6 +221,8 @@
         return "link", fault.index % clusters.BACKENDS
     if fault.kind == evacuations.KIND:
         return "zone", 0
+    if fault.kind == faults.CRASH_KIND:
+        return "crash", 0
     if fault.kind in ("hup", "drain", "change", "race"):
         return None
     return "control", fault.index % clusters.CONTROLS
--- a/dunlinpoint/soak/servers.py
+++ b/dunlinpoint/soak/servers.py
@@ -93,7 +93,11 @@
 
 @attrs.define(eq=False)
 class Backend:
-    """One backend: its port, its executions and arrivals, and its drain state."""
+    """One backend: its port, its executions and arrivals, and its drain state.
+
+    ``crash`` is called in the middle of the next stream, if it is set; ``crashed_s``
+    are the times of its crashes (monotonic).
+    """
 
     server_id: str
     service: str
@@ -108,6 +112,9 @@
     arrivals: list = attrs.field(factory=list)
     cold: object = attrs.field(factory=cold.ColdStart)
     unmarked_percent: int = UNMARKED_PERCENT
+    crash: object = None
+    crashed_s: list = attrs.field(factory=list)
+    born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
 
     def signal_at(self, now_s):
         """The kind of signal sent at *now_s*, or ``None``."""
@@ -291,6 +298,8 @@
         for number in range(last + 1, EVENT_COUNT + 1):
             time.sleep(EVENT_INTERVAL_S)
             data = event(request_id, number)
+            if number == last + 3:
+                self.crash_if_ordered()
             if truncated and number == last + 3:
                 self.send_chunk(data[:7])
                 self.close_connection = True
@@ -299,6 +308,14 @@
         self.send_chunk(b"")
         execution.is_whole = True
 
+    def crash_if_ordered(self):
+        """Crash between two events, if that is ordered; this answer ends there."""
+        backend = self.server.backend
+        crash, backend.crash = backend.crash, None
+        if crash is not None:
+            crash()
+            raise ConnectionAbortedError("crashed")
+
     def send_chunk(self, data):
         """Send one chunk of the body; an empty one ends it."""
         if not self.is_chunked:
