--- a/dunlinpoint/soak/callers.py
+++ b/dunlinpoint/soak/callers.py
@@ -52,7 +52,7 @@
     signature: str | None
     body: bytes
     is_complete: bool
-    was_left_unread: bool
+    was_left_unread: bool = False
 
 
 @attrs.define(eq=False)
--- a/dunlinpoint/soak/checks.py
+++ b/dunlinpoint/soak/checks.py
@@ -96,8 +96,11 @@
 
 def _has_crashed(cluster, execution, span):
     """Whether the backend of *execution* crashed during *span*."""
-    backends = {backend.server_id: backend for backend in cluster.backends}
-    return _any_within(backends[execution.server_id].crashed_s, *span)
+    return any(
+        backend.server_id == execution.server_id
+        and _any_within(backend.crashed_s, *span)
+        for backend in cluster.backends
+    )
 
 
 def _check_at_most_once(request, executions):
--- a/dunlinpoint/soak/tests/test_checks.py
+++ b/dunlinpoint/soak/tests/test_checks.py
@@ -193,3 +193,49 @@
     ):
         found = result(path_prefix, 200, complete, body, "i-0")
         assert len(violations(finished, [found])) == expected
+
+
+@pytest.mark.parametrize("marks_end", [True, False])
+@pytest.mark.parametrize("stopped_s", [(), (11.0,)])
+def test_a_whole_answer_that_looks_broken_is_detected(stopped_s, marks_end):
+    # Guards against a soak test that accepts whole streams without a last chunk, calm
+    # or around a planned stop, because their endpoint did not mark the end.
+    whole = servers.stream_of("/stream/", "r")
+    broken = result("/stream/", 200, False, whole, "i-0")
+
+    def count(request=broken, crashed_s=(), link_faults_s=(), disturbed_s=()):
+        finished = finished_cluster(stopped_s, [*stopped_s, *disturbed_s])
+        run = servers.Execution("i-0", "r", 10.5, "serve", marks_end, is_whole=True)
+        finished.executions = [run]
+        finished.backends = [servers.Backend("i-0", "desk", None, [])]
+        finished.backends[0].crashed_s = list(crashed_s)
+        finished.link_faults_s_by_id = {"i-0": list(link_faults_s)}
+        finished.link_faults_s = list(link_faults_s)
+        return len(violations(finished, [request]))
+
+    assert count() == 1 + len(stopped_s)
+    assert count(crashed_s=[9.0]) == 1 + len(stopped_s)
+    assert count(crashed_s=[10.7]) == 0
+    assert count(link_faults_s=[9.0]) == 0
+    assert count(disturbed_s=[10.7]) == len(stopped_s)
+    assert count(result("/stream/", 200, True, whole, "i-0")) == 0
+
+
+def test_a_part_that_looks_complete_is_detected():
+    # Guards against a soak test that accepts the part of a crashed backend.
+    for path_prefix, whole in (
+        ("/stream/", servers.stream_of("/stream/", "r")),
+        ("/often/", servers.body_of("r")),
+    ):
+        part = whole[: len(whole) // 2]
+        found = violations(
+            finished_cluster(), [result(path_prefix, 200, True, part, "i-0")]
+        )
+        assert len(found) == 1
+
+
+def test_crashes_leave_the_other_faults_of_a_seed_as_they_are():
+    planned = faults.schedule(11)
+    others = [f for f in planned if f.kind != faults.CRASH_KIND]
+    assert len(planned) - len(others) == len(faults.CRASH_RANGES_S)
+    assert others == faults.schedule(11, with_crashes=False)
