--- a/dunlinpoint/soak/cluster.py
+++ b/dunlinpoint/soak/cluster.py
@@ -1,7 +1,8 @@
 """The processes of one run, each control and entry on its own loopback address.
 
 Controls and entries run as ``python -m dunlinpoint.platform`` roles. Each backend is
-reached through its own fault-injecting proxy.
+reached through its own fault-injecting proxy, the process that entries know: a backend
+crashes with it.
 """
 
 import http.client
@@ -109,6 +110,7 @@
     link_faults_s: list = attrs.field(factory=list)
     link_faults_s_by_id: dict = attrs.field(factory=dict)
     cold_per_s: float = 0
+    unmarked_percent: int = servers.UNMARKED_PERCENT
     stop_event: threading.Event = attrs.field(factory=threading.Event)
 
     @classmethod
@@ -160,15 +162,63 @@
         backend = servers.Backend(
             server_id, "desk", rng, self.executions, arrivals=self.arrivals
         )
+        backend.unmarked_percent = self.unmarked_percent
         backend.start()
+        self.backends.append(backend)
+        self.proxies.append(self.start_proxy(backend))
+
+    def start_proxy(self, backend):
+        """Start a proxy in front of *backend*; it and its two ports."""
+        server_id = backend.server_id
         listen_port, fault_port = deploy.free_port(), deploy.free_port()
         log = os.path.join(self.folder, f"proxy-{server_id}.log")
         argv = ["proxy", "--listen", str(listen_port), "--steer", str(fault_port)]
         argv += ["--target", f"127.0.0.1:{backend.port}"]
         proxy = deploy.Process(f"proxy-{server_id}", argv, listen_port, log)
         proxy.start()
-        self.backends.append(backend)
-        self.proxies.append((proxy, listen_port, fault_port))
+        return proxy, listen_port, fault_port
+
+    def order_crash(self, index):
+        """Let a backend crash in its next stream; a function that restarts it.
+
+        The backend in the small zone and those that drain go on. ``None`` if there is
+        no other.
+        """
+        others = [
+            i
+            for i, backend in enumerate(self.backends)
+            if self.zone_of(backend.server_id) != SMALL_ZONE and not backend.draining
+        ]
+        if not others:
+            return None
+        index = others[index % len(others)]
+        self.backends[index].crash = lambda: self.crash(index)
+        return lambda: self.restart(index)
+
+    def crash(self, index):
+        """Kill the process of a backend."""
+        backend = self.backends[index]
+        backend.stopped = True
+        backend.crashed_s.append(time.monotonic())
+        self.proxies[index][0].signal(signal.SIGKILL)
+
+    def restart(self, index):
+        """Start a backend that has crashed on another port, as a new incarnation."""
+        backend = self.backends[index]
+        backend.crash = None
+        if not backend.stopped:
+            return
+        self.proxies[index][0].wait()
+        self.proxies[index] = self.start_proxy(backend)
+        backend.born_ms = int(time.time() * 1000)
+        threading.Thread(target=self.go_on, args=(index,), daemon=True).start()
+
+    def go_on(self, index):
+        """Send heartbeats of a backend again, once its proxy listens on both ports."""
+        while not deploy.listening(self.proxies[index][2]):
+            if self.stop_event.wait(0.05):
+                return
+        self.backends[index].stopped = False
 
     def zone_of(self, server_id):
         """The zone of a backend."""
@@ -176,10 +226,15 @@
 
     def set_link_fault(self, index, mode, direction="both", delay_ms=0):
         """Set the fault on the link to backend *index*."""
-        now_s, server_id = time.monotonic(), self.backends[index].server_id
+        now_s, backend = time.monotonic(), self.backends[index]
         self.link_faults_s.append(now_s)
-        self.link_faults_s_by_id.setdefault(server_id, []).append(now_s)
-        client.fault(self.proxies[index][2], mode, direction, delay_ms)
+        self.link_faults_s_by_id.setdefault(backend.server_id, []).append(now_s)
+        try:
+            client.fault(self.proxies[index][2], mode, direction, delay_ms)
+        except OSError:
+            # A proxy that starts again forwards at once.
+            if not backend.stopped:
+                raise
 
     def post_to_any_control(self, path, body):
         """Post to the controls in turn; whether one acknowledged."""
@@ -215,6 +270,7 @@
             "state": "draining" if backend.draining else "ready",
             "seqNo": backend.sequence,
             "coldLeftMs": backend.cold.left_ms(sent_s),
+            "born": backend.born_ms,
         }
         path = f"/api/instances/{backend.server_id}/heartbeat"
         is_acknowledged = self.post_to_any_control(path, json.dumps(heartbeat))
