Answers: a stream is not silent while this entry does not read it

What callers saw: a whole stream of 160 KB whose caller read nothing for 2 s came without its last chunk, or ran twice. The time from the last byte to the end counted as silence of the endpoint, though the entry had paused reading. It is left out now, as the watchdog does; an endpoint that may have given up is known by was_left_unread.

--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -7,7 +7,7 @@
 
 from dunlinpoint import http_heads
 from dunlinpoint.forward import responses, unmarked_ends
-from dunlinpoint.routing import pick
+from dunlinpoint.routing import backpressure, pick
 from dunlinpoint.wire.gen.dunlin import ttypes
 
 MEMBER = ttypes.Member(endpoint_id="a", host="h", port=1)
@@ -47,3 +47,26 @@
     # Guards against an endpoint that is no longer avoided because it marks no ends of
     # its failures.
     assert failures_after(status) == failures
+
+
+@pytest.mark.parametrize("paused, silence_ms", [(False, 2000), (True, 0)])
+def test_the_silence_of_a_stream_leaves_out_pauses_of_this_entry(paused, silence_ms):
+    # Guards against a whole stream that counts as cut because its caller read nothing
+    # for a while, and so nothing was read from its endpoint.
+    source = backpressure.Source()
+    source.begin(
+        types.SimpleNamespace(
+            pause=lambda: None, resume=lambda: None, has_sent_all=lambda: True
+        )
+    )
+    if paused:
+        source.pause(NOW_MS)
+        source.resume(NOW_MS + 2000)
+    call = types.SimpleNamespace(
+        last_data_ms=NOW_MS,
+        source=source,
+        framing=http_heads.Framing.CLOSE,
+        in_flight_at_endpoint=0,
+    )
+    answer = unmarked_ends.UnmarkedAnswer.from_call(call, MEMBER, NOW_MS + 2000)
+    assert (answer.silence_ms, answer.was_left_unread) == (silence_ms, False)
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -26,7 +26,8 @@
     - ``framing``: the ``Framing`` of its head.
     - ``at_endpoint``: this entry's requests that were in flight there.
     - ``was_left_unread``: whether it may have ended because it was not read.
-    - ``silence_ms``: of a stream, the time from its last byte to its end; else 0.
+    - ``silence_ms``: of a stream, the time from its last byte to its end; 0 of a plain
+      answer, or if this entry did not read meanwhile.
     """
 
     member: object
@@ -39,13 +40,16 @@
     @classmethod
     def from_call(cls, call, member, now, plain=None):
         """The answer to *call* that ended at *now* (ms of the local clock)."""
+        silence_ms = now - call.last_data_ms
+        if plain is not None or call.source.explains_silence(now):
+            silence_ms = 0
         return cls(
             member,
             plain,
             call.framing,
             call.in_flight_at_endpoint,
             call.source.explains_cut(now),
-            now - call.last_data_ms if plain is None else 0,
+            silence_ms,
         )
 
 
