Tests: an endpoint that leaves stops listening at once, in its first run only

Closing a listening socket that another thread polls takes effect when that poll returns, up to 0.5 s later: the endpoints of this test went on listening past the check, and the cases of streams that may run once, which expect no last chunk, failed (4 of 4). Only the first run of a request leaves, as another endpoint that is asked for the rest does not.

--- a/tests/integration/endpoint_process.py
+++ b/tests/integration/endpoint_process.py
@@ -17,8 +17,8 @@
 - ``stalls``: the first run of a request sends nothing for a while before its end, as a
   rank does whose group has lost another one. Other runs are whole.
 - ``unsigned``: the answer has no signature.
-- ``leaves``: the answer takes its time, the process stops listening before its end, and
-  exits a moment after it.
+- ``leaves``: the first run of a request takes its time, the process stops listening
+  before the end, and exits a moment after it. Other runs are whole.
 """
 
 import http.server
@@ -90,7 +90,7 @@
             time.sleep(PAUSE_S)
             self.reset()
             return
-        if fault in ("crash", "stalls") and not is_first:
+        if fault in ("crash", "stalls", "leaves") and not is_first:
             fault, count = "whole", EVENT_COUNT if body == "stream" else len(BODY)
         last = int(self.headers.get("Last-Event-Id", 0))
         if fault == "crashes" and not is_first:
@@ -150,7 +150,8 @@
         if fault == "stalls":
             time.sleep(STALL_S)
         if fault == "leaves":
-            self.server.socket.close()
+            # To close it would take effect only after the main thread has polled it.
+            self.server.socket.shutdown(socket.SHUT_RDWR)
             threading.Timer(EXIT_DELAY_S, os._exit, [0]).start()
         if framing == "chunks":
             self.wfile.write(b"0\r\n\r\n")
