Answers: one that is known to be whole is passed on, also if its deadline passed during the check

An answer without a mark whose caller's deadline came in the ms of the check was dropped as broken, though it was whole and its caller had not left: answers that are ready are delivered, also late. Module lists of answers/ and forward/ follow.

--- a/dunlinpoint/answers/__init__.py
+++ b/dunlinpoint/answers/__init__.py
@@ -1,7 +1,8 @@
 """Whether an answer is complete, and whether another one continues it.
 
-Without a network: both decide by what has been read of the answers.
+Without a network: all decide by what they are told of answers and endpoints.
 
-- :mod:`completeness`: what the end of a body tells, by what marked it.
+- :mod:`completeness`: what is known of an answer whose end nobody marked.
+- :mod:`crash_check`: whether an endpoint has crashed, after a connection has ended.
 - :mod:`continuation`: whether the answer of a further run is the rest of a stream.
 """
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -170,7 +170,7 @@
     """
     answer, call.unmarked = call.unmarked, None
     known = yield unmarked_ends.judge(forwarder, call, answer)
-    if call.is_over or known is completeness.Completeness.INCOMPLETE:
+    if call.disconnected or known is completeness.Completeness.INCOMPLETE:
         unmarked_ends.release(forwarder, call, answer)
         call.may_have_run = True
         call.error = "answer ended with its connection"
@@ -349,7 +349,7 @@
         # The caller, who has the head of another answer, would take this for events.
         bodies.release(forwarder, call, answer)
         return FAILED
-    if call.is_over:
+    if call.disconnected:
         bodies.release(forwarder, call, answer)
         return BROKEN
     pass_on_plain(forwarder, call, answer)
