Answers: lines tell how much time was left at the end; parts that a deadline ends look whole

What callers saw: a stream "ends as complete after piece # of #".

Cause, shown here and not yet fixed: an endpoint stops at the deadline that it was handed and ends its answer in order, by a last chunk or the end of its connection. The entry hands it exactly what is left until its own timer fires, in whole milliseconds, so that the end is often read before that.

end_left_ms in answered and try_ended tells this case from the other hypotheses: it is 1 or less.

--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -44,6 +44,7 @@
 
 def end_reading(forwarder, call):
     """End the reading of an answer and count it if it was paused."""
+    call.end_left_ms = call.deadline_ms - forwarder.clock.now()
     if call.source.was_paused:
         forwarder.counters.incr("slow_reader.paused")
     call.source.end()
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -123,6 +123,7 @@
         forwarder.counters.incr("endpoint.sent_cold")
     watchdog = confirm_timer = None
     call.framing, call.has_marked_end, call.error = None, False, None
+    call.end_left_ms = None
     call.source.reset()
     try:
         connection = yield forwarder.pool.connect(
@@ -224,6 +225,7 @@
     fields = {
         "framing": call.framing.value if call.framing is not None else None,
         "marked": call.has_marked_end,
+        "end_left_ms": call.end_left_ms,
     }
     if call.streaming:
         fields["events_by_attempt"] = [run.events for run in call.runs]
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -382,6 +382,7 @@
     - ``runs``: the ``StreamRun`` of each attempt that began a stream.
     - ``has_marked_end``: whether its answer ended with a length or a last chunk and not
       with its connection, as one that a crash cuts short may do.
+    - ``end_left_ms``: the time left until its deadline when its last answer ended.
     - ``unmarked``: its answer that has just ended with its connection.
     - ``stream_head``: the head of its stream, once events were passed on.
     - ``unconfirmed``: such an answer that may be whole, while another is asked for.
@@ -427,6 +428,7 @@
     error: str | None = None
     runs: list = attrs.field(factory=list)
     has_marked_end: bool = False
+    end_left_ms: int | None = None
     stream_head: continuation.StreamHead | None = None
     unmarked: object | None = None
     unconfirmed: object | None = None
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -53,6 +53,7 @@
     "events_by_attempt": "number of events forwarded, of each endpoint that began",
     "framing": "what tells where the body of the endpoint's answer ends",
     "marked": "whether that end came, and not the end of the connection alone",
+    "end_left_ms": "time left until the request's deadline when that answer ended",
     "credit": "retries that the service's budget still allows this entry",
     "slack_part": "this entry's part of the retries that need no first attempt",
     "digest": "identifies a request's content, the same for every retry",
