--- a/dunlinpoint/answers/completeness.py
+++ b/dunlinpoint/answers/completeness.py
@@ -8,11 +8,17 @@
 
 import enum
 
+from dunlinpoint import http_heads
 from dunlinpoint.answers import life_check
 
 # An endpoint ends a stream right after its last event. One whose rank group lost a rank
 # sends nothing for a while, and then cuts its streams.
 MAX_SILENCE_MS = 1000
+# Added to the time that an endpoint is given. One that stops when that is over may end
+# its answer like a whole one, and would otherwise do so while its caller still waits.
+DEADLINE_MARGIN_MS = 50
+# Whole milliseconds of two times: what is left may be more than it seems.
+ROUNDING_MS = 2
 
 
 class Completeness(enum.Enum):
@@ -40,6 +46,17 @@
     return was_left_unread or silence_ms >= MAX_SILENCE_MS
 
 
+def is_end_due_to_deadline(left_ms, framing):
+    """Whether an endpoint may have ended its answer because its time was over.
+
+    *left_ms* is what its request had left then, negative past the deadline, and
+    *framing* the ``Framing`` of its head, by which no byte may be missing of some.
+    """
+    if framing in (http_heads.Framing.LENGTH, http_heads.Framing.EMPTY):
+        return False
+    return left_ms <= ROUNDING_MS - DEADLINE_MARGIN_MS
+
+
 def of_plain(life, is_leaving):
     """The ``Completeness`` of a plain answer, by the ``Life`` of its endpoint.
 
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 from twisted.web import iweb
 
-from dunlinpoint.answers import continuation
+from dunlinpoint.answers import completeness, continuation
 from dunlinpoint.forward import pool, quarantine, responses
 from dunlinpoint.routing import backpressure, pick
 
@@ -43,8 +43,15 @@
 
 
 def end_reading(forwarder, call):
-    """End the reading of an answer and count it if it was paused."""
+    """End the reading of an answer and count it if it was paused.
+
+    This process may have been busy while the deadline of *call* passed, and so not have
+    ended it yet.
+    """
     call.end_left_ms = call.deadline_ms - forwarder.clock.now()
+    if completeness.is_end_due_to_deadline(call.end_left_ms, call.framing):
+        forwarder.counters.incr("dropped.ended_at_deadline")
+        call.expire()
     if call.source.was_paused:
         forwarder.counters.incr("slow_reader.paused")
     call.source.end()
@@ -90,6 +97,9 @@
         # The rest of the answer came with the bytes that were too many.
         call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
         raise close_as_broken(connection, "response is too long")
+    if call.expired:
+        call.caller.hold(-sum(map(len, pieces)), forwarder.clock.now())
+        raise close_as_broken(connection, "response ended at its deadline")
     if not call.has_marked_end:
         forwarder.counters.incr("endpoint.unmarked_end.plain")
     return responses.PlainAnswer(head, pieces, length, call.has_marked_end)
--- a/dunlinpoint/forward/tests/test_stream_ends.py
+++ b/dunlinpoint/forward/tests/test_stream_ends.py
@@ -31,15 +31,17 @@
         self.written += data
 
 
-def relay(sent, ended, fields=b""):
+def relay(sent, ended, fields=b"", late_ms=0):
     """Relay a stream of the bytes *sent*, whose connection then ends with *ended*.
 
-    *fields* are lines that its head has besides.
+    *fields* are lines that its head has besides. The bytes come *late_ms* after the
+    deadline of the request, which this process has not noticed yet.
 
     Returns the bytes that the caller got, and the ``Broken`` or ``None``.
     """
+    reactor = task.Clock()
     forwarder = types.SimpleNamespace(
-        clock=clock.Clock(task.Clock()),
+        clock=clock.Clock(reactor),
         counters=metrics.Counters(None),
         picker=pick.Picker("z"),
         outages=outage.Outages(),
@@ -57,6 +59,8 @@
         heads.append
     )
     connection.dataReceived(HEAD + fields + b"\r\n" + sent)
+    call.framing = heads[0].framing
+    reactor.advance(clock.seconds(late_ms))
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
     bodies.relay(forwarder, call, member, connection, heads[0]).addBoth(results.append)
     connection.connectionLost(failure.Failure(ended))
@@ -93,3 +97,19 @@
     # whole one.
     _, broken = relay(sent, ended, fields)
     assert isinstance(broken, pool.Broken)
+
+
+@pytest.mark.parametrize("late_ms, is_whole", [(40, True), (60, False)])
+def test_a_stream_that_its_endpoint_may_have_ended_at_the_deadline(late_ms, is_whole):
+    # Guards against a part that looks whole, because an endpoint stopped at its
+    # deadline while this process was busy and did not notice its own.
+    sent = b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENT), EVENT)
+    fields = b"Transfer-Encoding: chunked\r\n"
+    _, broken = relay(sent, CLOSED, fields, late_ms)
+    assert (broken is None) is is_whole
+
+
+def test_a_late_stream_with_a_length_is_whole():
+    # Guards against a whole stream that is dropped though no byte of it is missing.
+    fields = b"Content-Length: %d\r\n" % len(EVENT)
+    assert relay(EVENT, CLOSED, fields, late_ms=60) == (EVENT, None)
