Deadlines: 10 ms more for an endpoint are enough

50 ms more put the end of an answer that its endpoint sends 30 ms before the deadline it was handed past the caller's own. The margin needs to cover only what is lost in rounding: an end that is read 5 ms past the deadline or later is dropped where it may be due to that, so that a busy entry needs no larger one.

--- a/dunlinpoint/answers/completeness.py
+++ b/dunlinpoint/answers/completeness.py
@@ -16,9 +16,9 @@
 MAX_SILENCE_MS = 1000
 # Added to the time that an endpoint is given. One that stops when that is over may end
 # its answer like a whole one, and would otherwise do so while its caller still waits.
-DEADLINE_MARGIN_MS = 50
-# Whole milliseconds of two times: what is left may be more than it seems.
-ROUNDING_MS = 2
+DEADLINE_MARGIN_MS = 10
+# How much too early an endpoint may stop, as times are rounded on both sides.
+EARLY_STOP_MS = 5
 
 
 class Completeness(enum.Enum):
@@ -54,7 +54,7 @@
     """
     if framing in (http_heads.Framing.LENGTH, http_heads.Framing.EMPTY):
         return False
-    return left_ms <= ROUNDING_MS - DEADLINE_MARGIN_MS
+    return left_ms <= EARLY_STOP_MS - DEADLINE_MARGIN_MS
 
 
 def of_plain(life, is_leaving):
