Deadlines: an end that is due to the deadline is told by its time alone

Change: endpoints get what is left again. An answer whose end is read 5 ms before the deadline or later, and to which bytes may be missing (no length), counts as ended by the deadline: the request is expired, as its timer would have done a moment later. Requests of unit tests that ended at their deadline get one.

Price: a whole answer without a length whose end comes within these 5 ms is lost, as are those that come after them.

--- a/dunlinpoint/answers/completeness.py
+++ b/dunlinpoint/answers/completeness.py
@@ -14,10 +14,8 @@
 # An endpoint ends a stream right after its last event. One whose rank group lost a rank
 # sends nothing for a while, and then cuts its streams.
 MAX_SILENCE_MS = 1000
-# Added to the time that an endpoint is given. One that stops when that is over may end
-# its answer like a whole one, and would otherwise do so while its caller still waits.
-DEADLINE_MARGIN_MS = 10
-# How much too early an endpoint may stop, as times are rounded on both sides.
+# An endpoint that stops as its time is over may end its answer like a whole one. Times
+# are rounded on both sides, so it may do so this much before its request's deadline.
 EARLY_STOP_MS = 5
 
 
@@ -54,7 +52,7 @@
     """
     if framing in (http_heads.Framing.LENGTH, http_heads.Framing.EMPTY):
         return False
-    return left_ms <= EARLY_STOP_MS - DEADLINE_MARGIN_MS
+    return left_ms <= EARLY_STOP_MS
 
 
 def of_plain(life, is_leaving):
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -45,8 +45,7 @@
 def end_reading(forwarder, call):
     """End the reading of an answer and count it if it was paused.
 
-    This process may have been busy while the deadline of *call* passed, and so not have
-    ended it yet.
+    An end that is due to the deadline of *call* may be read before the timer of that.
     """
     call.end_left_ms = call.deadline_ms - forwarder.clock.now()
     if completeness.is_end_due_to_deadline(call.end_left_ms, call.framing):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -272,8 +272,8 @@
         if name.lower() not in dropped:
             headers.setRawHeaders(name, values)
     now = forwarder.clock.now()
-    given_ms = max(1, call.deadline_ms - now) + completeness.DEADLINE_MARGIN_MS
-    headers.setRawHeaders(own.deadline_ms, [b"%d" % given_ms])
+    remaining_ms = call.deadline_ms - now
+    headers.setRawHeaders(own.deadline_ms, [b"%d" % max(1, remaining_ms)])
     headers.setRawHeaders(own.endpoint_id, [member.endpoint_id.encode()])
     headers.removeHeader(own.workspace)
     if call.workspace is not None:
--- a/dunlinpoint/forward/tests/test_plain_ends.py
+++ b/dunlinpoint/forward/tests/test_plain_ends.py
@@ -15,6 +15,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 MEMORY_BYTES = 1_000_000
+DEADLINE_MS = 1000
 
 
 def chunk(data):
@@ -32,7 +33,8 @@
         counters=metrics.Counters(None),
         buffers=buffers,
     )
-    call = state.Call(None, None, "s", None, 0, None, events.EventStream(), False)
+    stream = events.EventStream()
+    call = state.Call(None, None, "s", None, DEADLINE_MS, None, stream, False)
     connection = pool.Connection(lambda _: None)
     connection.makeConnection(StringTransport())
     headers = http_headers.Headers({b"host": [b"h"]})
--- a/dunlinpoint/forward/tests/test_stream_ends.py
+++ b/dunlinpoint/forward/tests/test_stream_ends.py
@@ -15,6 +15,7 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
 EVENT = b"id: 1\ndata: piece\n\n"
+DEADLINE_MS = 1000
 CLOSED, RESET = error.ConnectionDone(), error.ConnectionLost()
 
 
@@ -31,11 +32,11 @@
         self.written += data
 
 
-def relay(sent, ended, fields=b"", late_ms=0):
+def relay(sent, ended, fields=b"", left_ms=DEADLINE_MS):
     """Relay a stream of the bytes *sent*, whose connection then ends with *ended*.
 
-    *fields* are lines that its head has besides. The bytes come *late_ms* after the
-    deadline of the request, which this process has not noticed yet.
+    *fields* are lines that its head has besides. The end comes *left_ms* before the
+    deadline of the request.
 
     Returns the bytes that the caller got, and the ``Broken`` or ``None``.
     """
@@ -50,7 +51,9 @@
     )
     request = Request()
     stream = events.EventStream()
-    call = state.Call(request, None, "s", None, 0, None, stream, streaming=True)
+    call = state.Call(
+        request, None, "s", None, DEADLINE_MS, None, stream, streaming=True
+    )
     connection = pool.Connection(lambda _: None)
     connection.makeConnection(StringTransport())
     headers = http_headers.Headers({b"host": [b"h"]})
@@ -60,7 +63,7 @@
     )
     connection.dataReceived(HEAD + fields + b"\r\n" + sent)
     call.framing = heads[0].framing
-    reactor.advance(clock.seconds(late_ms))
+    reactor.advance(clock.seconds(DEADLINE_MS - left_ms))
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
     bodies.relay(forwarder, call, member, connection, heads[0]).addBoth(results.append)
     connection.connectionLost(failure.Failure(ended))
@@ -99,17 +102,17 @@
     assert isinstance(broken, pool.Broken)
 
 
-@pytest.mark.parametrize("late_ms, is_whole", [(4, True), (5, False)])
-def test_a_stream_that_its_endpoint_may_have_ended_at_the_deadline(late_ms, is_whole):
+@pytest.mark.parametrize("left_ms, is_whole", [(20, True), (0, False), (-20, False)])
+def test_a_stream_that_its_endpoint_may_have_ended_at_the_deadline(left_ms, is_whole):
     # Guards against a part that looks whole, because an endpoint stopped at its
-    # deadline while this process was busy and did not notice its own.
+    # deadline and this process had not noticed its own yet.
     sent = b"%x\r\n%s\r\n0\r\n\r\n" % (len(EVENT), EVENT)
     fields = b"Transfer-Encoding: chunked\r\n"
-    _, broken = relay(sent, CLOSED, fields, late_ms)
+    _, broken = relay(sent, CLOSED, fields, left_ms)
     assert (broken is None) is is_whole
 
 
-def test_a_late_stream_with_a_length_is_whole():
+def test_a_stream_with_a_length_is_whole_at_the_deadline():
     # Guards against a whole stream that is dropped though no byte of it is missing.
     fields = b"Content-Length: %d\r\n" % len(EVENT)
-    assert relay(EVENT, CLOSED, fields, late_ms=5) == (EVENT, None)
+    assert relay(EVENT, CLOSED, fields, left_ms=0) == (EVENT, None)
