Clock: a time that has passed meanwhile is now

What callers saw: no answer at all, until they left.

Cause: a check of an endpoint whose request has a few milliseconds left is to begin at a time that passes between two looks at the clock. The reactor refuses a negative delay, nothing caught that, and nobody who waited for the check was told.

Change: the clock takes such a delay as 0, for all its users.

--- a/dunlinpoint/answers/tests/test_life_check.py
+++ b/dunlinpoint/answers/tests/test_life_check.py
@@ -138,3 +138,32 @@
     member = ttypes.Member(endpoint_id="a", host="h", port=1)
     host.checks.answered(member, sent_ms)
     assert host.results == results
+
+
+class PassingClock(task.Clock):
+    """A clock that goes on by a millisecond between any two looks at it.
+
+    As a real reactor, it takes no delay below 0.
+    """
+
+    looks = 0
+
+    def seconds(self):
+        self.looks += 1
+        return super().seconds() + self.looks / 1000
+
+    def callLater(self, delay, *args, **kwargs):
+        assert delay >= 0, delay
+        return super().callLater(delay, *args, **kwargs)
+
+
+@pytest.mark.parametrize("limit_ms", [0, 1, 3])
+def test_a_check_at_the_deadline_of_its_request_ends(limit_ms):
+    # Guards against a caller who waits without end, because a millisecond passed
+    # between two looks at the clock and the check was to begin before now.
+    host = Host()
+    host.checks.clock = clock.Clock(PassingClock())
+    host.connection_ended("a", limit_ms)
+    for _ in range(4):
+        host.checks.clock.reactor.advance(life_check.MIN_WAIT_MS / 1000)
+    assert host.results == [NONE]
--- a/dunlinpoint/clock.py
+++ b/dunlinpoint/clock.py
@@ -43,12 +43,15 @@
         return int(self.reactor.seconds() * MS_PER_SECOND)
 
     def call_later(self, delay_ms, func, *args):
-        """Call *func* after *delay_ms*; returns the ``IDelayedCall``."""
-        return self.reactor.callLater(delay_ms / MS_PER_SECOND, func, *args)
+        """Call *func* after *delay_ms*; returns the ``IDelayedCall``.
+
+        A time that has passed meanwhile is now: reactors take no negative delay.
+        """
+        return self.reactor.callLater(seconds(max(0, delay_ms)), func, *args)
 
     def sleep(self, ms):
-        """A Deferred that fires after *ms* milliseconds."""
-        return task.deferLater(self.reactor, seconds(ms), lambda: None)
+        """A Deferred that fires after *ms* milliseconds, as in :meth:`call_later`."""
+        return task.deferLater(self.reactor, seconds(max(0, ms)), lambda: None)
 
 
 def seconds(ms):
