--- a/dunlinpoint/soak/callers.py
+++ b/dunlinpoint/soak/callers.py
@@ -60,6 +60,14 @@
     deadline_ms: int = DEADLINE_MS
 
 
+def draw_deadline_ms(path_prefix, request_id):
+    """Draw the deadline of a request, apart from the other draws of its seed."""
+    rng = random.Random(request_id)
+    if path_prefix == "/stream/" and rng.random() < SHORT_DEADLINE_SHARE:
+        return rng.randint(*SHORT_DEADLINE_MS)
+    return DEADLINE_MS
+
+
 @attrs.define(eq=False)
 class Caller:
     """One caller with its persistent connection."""
@@ -99,7 +107,7 @@
         request_id = f"{self.number}-{self.request_count}"
         incarnation, sent_s = self.node.start_count, time.monotonic()
         self.has_waited_long = False
-        deadline_ms = self.draw_deadline_ms(path_prefix)
+        deadline_ms = draw_deadline_ms(path_prefix, request_id)
         status, signature, body, is_complete = self.exchange(
             path_prefix, request_id, deadline_ms
         )
@@ -126,12 +134,6 @@
         """Choose the kind of the next request."""
         return self.rng.choice(PATH_PREFIXES)
 
-    def draw_deadline_ms(self, path_prefix):
-        """Draw the deadline of a request."""
-        if path_prefix == "/stream/" and self.rng.random() < SHORT_DEADLINE_SHARE:
-            return self.rng.randint(*SHORT_DEADLINE_MS)
-        return DEADLINE_MS
-
     def read(self, answer):
         """Read the body of *answer*."""
         return answer.read()
