Answers: a further run that adds nothing ends a stream only if it repeats an event

What callers saw: 4 of 8 events (3 of 8) and a last chunk, where the endpoint of a resumable stream was killed with its end unmarked and the next one sent a head and no event, or a comment; or where two further runs after a reset sent none.

Cause: a run that says nothing spoke for the end: one that ended in order before it, or two that fail alike. Comments counted as events.

Change: where the rest may be nothing, as the run before ended in order without a mark or added nothing, the entry asks with the id of the event before the caller's last one (never before the caller's own id) and drops that event by its id. A further run that adds nothing ends the stream only if it sent that event again. After a cut the exact id is sent, as before. A run that was to repeat the event and begins behind it adds nothing and counts as broken: where the events of two runs have other borders, they would be joined. It also shows that a stream kept as whole was a part. An empty run is no longer kept until its endpoint is heard of. Comments are passed on, but are no events.

The first run without an event that is marked ends its stream as before; [(0, in order), (0, marked)] no longer does. EventStream.restart is begin_run.

A stream in chunks that lacks only its last chunk stays whole with three attempts, broken with two.

Conclusion: no rest without an event ends a part any more. What is left is an endpoint that repeats the last event, sends no other, and marks its end.

--- a/dunlinpoint/answers/continuation.py
+++ b/dunlinpoint/answers/continuation.py
@@ -47,22 +47,34 @@
 
 @attrs.frozen
 class StreamRun:
-    """One run of a stream: the events that it added, and its ``RunEnd``."""
+    """One run of a stream: the events that it added, and its ``RunEnd``.
+
+    ``repeats`` tells how often it sent the last event again that the caller had.
+    """
 
     events: int
     end: RunEnd
+    repeats: int = 0
+
+
+def must_repeat(runs):
+    """Whether the next run after *runs* must send the caller's last event again.
+
+    It is asked for where the rest may be nothing: an endpoint that has no more events
+    then shows that by the one that it repeats. One that is asked for the rest of a
+    stream which was cut need not send any event twice, as more are likely to follow.
+    """
+    if not any(run.events for run in runs):
+        return False
+    last = runs[-1]
+    return not last.events or last.end is RunEnd.IN_ORDER
 
 
 def is_rest(runs):
     """Whether the last of *runs* (``StreamRun``) ends their stream, if it did not fail.
 
-    A run that adds nothing is what an endpoint sends that has no more events, but also
-    one that fails right after its head. It is the rest only if something else speaks
-    for it: the run before it that added events may have been whole, or another run
-    added nothing either.
+    A further run that sends nothing may have failed right after its head, as may any
+    number of such runs. The first one is what its endpoint says it is.
     """
-    *earlier, last = runs
-    if last.events or not earlier:
-        return True
-    before = earlier[-1]
-    return before.end is not RunEnd.CUT
+    last = runs[-1]
+    return len(runs) == 1 or last.events > 0 or last.repeats > 0
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -146,7 +146,7 @@
 def relay(forwarder, call, member, connection, head):
     """Pass on the complete events of a stream as they arrive; raises ``Broken``."""
     request = call.request
-    call.events.restart()
+    call.events.begin_run(continuation.must_repeat(call.runs))
     events_before = call.events.count
     groups = forwarder.groups(call)
     last_ms = None
@@ -168,6 +168,12 @@
         caller.hold(len(call.events.partial) - partial_bytes, now)
         partial_bytes = len(call.events.partial)
         guard.check(partial_bytes)
+        if call.events.has_more and call.is_stream_unconfirmed():
+            # The answer that was taken for the whole stream was a part of it.
+            call.unconfirmed.stop_hearing()
+            call.unconfirmed = None
+        if call.events.is_out_of_step:
+            connection.close()
         if not out or call.is_over:
             return
         # After a pause, the gaps depend on the caller and not on the endpoint.
@@ -180,10 +186,6 @@
             call.first_ms = now - call.arrived_ms
             forwarder.counters.observe_ms("first_event", call.first_ms)
         last_ms = call.last_event_ms = now
-        if call.is_stream_unconfirmed():
-            # The answer that was taken for the whole stream was a part of it.
-            call.unconfirmed.stop_hearing()
-            call.unconfirmed = None
         if not call.started:
             call.started = True
             call.stream_head = continuation.StreamHead.from_head(head)
@@ -199,16 +201,20 @@
         end_reading(forwarder, call)
         caller.hold(-partial_bytes, forwarder.clock.now())
         count = call.events.count - events_before
-        call.runs.append(continuation.StreamRun(count, end))
+        run = continuation.StreamRun(count, end, call.events.repeats)
+        call.runs.append(run)
+        if call.events.is_out_of_step:
+            forwarder.counters.incr("dropped.out_of_step")
     if not call.has_marked_end:
         forwarder.counters.incr("endpoint.unmarked_end.stream")
     if call.is_over:
         raise close_as_broken(connection, "caller disconnected")
     if call.events.partial:
         raise close_as_broken(connection, "stream ended within an event")
-    if call.started:
-        return
-    if not call.has_marked_end:
+    if call.events.is_out_of_step:
+        raise close_as_broken(connection, "stream goes on at another event")
+    if not call.events.count and not call.has_marked_end:
         raise close_as_broken(connection, "stream ended without an event")
-    call.started = True
-    responses.copy_head(request, head, None)
+    if not call.started:
+        call.started = True
+        responses.copy_head(request, head, None)
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -230,6 +230,7 @@
     if call.streaming:
         fields["events_by_attempt"] = [run.events for run in call.runs]
         fields["ends_by_attempt"] = [run.end.value for run in call.runs]
+        fields["repeats_by_attempt"] = [run.repeats for run in call.runs]
     return fields
 
 
@@ -280,8 +281,9 @@
         headers.setRawHeaders(own.workspace, [call.workspace.name.encode()])
     urgencies = forwarder.urgencies_by_service.get(call.service)
     headers.setRawHeaders(own.priority, [b"%d" % priority_of(call, now, urgencies)])
-    if call.streaming and call.events.last_id is not None:
-        headers.setRawHeaders(own.last_event_id, [b"%d" % call.events.last_id])
+    resume_id = call.events.resume_id(continuation.must_repeat(call.runs))
+    if call.streaming and resume_id is not None:
+        headers.setRawHeaders(own.last_event_id, [b"%d" % resume_id])
     request = call.request
     return pool.Message(request.method, request.uri, headers, call.read_body())
 
@@ -353,7 +355,7 @@
     """End the stream of *call* if its last run is the rest; return the outcome."""
     if not continuation.is_rest(call.runs):
         forwarder.counters.incr("dropped.empty_rest")
-        call.error = "no event after a cut"
+        call.error = "neither a new event nor the last one again"
         return FAILED
     finish_stream(forwarder, call)
     return DONE
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -225,9 +225,9 @@
 def record_cut(call, answer):
     """Record that *answer*, an incomplete one, cannot have been a whole stream.
 
-    One whose endpoint has ended since may have been whole, unless it added nothing.
+    One whose endpoint has ended since may have been whole.
     """
-    if answer.plain is None and (answer.was_cut() or not call.runs[-1].events):
+    if answer.plain is None and answer.was_cut():
         call.runs[-1] = attrs.evolve(call.runs[-1], end=continuation.RunEnd.CUT)
 
 
@@ -248,6 +248,7 @@
     return (
         answer.evidence is life_check.Evidence.NONE
         and not answer.was_cut()
+        and (answer.plain is not None or continuation.is_rest(call.runs))
         and (kept is None or not kept.may_be_passed_on(call))
         and may_ask_another(forwarder, call)
     )
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -62,6 +62,7 @@
     "waited_ms": "how long the check of an endpoint took",
     "evidence": "what shows whether the endpoint lives on after an unmarked end",
     "ends_by_attempt": "how the answer of each attempt that began a stream ended",
+    "repeats_by_attempt": "how often each of them sent the caller's last event again",
     "silence_ms": "time from the last byte of a stream to its end",
     "unread": "whether it may have ended because it was not read",
     "announced_leave": "whether the endpoint has announced that it leaves, or has left",
--- a/tests/integration/test_unmarked_ends.py
+++ b/tests/integration/test_unmarked_ends.py
@@ -152,6 +152,14 @@
     "unmarked-after-6": (stream(events(4, 6), IN_ORDER, CLOSE), 6),
     "from-the-first": (stream(chunk(ALL_EVENTS) + LAST_CHUNK, KEPT, CHUNKED), 8),
 }
+# Second runs that don't confirm a whole stream of a live endpoint, but show no part.
+NO_CONFIRMATIONS = {
+    "empty": stream(LAST_CHUNK, KEPT, CHUNKED),
+    "comment": stream(chunk(b": here\n\n") + LAST_CHUNK, KEPT, CHUNKED),
+    "cut": stream(chunk(events(EVENT_COUNT, EVENT_COUNT)), RESET, CHUNKED),
+}
+# A second run of a stream of which four events came that leaves out the last of these.
+OUT_OF_STEP = stream(chunk(events(5, EVENT_COUNT)) + LAST_CHUNK, KEPT, CHUNKED)
 # Streams of events without ids that are cut after three, and then sent from the first.
 UNNUMBERED_WHOLE = stream(chunk(b"".join(UNNUMBERED)) + LAST_CHUNK, KEPT, CHUNKED)
 UNNUMBERED_CUTS = {
@@ -174,6 +182,11 @@
         f"{head}-{count}": [unmarked_stream(head, events(1, count)), REST]
         for head, count in itertools.product(UNMARKED, COUNTS)
     }
+    | {
+        f"confirmed-{kind}": [unmarked_stream("close", ALL_EVENTS), run]
+        for kind, run in NO_CONFIRMATIONS.items()
+    }
+    | {"out-of-step": [unmarked_stream("close", events(1, 4)), OUT_OF_STEP]}
     | {f"{head}-0": [unmarked_stream(head, b""), REST] for head in UNMARKED}
     | {f"cut-{cut}": [run, REST] for cut, run in VISIBLE_CUTS.items()}
     | {
@@ -429,6 +442,24 @@
         assert len(platform.servers_that_ran(received.attempt)) == 1
 
 
+@pytest.mark.parametrize("kind", NO_CONFIRMATIONS)
+def test_a_whole_stream_stays_whole_if_nobody_confirms_it(platform, kind):
+    # Failure: a whole stream of an endpoint that lives on breaks off, because the one
+    # that was asked for the rest failed.
+    received = call(platform, f"{RESUMABLE}confirmed-{kind}")
+    assert received.status == 200 and received.is_marked, received
+    assert received.body.replace(b": here\n\n", b"") == ALL_EVENTS, received
+    assert_both_ran(platform, received)
+
+
+def test_a_run_that_goes_on_at_another_event_shows_a_part(platform):
+    # Failure: events of two runs with other borders are joined, or a part of a stream
+    # ends as complete though another endpoint has sent more.
+    received = call(platform, f"{RESUMABLE}out-of-step")
+    assert_incomplete(received, events(1, 4))
+    assert_both_ran(platform, received)
+
+
 @pytest.mark.parametrize("cut", VISIBLE_CUTS)
 def test_a_resumable_stream_that_is_cut_is_completed(platform, cut):
     # Failure: the caller gets a last chunk, half an event or one event twice after a
