--- a/tests/integration/test_close_delimited_ends.py
+++ b/tests/integration/test_close_delimited_ends.py
@@ -84,9 +84,7 @@
         """
         for endpoint_id in set(self.process_by_id) - set(self.running()):
             del self.process_by_id[endpoint_id]
-            path = f"/api/instances/{endpoint_id}/deregister"
-            status, text = self.platform.admin("POST", path, "{}")
-            assert status == 200, text
+            self.deregister(endpoint_id)
         missing = ENDPOINT_COUNT - len(self.process_by_id)
         for _ in range(missing):
             self._start()
@@ -94,6 +92,11 @@
             waits.wait_for(self._reaches_two)
             time.sleep(2 * RETRY_WINDOW_S)
 
+    def deregister(self, endpoint_id):
+        path = f"/api/instances/{endpoint_id}/deregister"
+        status, text = self.platform.admin("POST", path, "{}")
+        assert status == 200, text
+
     def _start(self):
         endpoint_id, port = f"i-own-{next(self.numbers)}", deploy.free_port()
         module = "tests.integration.endpoint_process"
@@ -114,8 +117,10 @@
         return [line.split()[0] for line in lines if line.split()[1] == attempt]
 
     def announce(self, number):
-        """Send heartbeat *number* of all endpoints that run."""
+        """Send heartbeat *number* of all endpoints that run and have not left."""
         for endpoint_id in self.running():
+            if self.state_by_id[endpoint_id] is None:
+                continue
             body = {
                 "service": "own",
                 "address": f"127.0.0.1:{self.port_by_id[endpoint_id]}",
@@ -254,10 +259,10 @@
 
 
 @contextlib.contextmanager
-def another_entry(platform):
+def another_entry(platform, **settings):
     """The platform as callers of another entry see it."""
     port, ready = deploy.free_port(), deploy.free_port()
-    process = platform_lab.start_another_entry(platform, port, ready)
+    process = platform_lab.start_another_entry(platform, port, ready, **settings)
     try:
         waits.wait_for(lambda: deploy.listening(port) and deploy.listening(ready))
         waits.wait_for(lambda: platform_lab.ask(ready, "GET", "/api/readyz")[0] == 200)
