Answers: limits of the checks of unmarked ends move to answers/end_checks

They need no network. hear, hearing and stop_hearing are called what they are: a pending check, which is waited for or ended.

--- a/dunlinpoint/answers/__init__.py
+++ b/dunlinpoint/answers/__init__.py
@@ -3,6 +3,7 @@
 Without a network: all decide by what they are told of answers and endpoints.
 
 - :mod:`completeness`: what is known of an answer whose end nobody marked.
-- :mod:`crash_check`: whether an endpoint has crashed, after a connection has ended.
+- :mod:`end_checks`: how long such an answer is checked.
+- :mod:`life_check`: whether an endpoint lives on, after a connection has ended.
 - :mod:`continuation`: whether the answer of a further run is the rest of a stream.
 """
--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -182,7 +182,7 @@
         last_ms = call.last_event_ms = now
         if call.is_stream_unconfirmed():
             # The answer that was taken for the whole stream was a part of it.
-            call.unconfirmed.stop_hearing()
+            call.unconfirmed.end_check()
             call.unconfirmed = None
         if not call.started:
             call.started = True
--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer, task
 
 from dunlinpoint import clock, http_heads
-from dunlinpoint.answers import completeness, continuation, life_check
+from dunlinpoint.answers import completeness, continuation, end_checks, life_check
 from dunlinpoint.config import document as config
 from dunlinpoint.forward import responses, unmarked_ends
 from dunlinpoint.routing import backpressure, pick
@@ -170,7 +170,7 @@
     answer = stream_of(life_check.Evidence.REFUSED)
     forwarder = types.SimpleNamespace(clock=types.SimpleNamespace(now=lambda: NOW_MS))
     unmarked_ends.keep(forwarder, call, answer)
-    assert call.unconfirmed is answer and answer.hearing is None
+    assert call.unconfirmed is answer and answer.pending_check is None
 
 
 class Kept:
@@ -211,7 +211,7 @@
 def test_an_answer_of_an_endpoint_is_not_waited_for_until_the_deadline():
     # Guards against a caller that abandons a silent stream before it ends.
     kept, ends = Kept(), []
-    unmarked_ends.hear(kept.forwarder, kept.call).addBoth(ends.append)
+    unmarked_ends.wait_for_check(kept.forwarder, kept.call).addBoth(ends.append)
     assert not ends
-    kept.advance(unmarked_ends.MAX_CHECK_MS / 1000)
+    kept.advance(end_checks.MAX_MS / 1000)
     assert ends == [None]
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -10,26 +10,12 @@
 from twisted.internet import defer
 
 from dunlinpoint import http_heads, logs
-from dunlinpoint.answers import completeness, continuation, life_check
+from dunlinpoint.answers import completeness, continuation, end_checks, life_check
 from dunlinpoint.forward import bodies, responses, routes
 from dunlinpoint.routing import pick
 
 log = logs.logger("entry")
 
-# Share of the remaining time that the check of an endpoint takes at most.
-CHECK_SHARE = 0.25
-# The same of a stream, of which no event waits for it.
-STREAM_CHECK_SHARE = 0.5
-# The longest check: callers abandon a stream that is silent for two seconds.
-MAX_CHECK_MS = 1500
-# The same while another endpoint may be asked, whose events wait for it.
-MAX_CHECK_BEFORE_RETRY_MS = 300
-# How long the rest of a stream is asked for that its endpoint has ended as complete.
-CONFIRM_LIMIT_MS = 1500
-# A process that stops may cut its streams first, and answer requests until its listener
-# is closed: Python's socketserver looks every 0.5 s whether to stop.
-SETTLE_MS = 600
-
 
 @attrs.define
 class UnmarkedAnswer:
@@ -43,8 +29,8 @@
       answer, or if this entry did not read meanwhile.
     - ``evidence``: what is known by now of its endpoint.
     - ``was_leaving``: whether that had announced that it leaves.
-    - ``hearing``: a Deferred that fires once ``evidence`` does not change any more.
-    - ``hear_until_ms``: until when that is waited for if nobody else can be asked.
+    - ``pending_check``: a Deferred that fires once its endpoint's check has ended.
+    - ``check_until_ms``: until when that is waited for if nobody else can be asked.
     """
 
     member: object
@@ -55,8 +41,8 @@
     silence_ms: int
     evidence: life_check.Evidence = life_check.Evidence.NONE
     was_leaving: bool = False
-    hearing: defer.Deferred | None = None
-    hear_until_ms: int = 0
+    pending_check: defer.Deferred | None = None
+    check_until_ms: int = 0
 
     @classmethod
     def from_call(cls, call, member, now, plain=None):
@@ -86,10 +72,14 @@
             return completeness.of_stream(life, may_ask_another)
         return completeness.of_plain(life, self.was_leaving)
 
-    def stop_hearing(self):
+    def end_check(self):
         """End the check of its endpoint, which else goes on until the deadline."""
-        if self.hearing is not None and not self.hearing.called:
-            self.hearing.callback(self.evidence)
+        if self.has_pending_check():
+            self.pending_check.callback(self.evidence)
+
+    def has_pending_check(self):
+        """Whether its endpoint is still being checked."""
+        return self.pending_check is not None and not self.pending_check.called
 
     def may_be_passed_on(self, call):
         """Whether it is passed on if *call* gets no better answer."""
@@ -111,12 +101,10 @@
 
 def check_limit_ms(forwarder, call):
     """How long the check of an endpoint may take before the answer is decided."""
-    remaining_ms = max(0, call.deadline_ms - forwarder.clock.now())
-    asks_another = may_ask_another(forwarder, call)
-    if asks_another:
-        return min(remaining_ms * CHECK_SHARE, MAX_CHECK_BEFORE_RETRY_MS)
-    share = STREAM_CHECK_SHARE if call.streaming else CHECK_SHARE
-    return min(remaining_ms * share, MAX_CHECK_MS)
+    left_ms = max(0, call.deadline_ms - forwarder.clock.now())
+    if may_ask_another(forwarder, call):
+        return end_checks.first_limit_ms(left_ms)
+    return end_checks.limit_ms(left_ms, call.streaming)
 
 
 @defer.inlineCallbacks
@@ -160,7 +148,7 @@
         if (yield wait_for_leave(forwarder, member, began_ms, left_ms)):
             answer.evidence = life_check.Evidence.DEREGISTERED
     elif is_checked_twice(forwarder, call, answer) and left_ms > 0:
-        later = yield checks.check(member, left_ms, SETTLE_MS)
+        later = yield checks.check(member, left_ms, end_checks.SETTLE_MS)
         if later.life is life_check.Life.ENDED:
             answer.evidence = later
 
@@ -259,41 +247,41 @@
     call.unconfirmed = answer
     now = forwarder.clock.now()
     if answer.evidence.life is life_check.Life.ALIVE:
-        call.confirm_until_ms = now + CONFIRM_LIMIT_MS
+        call.confirm_until_ms = now + end_checks.CONFIRM_LIMIT_MS
         return
     call.confirm_until_ms = call.deadline_ms
     if answer.evidence is not life_check.Evidence.NONE:
         return
-    answer.hear_until_ms = now + MAX_CHECK_MS - MAX_CHECK_BEFORE_RETRY_MS
-    hearing = forwarder.life_checks.check(answer.member, max(0, call.deadline_ms - now))
-    hearing.addCallback(functools.partial(setattr, answer, "evidence"))
-    hearing.addErrback(_check_failed)
-    answer.hearing = hearing
+    answer.check_until_ms = now + end_checks.MAX_MS - end_checks.MAX_FIRST_MS
+    left_ms = max(0, call.deadline_ms - now)
+    answer.pending_check = forwarder.life_checks.check(answer.member, left_ms)
+    answer.pending_check.addCallback(functools.partial(setattr, answer, "evidence"))
+    answer.pending_check.addErrback(_check_failed)
 
 
 def _check_failed(failure):
     log.error("look_failed", error=failure.getTraceback())
 
 
-def hear(forwarder, call):
+def wait_for_check(forwarder, call):
     """A Deferred that fires once it is known whether the answer of *call* is whole.
 
-    That is the one that was kept, and it fires at the latest at its ``hear_until_ms``.
+    That is the one that was kept, and it fires at the latest at ``check_until_ms``.
     """
     answer = call.unconfirmed
-    if answer is None or answer.hearing is None or answer.hearing.called:
+    if answer is None or not answer.has_pending_check():
         return defer.succeed(None)
-    left_ms = max(0, answer.hear_until_ms - forwarder.clock.now())
-    timer = forwarder.clock.call_later(left_ms, answer.stop_hearing)
-    heard = defer.Deferred()
+    left_ms = max(0, answer.check_until_ms - forwarder.clock.now())
+    timer = forwarder.clock.call_later(left_ms, answer.end_check)
+    ended = defer.Deferred()
 
     def end(_result):
         if timer.active():
             timer.cancel()
-        heard.callback(None)
+        ended.callback(None)
 
-    answer.hearing.addBoth(end)
-    return heard
+    answer.pending_check.addBoth(end)
+    return ended
 
 
 def is_confirmation_over(call, now):
@@ -326,6 +314,6 @@
 
 def release(forwarder, call, answer):
     """Discard *answer*, whose body no longer counts as held."""
-    answer.stop_hearing()
+    answer.end_check()
     if answer.plain is not None:
         bodies.release(forwarder, call, answer.plain)
