Unmarked ends: an endpoint that has left may be gone at its second check

Callers of a route that may run once got all 8 events and no last chunk of an endpoint that announced that it leaves, ended its stream, deregistered 0.4 s later and exited. Its first check found it alive and the second one ended, and its announced end was asked for only after a first check that found that.

--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -144,13 +144,15 @@
     answer.evidence = yield checks.check(member, until_ms - began_ms)
     answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
     left_ms = until_ms - forwarder.clock.now()
-    if waits_for_leave(forwarder, call, answer) and not had_left:
-        if (yield wait_for_leave(forwarder, member, began_ms, left_ms)):
-            answer.evidence = life_check.Evidence.DEREGISTERED
-    elif is_checked_twice(forwarder, call, answer) and left_ms > 0:
+    if is_checked_twice(forwarder, call, answer) and left_ms > 0:
         later = yield checks.check(member, left_ms, end_checks.SETTLE_MS)
         if later.life is life_check.Life.ENDED:
             answer.evidence = later
+        answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
+        left_ms = until_ms - forwarder.clock.now()
+    if waits_for_leave(forwarder, call, answer) and not had_left:
+        if (yield wait_for_leave(forwarder, member, began_ms, left_ms)):
+            answer.evidence = life_check.Evidence.DEREGISTERED
 
 
 def is_checked_twice(forwarder, call, answer):
