Unmarked ends: checks that were left out are made if nobody else is asked

Callers of a resumable stream got 4 of 8 events as a whole stream of an endpoint that cut it in order and stopped 0.3 s later, and a broken one with all 8 of an endpoint that left (it listened no more, and deregistered 0.1 s after the end), where nobody else ran or the retry was denied. Which checks an answer gets was decided by whether another endpoint may be asked, by its route and attempts; whether one is, is known only later.

Such an answer is now kept with what its first, short check has found, also if its endpoint has ended but is leaving, and the next endpoint is asked as early as before. If none is asked or none settles the matter, the checks that were left out (the second one, the wait for the announced end) are made before the answer is given up.

The unit tests of answers/ and of unmarked ends hold (97).

--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -290,7 +290,7 @@
 def give_up(forwarder, call, reason, retry_after_ms=responses.RETRY_AFTER_MS):
     """Send the final response of a request that no endpoint answered."""
     request = call.request
-    yield unmarked_ends.wait_for_check(forwarder, call)
+    yield unmarked_ends.settle_kept(forwarder, call)
     if call.disconnected:
         return
     if call.unconfirmed is not None and call.unconfirmed.may_be_passed_on(call):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -178,9 +178,7 @@
     answer, call.unmarked = call.unmarked, None
     known = yield unmarked_ends.judge(forwarder, call, answer)
     if call.disconnected or known is completeness.Completeness.INCOMPLETE:
-        if not call.disconnected and unmarked_ends.may_prove_whole(
-            forwarder, call, answer
-        ):
+        if not call.disconnected and unmarked_ends.may_prove_whole(call, answer):
             unmarked_ends.keep(forwarder, call, answer)
         else:
             unmarked_ends.release(forwarder, call, answer)
--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -81,14 +81,23 @@
 def stream_of(evidence):
     """The unmarked stream of an endpoint of which *evidence* is known."""
     return unmarked_ends.UnmarkedAnswer(
-        MEMBER, None, http_heads.Framing.CLOSE, 0, False, 0, evidence
+        MEMBER,
+        None,
+        http_heads.Framing.CLOSE,
+        at_endpoint=0,
+        was_left_unread=False,
+        silence_ms=0,
+        ended_ms=NOW_MS,
+        asks_another=True,
+        evidence=evidence,
     )
 
 
 def resumable_call(**fields):
     """A call whose stream may be asked for at two more endpoints."""
     route = types.SimpleNamespace(kind=config.STREAMING, resumable=True, max_attempts=3)
-    fields = {"unconfirmed": None, "attempts": 1, "started": True} | fields
+    defaults = {"unconfirmed": None, "attempts": 1, "started": True}
+    fields = defaults | {"disconnected": False} | fields
     return types.SimpleNamespace(
         deadline_ms=NOW_MS + 4000,
         route=route,
@@ -110,12 +119,9 @@
 def test_an_answer_that_may_be_passed_on_stays_kept(kept, is_kept):
     # Guards against a whole stream that breaks because the endpoint that was asked for
     # the rest goes without a trace.
-    forwarder = types.SimpleNamespace(
-        lifecycle=types.SimpleNamespace(is_draining=lambda: False)
-    )
     call = resumable_call(unconfirmed=None if kept is None else stream_of(kept))
     answer = stream_of(life_check.Evidence.NONE)
-    assert unmarked_ends.may_prove_whole(forwarder, call, answer) == is_kept
+    assert unmarked_ends.may_prove_whole(call, answer) == is_kept
 
 
 @pytest.mark.parametrize(
@@ -180,10 +186,13 @@
         self.reactor, self.probes = task.Clock(), 0
         ms_clock = clock.Clock(self.reactor)
         self.forwarder = types.SimpleNamespace(
-            clock=ms_clock, life_checks=life_check.LifeChecks(ms_clock, self.probe)
+            clock=ms_clock,
+            life_checks=life_check.LifeChecks(ms_clock, self.probe),
+            view=types.SimpleNamespace(is_leaving=lambda endpoint_id: False),
         )
         self.call = resumable_call()
         answer = stream_of(life_check.Evidence.NONE)
+        answer.ended_ms = ms_clock.now()
         unmarked_ends.keep(self.forwarder, self.call, answer)
         self.advance(1)
 
@@ -211,7 +220,7 @@
 def test_an_answer_of_an_endpoint_is_not_waited_for_until_the_deadline():
     # Guards against a caller that abandons a silent stream before it ends.
     kept, ends = Kept(), []
-    unmarked_ends.wait_for_check(kept.forwarder, kept.call).addBoth(ends.append)
+    unmarked_ends.settle_kept(kept.forwarder, kept.call).addBoth(ends.append)
     assert not ends
     kept.advance(end_checks.MAX_MS / 1000)
     assert ends == [None]
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -27,10 +27,13 @@
     - ``was_left_unread``: whether it may have ended because it was not read.
     - ``silence_ms``: of a stream, the time from its last byte to its end; 0 of a plain
       answer, or if this entry did not read meanwhile.
+    - ``ended_ms``: when it ended, by the local clock.
+    - ``had_left``: whether its endpoint had announced its end by then.
+    - ``asks_another``: whether another endpoint may be asked before it is decided on.
     - ``evidence``: what is known by now of its endpoint.
     - ``was_leaving``: whether that had announced that it leaves.
     - ``pending_check``: a Deferred that fires once its endpoint's check has ended.
-    - ``check_until_ms``: until when that is waited for if nobody else can be asked.
+    - ``check_until_ms``: until when its endpoint is checked, if nobody else is asked.
     """
 
     member: object
@@ -39,6 +42,9 @@
     at_endpoint: int
     was_left_unread: bool
     silence_ms: int
+    ended_ms: int = 0
+    had_left: bool = False
+    asks_another: bool = False
     evidence: life_check.Evidence = life_check.Evidence.NONE
     was_leaving: bool = False
     pending_check: defer.Deferred | None = None
@@ -57,19 +63,20 @@
             call.in_flight_at_endpoint,
             call.source.explains_cut(now),
             silence_ms,
+            now,
         )
 
     def was_cut(self):
         """Whether its endpoint may have cut it itself, as far as this entry saw."""
         return completeness.was_cut(self.was_left_unread, self.silence_ms)
 
-    def completeness(self, may_ask_another):
-        """The ``Completeness``, by whether another endpoint may be asked."""
+    def completeness(self, asks_another):
+        """The ``Completeness``, by whether another endpoint may still be asked."""
         if self.was_cut():
             return completeness.Completeness.INCOMPLETE
         life = self.evidence.life
         if self.plain is None:
-            return completeness.of_stream(life, may_ask_another)
+            return completeness.of_stream(life, asks_another)
         return completeness.of_plain(life, self.was_leaving)
 
     def end_check(self):
@@ -85,7 +92,7 @@
         """Whether it is passed on if *call* gets no better answer."""
         if call.started and self.plain is not None:
             return False
-        known = self.completeness(may_ask_another=False)
+        known = self.completeness(asks_another=False)
         return known is not completeness.Completeness.INCOMPLETE
 
 
@@ -99,89 +106,94 @@
     )
 
 
-def check_limit_ms(forwarder, call):
-    """How long the check of an endpoint may take before the answer is decided."""
-    left_ms = max(0, call.deadline_ms - forwarder.clock.now())
-    if may_ask_another(forwarder, call):
-        return end_checks.first_limit_ms(left_ms)
-    return end_checks.limit_ms(left_ms, call.streaming)
-
-
 @defer.inlineCallbacks
 def judge(forwarder, call, answer):
-    """Check the endpoint of *answer*; a Deferred of the ``Completeness``."""
+    """Check the endpoint of *answer*; a Deferred of the ``Completeness``.
+
+    Where another endpoint may be asked, checks that take long are left for
+    :func:`settle_kept`: it may answer sooner.
+    """
     member = answer.member
-    began_ms = forwarder.clock.now()
-    yield find_evidence(forwarder, call, answer, began_ms)
-    known = answer.completeness(may_ask_another(forwarder, call))
+    left_ms = max(0, call.deadline_ms - forwarder.clock.now())
+    answer.had_left = forwarder.view.has_left(member.endpoint_id)
+    answer.asks_another = may_ask_another(forwarder, call)
+    limit_ms = end_checks.limit_ms(left_ms, call.streaming)
+    answer.check_until_ms = answer.ended_ms + limit_ms
+    if answer.asks_another:
+        limit_ms = end_checks.first_limit_ms(left_ms)
+    answer.evidence = yield forwarder.life_checks.check(member, limit_ms)
+    answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
+    if not answer.asks_another:
+        yield check_again(forwarder, call, answer)
+    known = answer.completeness(answer.asks_another)
     forwarder.counters.incr(f"endpoint.unmarked_end.{known.value}")
     forwarder.counters.incr(f"endpoint.evidence.{answer.evidence.value}")
+    log_end(forwarder, call, answer, known)
+    record(forwarder, answer, known)
+    if known is completeness.Completeness.INCOMPLETE:
+        record_cut(call, answer)
+    return known
+
+
+def log_end(forwarder, call, answer, known):
+    """Log what is *known* of *answer*, and from what."""
     log.info(
         "unmarked_end",
         request=responses.header_text(call.request_id),
-        endpoint_id=member.endpoint_id,
+        endpoint_id=answer.member.endpoint_id,
         outcome=known.value,
         evidence=answer.evidence.value,
-        waited_ms=forwarder.clock.now() - began_ms,
+        waited_ms=forwarder.clock.now() - answer.ended_ms,
         announced_leave=answer.was_leaving,
         unread=answer.was_left_unread,
         silence_ms=answer.silence_ms,
         events=call.events.count,
         framing=answer.framing.value,
     )
-    record(forwarder, answer, known)
-    if known is completeness.Completeness.INCOMPLETE:
-        record_cut(call, answer)
-    return known
 
 
 @defer.inlineCallbacks
-def find_evidence(forwarder, call, answer, began_ms):
-    """Find what shows whether the endpoint of *answer* lives on; a Deferred."""
+def check_again(forwarder, call, answer):
+    """Do the checks of *answer* that a stream gets only if nobody else can be asked."""
+    if answer.plain is not None or answer.was_cut():
+        return
     member, checks = answer.member, forwarder.life_checks
-    until_ms = began_ms + check_limit_ms(forwarder, call)
-    had_left = forwarder.view.has_left(member.endpoint_id)
-    answer.evidence = yield checks.check(member, until_ms - began_ms)
-    answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
-    left_ms = until_ms - forwarder.clock.now()
-    if is_checked_twice(forwarder, call, answer) and left_ms > 0:
-        later = yield checks.check(member, left_ms, end_checks.SETTLE_MS)
+    until_ms = min(answer.check_until_ms, call.deadline_ms)
+    now = forwarder.clock.now()
+    if (
+        end_checks.is_checked_twice(answer.evidence, until_ms - now)
+        and not forwarder.lifecycle.is_draining()
+    ):
+        delay_ms = end_checks.second_delay_ms(now - answer.ended_ms)
+        later = yield checks.check(member, until_ms - now, delay_ms)
         if later.life is life_check.Life.ENDED:
             answer.evidence = later
-        answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
+    answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
+    if end_checks.waits_for_leave(answer.evidence, answer.was_leaving, answer.had_left):
         left_ms = until_ms - forwarder.clock.now()
-    if waits_for_leave(forwarder, call, answer) and not had_left:
-        if (yield wait_for_leave(forwarder, member, began_ms, left_ms)):
+        if (yield wait_for_leave(forwarder, member, answer.ended_ms, left_ms)):
             answer.evidence = life_check.Evidence.DEREGISTERED
 
 
-def is_checked_twice(forwarder, call, answer):
-    """Whether only the life of its endpoint can show a stream to be whole.
-
-    A stopping entry has no time for a second check.
-    """
-    asks_for_rest = may_ask_another(forwarder, call) and forwarder.budget.has_spare(
-        call.service, forwarder.clock.now()
-    )
-    return (
-        answer.plain is None
-        and answer.evidence.life is life_check.Life.ALIVE
-        and not asks_for_rest
-        and not forwarder.lifecycle.is_draining()
-    )
-
-
-def waits_for_leave(forwarder, call, answer):
-    """Whether only the end that its endpoint announces can show a stream to be whole.
+@defer.inlineCallbacks
+def settle_kept(forwarder, call):
+    """Do the checks that were left out while another endpoint was asked.
 
-    An endpoint that leaves may stop listening before that.
+    A Deferred that fires once it is known whether the answer that was kept, if there is
+    one, is whole.
     """
-    return (
-        answer.plain is None
-        and answer.was_leaving
-        and answer.evidence.life is life_check.Life.ENDED
-        and not may_ask_another(forwarder, call)
-    )
+    answer = call.unconfirmed
+    if answer is None:
+        return
+    now = forwarder.clock.now()
+    left_ms = max(0, call.deadline_ms - now)
+    until_ms = now + end_checks.last_limit_ms(left_ms)
+    answer.check_until_ms = max(answer.check_until_ms, until_ms)
+    yield wait_for_check(forwarder, answer)
+    if call.unconfirmed is answer and not call.disconnected:
+        yield check_again(forwarder, call, answer)
+        if answer.plain is None:
+            log_end(forwarder, call, answer, answer.completeness(asks_another=False))
 
 
 @defer.inlineCallbacks
@@ -228,18 +240,22 @@
     )
 
 
-def may_prove_whole(forwarder, call, answer):
+def may_prove_whole(call, answer):
     """Whether *answer*, which counts as broken, may still be found to be whole.
 
-    Nothing was heard of its endpoint before another one is asked. It takes the place of
-    an answer that is kept, and so not that of one that may be passed on.
+    It takes the place of an answer that is kept, and so not that of one that may be
+    passed on.
     """
     kept = call.unconfirmed
-    return (
-        answer.evidence is life_check.Evidence.NONE
-        and not answer.was_cut()
-        and (kept is None or not kept.may_be_passed_on(call))
-        and may_ask_another(forwarder, call)
+    if not answer.asks_another or answer.was_cut():
+        return False
+    if kept is not None and kept.may_be_passed_on(call):
+        return False
+    return answer.evidence is life_check.Evidence.NONE or (
+        answer.plain is None
+        and end_checks.waits_for_leave(
+            answer.evidence, answer.was_leaving, answer.had_left
+        )
     )
 
 
@@ -254,7 +270,7 @@
     call.confirm_until_ms = call.deadline_ms
     if answer.evidence is not life_check.Evidence.NONE:
         return
-    answer.check_until_ms = now + end_checks.MAX_MS - end_checks.MAX_FIRST_MS
+    answer.check_until_ms = answer.ended_ms + end_checks.MAX_MS
     left_ms = max(0, call.deadline_ms - now)
     answer.pending_check = forwarder.life_checks.check(answer.member, left_ms)
     answer.pending_check.addCallback(functools.partial(setattr, answer, "evidence"))
@@ -265,13 +281,12 @@
     log.error("look_failed", error=failure.getTraceback())
 
 
-def wait_for_check(forwarder, call):
-    """A Deferred that fires once it is known whether the answer of *call* is whole.
+def wait_for_check(forwarder, answer):
+    """A Deferred that fires once the pending check of *answer* has ended, if any.
 
-    That is the one that was kept, and it fires at the latest at ``check_until_ms``.
+    That is at the latest at its ``check_until_ms``.
     """
-    answer = call.unconfirmed
-    if answer is None or not answer.has_pending_check():
+    if not answer.has_pending_check():
         return defer.succeed(None)
     left_ms = max(0, answer.check_until_ms - forwarder.clock.now())
     timer = forwarder.clock.call_later(left_ms, answer.end_check)
