Planned stops: an entry uses the time that it has left to check unmarked ends

While an entry stopped, callers got 4 of 8 events as a whole stream of an endpoint that cut it in order and stopped 0.3 s later, on routes that may be resumed or run once: such an entry made no second check and asked for no rest of a stream, though most of its grace time was left.

It now makes all checks within the time until it cuts its answers, and asks for the rest of a stream while 2.1 s are left, which is what the first check, the other endpoint and the last check take at most. Plain answers are checked as before: asking sooner ran them twice beside endpoints that stand.

--- a/dunlinpoint/answers/end_checks.py
+++ b/dunlinpoint/answers/end_checks.py
@@ -3,9 +3,11 @@
 Whether another endpoint answers shows only when it is asked: the retry may be denied,
 or nobody else may run. So a first, short check comes before that, and the checks that
 take longer only once nobody else can settle the matter. All end before the request's
-deadline, so that the answer can still be passed on.
+deadline and the exit of an entry that stops, so that the answer can be passed on.
 """
 
+import attrs
+
 from dunlinpoint.answers import life_check
 
 # Share of the remaining time that the checks of a plain answer take at most.
@@ -23,21 +25,57 @@
 # A process that stops may cut its streams first, and answer requests until its listener
 # is closed: Python's socketserver looks every 0.5 s whether to stop.
 SETTLE_MS = 600
+# Kept for the last bytes of answers before a stopping entry cuts those that are left.
+STOP_RESERVE_MS = 100
+# What an entry that stops has left if it asks for the rest of a stream, and checks the
+# endpoint after that if none came.
+MIN_STOP_LEFT_MS = MAX_FIRST_MS + CONFIRM_LIMIT_MS + MAX_LAST_MS + STOP_RESERVE_MS
 
 
-def first_limit_ms(left_ms):
-    """How long the first check takes of an answer whose request has *left_ms* left."""
-    return min(left_ms * PLAIN_SHARE, MAX_FIRST_MS)
-
-
-def limit_ms(left_ms, is_stream):
-    """How long all checks take of an answer whose request has *left_ms* left."""
-    return min(left_ms * (STREAM_SHARE if is_stream else PLAIN_SHARE), MAX_MS)
+@attrs.frozen
+class TimeLeft:
+    """The time (ms) left for the checks of an answer.
 
+    - ``deadline_ms``: until its request's deadline.
+    - ``stop_ms``: until its entry cuts the answers that are left, ``None`` unless it
+      stops.
+    """
 
-def last_limit_ms(left_ms):
-    """How long checks take at least that come after other endpoints were asked."""
-    return min(left_ms * STREAM_SHARE, MAX_LAST_MS)
+    deadline_ms: int
+    stop_ms: int | None = None
+
+    @classmethod
+    def at(cls, now, deadline_ms, stop_ms):
+        """What is left at *now* until *deadline_ms* and *stop_ms*, or ``None``."""
+        until_stop_ms = None if stop_ms is None else max(0, stop_ms - now)
+        return cls(max(0, deadline_ms - now), until_stop_ms)
+
+    def all_ms(self):
+        """All of the time."""
+        if self.stop_ms is None:
+            return self.deadline_ms
+        return min(self.deadline_ms, max(0, self.stop_ms - STOP_RESERVE_MS))
+
+    def first_limit_ms(self):
+        """How long the first check takes before another endpoint is asked."""
+        return min(self.deadline_ms * PLAIN_SHARE, MAX_FIRST_MS, self.all_ms())
+
+    def limit_ms(self, is_stream):
+        """How long all checks take."""
+        share = STREAM_SHARE if is_stream else PLAIN_SHARE
+        return min(self.deadline_ms * share, MAX_MS, self.all_ms())
+
+    def last_limit_ms(self):
+        """How long checks take at least that come after other endpoints were asked."""
+        return min(self.deadline_ms * STREAM_SHARE, MAX_LAST_MS, self.all_ms())
+
+    def allows_asking(self, is_stream):
+        """Whether another endpoint is asked before its matter is settled.
+
+        An entry that stops asks only for rests of streams: an endpoint that lives has
+        sent its whole plain answer.
+        """
+        return self.stop_ms is None or is_stream and self.stop_ms >= MIN_STOP_LEFT_MS
 
 
 def is_checked_twice(evidence, left_ms):
--- a/dunlinpoint/answers/tests/test_end_checks.py
+++ b/dunlinpoint/answers/tests/test_end_checks.py
@@ -30,19 +30,40 @@
     assert end_checks.waits_for_leave(evidence, was_leaving, had_left) == waits
 
 
+def limits_ms(left):
+    return [
+        left.first_limit_ms(),
+        left.last_limit_ms(),
+        left.limit_ms(is_stream=True),
+        left.limit_ms(is_stream=False),
+    ]
+
+
 @pytest.mark.parametrize("left_ms", [0, 30, 500, 8000])
 def test_checks_end_before_the_deadline(left_ms):
     # Guards against a whole answer that its deadline cuts while it is checked.
-    limits = [
-        end_checks.first_limit_ms(left_ms),
-        end_checks.last_limit_ms(left_ms),
-        end_checks.limit_ms(left_ms, is_stream=True),
-        end_checks.limit_ms(left_ms, is_stream=False),
-    ]
-    assert max(limits) <= left_ms / 2
+    assert max(limits_ms(end_checks.TimeLeft(left_ms))) <= left_ms / 2
+
+
+@pytest.mark.parametrize("stop_ms", [0, 50, 250, 3000])
+def test_checks_end_before_a_stopping_entry_cuts_answers(stop_ms):
+    # Guards against a planned stop that cuts whole answers while they are checked.
+    left = end_checks.TimeLeft.at(1000, 9000, 1000 + stop_ms)
+    most_ms = max(0, stop_ms - end_checks.STOP_RESERVE_MS)
+    assert max(*limits_ms(left), left.all_ms()) <= most_ms
 
 
 @pytest.mark.parametrize("since_ms", [0, 50, end_checks.SETTLE_MS, 1500])
 def test_the_second_check_finds_an_endpoint_that_stops(since_ms):
     # Guards against a second check while a process that stops still answers.
     assert since_ms + end_checks.second_delay_ms(since_ms) >= end_checks.SETTLE_MS
+
+
+def test_a_stopping_entry_asks_for_a_rest_only_if_it_can_settle_the_matter_after_that():
+    # Guards against a planned stop that cuts a whole stream, as another endpoint takes
+    # long, and against a part that looks whole, as none was asked.
+    least_ms = end_checks.MIN_STOP_LEFT_MS
+    assert end_checks.TimeLeft(9000).allows_asking(is_stream=False)
+    assert end_checks.TimeLeft(9000, least_ms).allows_asking(is_stream=True)
+    assert not end_checks.TimeLeft(9000, least_ms - 1).allows_asking(is_stream=True)
+    assert not end_checks.TimeLeft(9000, least_ms).allows_asking(is_stream=False)
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -52,7 +52,11 @@
 
 @attrs.define
 class Forwarder:
-    """State shared by all requests of this entry."""
+    """State shared by all requests of this entry.
+
+    ``stop_ms`` is the time at which it cuts the answers that are left, ``None`` unless
+    it stops.
+    """
 
     view: view.View
     clock: clock.Clock
@@ -89,6 +93,7 @@
     overloaded_groups: set = attrs.field(factory=set)
     member_order_key: tuple | None = None
     started_ms: int = 0
+    stop_ms: int | None = None
 
     @classmethod
     def from_config(
--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -22,6 +22,7 @@
     picker.failed(pick.incarnation_key(MEMBER), NOW_MS)
     forwarder = types.SimpleNamespace(
         clock=types.SimpleNamespace(now=lambda: NOW_MS),
+        stop_ms=None,
         life_checks=types.SimpleNamespace(
             check=lambda member, limit_ms: defer.succeed(life_check.Evidence.ANSWERED)
         ),
@@ -143,7 +144,7 @@
 
     forwarder = types.SimpleNamespace(
         clock=types.SimpleNamespace(now=lambda: NOW_MS),
-        lifecycle=types.SimpleNamespace(is_draining=lambda: False),
+        stop_ms=None,
         life_checks=types.SimpleNamespace(
             check=lambda *args: defer.succeed(life_check.Evidence.REFUSED), heard=ask
         ),
@@ -174,7 +175,9 @@
     # nothing is heard of its endpoint any more.
     call = resumable_call(confirm_until_ms=None)
     answer = stream_of(life_check.Evidence.REFUSED)
-    forwarder = types.SimpleNamespace(clock=types.SimpleNamespace(now=lambda: NOW_MS))
+    forwarder = types.SimpleNamespace(
+        clock=types.SimpleNamespace(now=lambda: NOW_MS), stop_ms=None
+    )
     unmarked_ends.keep(forwarder, call, answer)
     assert call.unconfirmed is answer and answer.pending_check is None
 
@@ -187,6 +190,7 @@
         ms_clock = clock.Clock(self.reactor)
         self.forwarder = types.SimpleNamespace(
             clock=ms_clock,
+            stop_ms=None,
             life_checks=life_check.LifeChecks(ms_clock, self.probe),
             view=types.SimpleNamespace(is_leaving=lambda endpoint_id: False),
         )
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -102,10 +102,16 @@
         routes.is_repeatable(call.route)
         and call.attempts < call.route.max_attempts
         and call.events.is_resumable
-        and not forwarder.lifecycle.is_draining()
+        and time_left(forwarder, call).allows_asking(call.streaming)
     )
 
 
+def time_left(forwarder, call):
+    """The ``TimeLeft`` for the checks of an answer to *call*."""
+    now = forwarder.clock.now()
+    return end_checks.TimeLeft.at(now, call.deadline_ms, forwarder.stop_ms)
+
+
 @defer.inlineCallbacks
 def judge(forwarder, call, answer):
     """Check the endpoint of *answer*; a Deferred of the ``Completeness``.
@@ -114,13 +120,13 @@
     :func:`settle_kept`: it may answer sooner.
     """
     member = answer.member
-    left_ms = max(0, call.deadline_ms - forwarder.clock.now())
+    left = time_left(forwarder, call)
     answer.had_left = forwarder.view.has_left(member.endpoint_id)
     answer.asks_another = may_ask_another(forwarder, call)
-    limit_ms = end_checks.limit_ms(left_ms, call.streaming)
+    limit_ms = left.limit_ms(call.streaming)
     answer.check_until_ms = answer.ended_ms + limit_ms
     if answer.asks_another:
-        limit_ms = end_checks.first_limit_ms(left_ms)
+        limit_ms = left.first_limit_ms()
     answer.evidence = yield forwarder.life_checks.check(member, limit_ms)
     answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
     if not answer.asks_another:
@@ -158,20 +164,17 @@
     if answer.plain is not None or answer.was_cut():
         return
     member, checks = answer.member, forwarder.life_checks
-    until_ms = min(answer.check_until_ms, call.deadline_ms)
     now = forwarder.clock.now()
-    if (
-        end_checks.is_checked_twice(answer.evidence, until_ms - now)
-        and not forwarder.lifecycle.is_draining()
-    ):
+    limit_ms = min(answer.check_until_ms - now, time_left(forwarder, call).all_ms())
+    if end_checks.is_checked_twice(answer.evidence, limit_ms):
         delay_ms = end_checks.second_delay_ms(now - answer.ended_ms)
-        later = yield checks.check(member, until_ms - now, delay_ms)
+        later = yield checks.check(member, limit_ms, delay_ms)
         if later.life is life_check.Life.ENDED:
             answer.evidence = later
     answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
     if end_checks.waits_for_leave(answer.evidence, answer.was_leaving, answer.had_left):
-        left_ms = until_ms - forwarder.clock.now()
-        if (yield wait_for_leave(forwarder, member, answer.ended_ms, left_ms)):
+        limit_ms -= forwarder.clock.now() - now
+        if (yield wait_for_leave(forwarder, member, answer.ended_ms, limit_ms)):
             answer.evidence = life_check.Evidence.DEREGISTERED
 
 
@@ -185,9 +188,8 @@
     answer = call.unconfirmed
     if answer is None:
         return
-    now = forwarder.clock.now()
-    left_ms = max(0, call.deadline_ms - now)
-    until_ms = now + end_checks.last_limit_ms(left_ms)
+    limit_ms = time_left(forwarder, call).last_limit_ms()
+    until_ms = forwarder.clock.now() + limit_ms
     answer.check_until_ms = max(answer.check_until_ms, until_ms)
     yield wait_for_check(forwarder, answer)
     if call.unconfirmed is answer and not call.disconnected:
@@ -271,8 +273,8 @@
     if answer.evidence is not life_check.Evidence.NONE:
         return
     answer.check_until_ms = answer.ended_ms + end_checks.MAX_MS
-    left_ms = max(0, call.deadline_ms - now)
-    answer.pending_check = forwarder.life_checks.check(answer.member, left_ms)
+    limit_ms = time_left(forwarder, call).all_ms()
+    answer.pending_check = forwarder.life_checks.check(answer.member, limit_ms)
     answer.pending_check.addCallback(functools.partial(setattr, answer, "evidence"))
     answer.pending_check.addErrback(_check_failed)
 
@@ -288,8 +290,8 @@
     """
     if not answer.has_pending_check():
         return defer.succeed(None)
-    left_ms = max(0, answer.check_until_ms - forwarder.clock.now())
-    timer = forwarder.clock.call_later(left_ms, answer.end_check)
+    limit_ms = max(0, answer.check_until_ms - forwarder.clock.now())
+    timer = forwarder.clock.call_later(limit_ms, answer.end_check)
     ended = defer.Deferred()
 
     def end(_result):
@@ -318,8 +320,8 @@
         if call.is_stream_unconfirmed():
             connection.close()
 
-    left_ms = max(0, call.confirm_until_ms - forwarder.clock.now())
-    return forwarder.clock.call_later(left_ms, close)
+    limit_ms = max(0, call.confirm_until_ms - forwarder.clock.now())
+    return forwarder.clock.call_later(limit_ms, close)
 
 
 def drop(forwarder, call):
--- a/dunlinpoint/platform/entry.py
+++ b/dunlinpoint/platform/entry.py
@@ -119,6 +119,7 @@
     async def stop():
         forwarder.lifecycle.drain()
         deadline_ms = forwarder.clock.now() + grace_ms - STOP_MARGIN_MS
+        forwarder.stop_ms = deadline_ms
         log.info("draining", in_flight=forwarder.in_flight)
         await forwarder.clock.sleep(min(ACCEPT_AFTER_STOP_MS, grace_ms // 3))
         forwarder.lifecycle.close()
