Logs: lines of unmarked ends tell their checks, and why nobody else was asked

unmarked_end, answered and try_ended have checks (first, second, leave) and not_asked; a second unmarked_end line of a request tells what the checks found that came once nobody else was asked.

--- a/dunlinpoint/answers/end_checks.py
+++ b/dunlinpoint/answers/end_checks.py
@@ -6,6 +6,8 @@
 deadline and the exit of an entry that stops, so that the answer can be passed on.
 """
 
+import enum
+
 import attrs
 
 from dunlinpoint.answers import life_check
@@ -78,6 +80,30 @@
         return self.stop_ms is None or is_stream and self.stop_ms >= MIN_STOP_LEFT_MS
 
 
+class Check(enum.Enum):
+    """What an answer was checked by.
+
+    - ``FIRST``: whether its endpoint lives, a moment after its end.
+    - ``SECOND``: the same later.
+    - ``LEAVE``: whether its endpoint has announced its end since.
+    """
+
+    FIRST = "first"
+    SECOND = "second"
+    LEAVE = "leave"
+
+
+def why_not_asked(is_repeatable, attempts_left, has_ids, is_in_time):
+    """Why no other endpoint may be asked (``str``), or ``None`` if one may be."""
+    if not is_repeatable:
+        return "route"
+    if attempts_left <= 0:
+        return "attempts"
+    if not has_ids:
+        return "no_ids"
+    return None if is_in_time else "stopping"
+
+
 def is_checked_twice(evidence, left_ms):
     """Whether a stream of an endpoint that lived, by *evidence*, is checked once more.
 
--- a/dunlinpoint/answers/tests/test_end_checks.py
+++ b/dunlinpoint/answers/tests/test_end_checks.py
@@ -67,3 +67,11 @@
     assert end_checks.TimeLeft(9000, least_ms).allows_asking(is_stream=True)
     assert not end_checks.TimeLeft(9000, least_ms - 1).allows_asking(is_stream=True)
     assert not end_checks.TimeLeft(9000, least_ms).allows_asking(is_stream=False)
+
+
+def test_why_no_other_endpoint_is_asked():
+    # Guards against lines that tell a wrong reason.
+    reasons = ["route", "attempts", "no_ids", "stopping", None]
+    for number, reason in enumerate(reasons):
+        facts = [True] * number + [False] * (4 - number)
+        assert end_checks.why_not_asked(*facts) == reason
--- a/dunlinpoint/forward/attempts.py
+++ b/dunlinpoint/forward/attempts.py
@@ -90,9 +90,8 @@
             return
         # It may have waited since its last attempt, while others used up the budget.
         if call.attempts and not spend_retry(forwarder, call, outcome):
-            yield give_up(
-                forwarder, call, outcome, available_retry_after_ms(forwarder, call)
-            )
+            retry_after_ms = available_retry_after_ms(forwarder, call)
+            yield give_up(forwarder, call, outcome, retry_after_ms, "budget")
             return
         forwarder.outages.probe(member, now)
         call.tried.add(pick.incarnation_key(member))
@@ -104,10 +103,10 @@
             yield wait_while_stalled(forwarder, call)
         ):
             return
-        if not may_retry(forwarder, call, outcome):
-            yield give_up(
-                forwarder, call, outcome, available_retry_after_ms(forwarder, call)
-            )
+        not_asked = why_no_retry(forwarder, call, outcome)
+        if not_asked is not None:
+            retry_after_ms = available_retry_after_ms(forwarder, call)
+            yield give_up(forwarder, call, outcome, retry_after_ms, not_asked)
             return
         forwarder.counters.retried(outcome)
 
@@ -191,35 +190,35 @@
     return False
 
 
-def may_retry(forwarder, call, outcome):
-    """Whether another attempt may follow one that ended with *outcome*."""
+def why_no_retry(forwarder, call, outcome):
+    """Why no attempt may follow one with *outcome* (``str``), ``None`` if one may."""
     if call.is_over:
-        return False
+        return "over"
     if call.started and not call.events.is_resumable:
         # A further run would send the events without ids once more.
-        return False
+        return "no_ids"
     if outcome == exchange.UNREAD and call.started:
         # The rest would again be produced faster than the caller reads it.
-        return False
+        return "unread"
     if outcome != exchange.NOT_RUN and not routes.is_repeatable(call.route):
-        return False
+        return "route"
     if call.attempts >= call.route.max_attempts:
-        return False
+        return "attempts"
     if (
         outcome != exchange.NOT_RUN
         and quarantine.suspect_status(forwarder, call)
         is not registry.SuspectStatus.CLEAR
     ):
         # A retry could crash one more endpoint within the same attempt of the caller.
-        return False
+        return "suspect"
     if call.attempts == 0:
-        return True
+        return None
     now = forwarder.clock.now()
     is_allowed = forwarder.budget.may_retry(call.service, now)
     is_allowed = is_allowed and may_use_budget(forwarder, call, now)
     if not is_allowed:
         record_retry(forwarder, call, outcome, is_allowed)
-    return is_allowed
+    return None if is_allowed else "budget"
 
 
 def may_use_budget(forwarder, call, now):
@@ -287,10 +286,15 @@
 
 
 @defer.inlineCallbacks
-def give_up(forwarder, call, reason, retry_after_ms=responses.RETRY_AFTER_MS):
-    """Send the final response of a request that no endpoint answered."""
+def give_up(
+    forwarder, call, reason, retry_after_ms=responses.RETRY_AFTER_MS, not_asked=None
+):
+    """Send the final response of a request that no endpoint answered.
+
+    *not_asked* (``str``) tells why no further one is asked, if *reason* doesn't.
+    """
     request = call.request
-    yield unmarked_ends.settle_kept(forwarder, call)
+    yield unmarked_ends.settle_kept(forwarder, call, not_asked or reason)
     if call.disconnected:
         return
     if call.unconfirmed is not None and call.unconfirmed.may_be_passed_on(call):
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -228,6 +228,9 @@
     if call.streaming:
         fields["events_by_attempt"] = [run.events for run in call.runs]
         fields["ends_by_attempt"] = [run.end.value for run in call.runs]
+    if call.end_checks:
+        fields["checks"] = [check.value for check in call.end_checks]
+        fields["not_asked"] = call.not_asked
     return fields
 
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -389,6 +389,8 @@
       with its connection, as one that a crash cuts short may do.
     - ``end_left_ms``: the time left until its deadline when its last answer ended.
     - ``unmarked``: its answer that has just ended with its connection.
+    - ``end_checks``: the checks of its last answer that ended with its connection.
+    - ``not_asked``: why nobody else was asked then, ``None`` if one was.
     - ``stream_head``: the head of its stream, once events were passed on.
     - ``unconfirmed``: such an answer that may be whole, while another is asked for.
     - ``confirm_until_ms``: until when the rest of such a stream is asked for.
@@ -434,6 +436,8 @@
     runs: list = attrs.field(factory=list)
     has_marked_end: bool = False
     end_left_ms: int | None = None
+    end_checks: list = attrs.field(factory=list)
+    not_asked: str | None = None
     stream_head: continuation.StreamHead | None = None
     unmarked: object | None = None
     unconfirmed: object | None = None
--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -40,10 +40,11 @@
     )
     call = types.SimpleNamespace(
         deadline_ms=NOW_MS * 2,
-        route=types.SimpleNamespace(kind=config.NON_IDEMPOTENT_KIND),
+        route=types.SimpleNamespace(kind=config.NON_IDEMPOTENT_KIND, max_attempts=1),
+        attempts=1,
         streaming=False,
         request_id=b"r",
-        events=types.SimpleNamespace(count=0),
+        events=types.SimpleNamespace(count=0, is_resumable=False),
     )
     unmarked_ends.judge(forwarder, call, answer)
     return picker.record(pick.incarnation_key(MEMBER)).failures
@@ -224,7 +225,9 @@
 def test_an_answer_of_an_endpoint_is_not_waited_for_until_the_deadline():
     # Guards against a caller that abandons a silent stream before it ends.
     kept, ends = Kept(), []
-    unmarked_ends.settle_kept(kept.forwarder, kept.call).addBoth(ends.append)
+    unmarked_ends.settle_kept(kept.forwarder, kept.call, "attempts").addBoth(
+        ends.append
+    )
     assert not ends
     kept.advance(end_checks.MAX_MS / 1000)
     assert ends == [None]
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -29,7 +29,9 @@
       answer, or if this entry did not read meanwhile.
     - ``ended_ms``: when it ended, by the local clock.
     - ``had_left``: whether its endpoint had announced its end by then.
+    - ``not_asked``: why no other endpoint is asked (``str``), as far as is known.
     - ``asks_another``: whether another endpoint may be asked before it is decided on.
+    - ``checks``: the ``Check`` of each that was made.
     - ``evidence``: what is known by now of its endpoint.
     - ``was_leaving``: whether that had announced that it leaves.
     - ``pending_check``: a Deferred that fires once its endpoint's check has ended.
@@ -44,7 +46,9 @@
     silence_ms: int
     ended_ms: int = 0
     had_left: bool = False
+    not_asked: str | None = None
     asks_another: bool = False
+    checks: list = attrs.field(factory=list)
     evidence: life_check.Evidence = life_check.Evidence.NONE
     was_leaving: bool = False
     pending_check: defer.Deferred | None = None
@@ -96,13 +100,13 @@
         return known is not completeness.Completeness.INCOMPLETE
 
 
-def may_ask_another(forwarder, call):
-    """Whether another endpoint may be asked for the answer to *call*, or its rest."""
-    return (
-        routes.is_repeatable(call.route)
-        and call.attempts < call.route.max_attempts
-        and call.events.is_resumable
-        and time_left(forwarder, call).allows_asking(call.streaming)
+def why_not_asked(forwarder, call):
+    """Why nobody else may be asked for the answer to *call*, ``None`` if one may."""
+    return end_checks.why_not_asked(
+        routes.is_repeatable(call.route),
+        call.route.max_attempts - call.attempts,
+        call.events.is_resumable,
+        time_left(forwarder, call).allows_asking(call.streaming),
     )
 
 
@@ -122,11 +126,13 @@
     member = answer.member
     left = time_left(forwarder, call)
     answer.had_left = forwarder.view.has_left(member.endpoint_id)
-    answer.asks_another = may_ask_another(forwarder, call)
+    answer.not_asked = why_not_asked(forwarder, call)
+    answer.asks_another = answer.not_asked is None
     limit_ms = left.limit_ms(call.streaming)
     answer.check_until_ms = answer.ended_ms + limit_ms
     if answer.asks_another:
         limit_ms = left.first_limit_ms()
+    answer.checks.append(end_checks.Check.FIRST)
     answer.evidence = yield forwarder.life_checks.check(member, limit_ms)
     answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
     if not answer.asks_another:
@@ -143,6 +149,7 @@
 
 def log_end(forwarder, call, answer, known):
     """Log what is *known* of *answer*, and from what."""
+    call.end_checks, call.not_asked = answer.checks, answer.not_asked
     log.info(
         "unmarked_end",
         request=responses.header_text(call.request_id),
@@ -155,6 +162,8 @@
         silence_ms=answer.silence_ms,
         events=call.events.count,
         framing=answer.framing.value,
+        checks=[check.value for check in answer.checks],
+        not_asked=answer.not_asked,
     )
 
 
@@ -167,27 +176,30 @@
     now = forwarder.clock.now()
     limit_ms = min(answer.check_until_ms - now, time_left(forwarder, call).all_ms())
     if end_checks.is_checked_twice(answer.evidence, limit_ms):
+        answer.checks.append(end_checks.Check.SECOND)
         delay_ms = end_checks.second_delay_ms(now - answer.ended_ms)
         later = yield checks.check(member, limit_ms, delay_ms)
         if later.life is life_check.Life.ENDED:
             answer.evidence = later
     answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
     if end_checks.waits_for_leave(answer.evidence, answer.was_leaving, answer.had_left):
+        answer.checks.append(end_checks.Check.LEAVE)
         limit_ms -= forwarder.clock.now() - now
         if (yield wait_for_leave(forwarder, member, answer.ended_ms, limit_ms)):
             answer.evidence = life_check.Evidence.DEREGISTERED
 
 
 @defer.inlineCallbacks
-def settle_kept(forwarder, call):
+def settle_kept(forwarder, call, not_asked):
     """Do the checks that were left out while another endpoint was asked.
 
-    A Deferred that fires once it is known whether the answer that was kept, if there is
-    one, is whole.
+    *not_asked* (``str``) tells why no further one is asked. A Deferred that fires once
+    it is known whether the answer that was kept, if there is one, is whole.
     """
     answer = call.unconfirmed
     if answer is None:
         return
+    answer.not_asked = answer.not_asked or not_asked
     limit_ms = time_left(forwarder, call).last_limit_ms()
     until_ms = forwarder.clock.now() + limit_ms
     answer.check_until_ms = max(answer.check_until_ms, until_ms)
--- a/dunlinpoint/logs.py
+++ b/dunlinpoint/logs.py
@@ -60,6 +60,8 @@
     "parts": "ids of the parts of a request's prompt",
     "subject": "what a digest identifies, if not a whole request",
     "waited_ms": "how long the check of an endpoint took",
+    "checks": "how an endpoint was checked after an unmarked end",
+    "not_asked": "why no other endpoint was asked for the answer or its rest",
     "evidence": "what shows whether the endpoint lives on after an unmarked end",
     "ends_by_attempt": "how the answer of each attempt that began a stream ended",
     "silence_ms": "time from the last byte of a stream to its end",
--- a/tests/integration/test_unmarked_ends_without_a_retry.py
+++ b/tests/integration/test_unmarked_ends_without_a_retry.py
@@ -16,6 +16,7 @@
 from dunlinpoint.lab import deploy
 from tests.integration import endpoint_process, platform_lab, waits
 from tests.integration import test_close_delimited_ends as ends
+from tests.integration import test_streams_and_the_entry as streams
 from tests.integration import test_unmarked_ends as unmarked
 
 FRAMINGS = ("none", "close")
@@ -26,6 +27,8 @@
 UNDER_WAY_S = 2 * endpoint_process.EVENT_INTERVAL_S
 DEREGISTERED_AFTER_S = 0.1
 ALONE, DENIED, STOPPING = "alone", "denied", "stopping"
+# Why nobody else is asked, as it is logged.
+NOT_ASKED = {ALONE: "no_endpoint", DENIED: "budget"}
 
 endpoints = ends.endpoints
 three_endpoints = ends.three_endpoints
@@ -44,6 +47,12 @@
         yield platform
 
 
+def lines_of(platform, received):
+    """What is logged of the unmarked ends of the request that *received* answers."""
+    lines = streams.logged(platform, "unmarked_end")
+    return [line for line in lines if line["request"] == received.attempt]
+
+
 def runner(endpoints):
     """The id of the endpoint that began the last run."""
     return (endpoints.folder / "runs").read_text().splitlines()[-1].split()[0]
@@ -98,6 +107,9 @@
     else:
         part = endpoint_process.events(1, ends.CUT_EVENTS)
         unmarked.assert_incomplete(received, part)
+        *_, line = lines_of(endpoints.platform, received)
+        assert line["checks"] == ["first", "second"]
+        assert line["not_asked"] == (NOT_ASKED[why] if prefix == RESUMABLE else "route")
 
 
 @pytest.mark.parametrize("framing", FRAMINGS)
