--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -169,7 +169,7 @@
         guard.check(partial_bytes)
         if call.events.has_more and call.is_stream_unconfirmed():
             # The answer that was taken for the whole stream was a part of it.
-            call.unconfirmed.stop_hearing()
+            call.unconfirmed.end_check()
             call.unconfirmed = None
         if call.events.is_out_of_step:
             connection.close()
--- a/dunlinpoint/forward/exchange.py
+++ b/dunlinpoint/forward/exchange.py
@@ -178,9 +178,7 @@
     answer, call.unmarked = call.unmarked, None
     known = yield unmarked_ends.judge(forwarder, call, answer)
     if call.disconnected or known is completeness.Completeness.INCOMPLETE:
-        if not call.disconnected and unmarked_ends.may_prove_whole(
-            forwarder, call, answer
-        ):
+        if not call.disconnected and unmarked_ends.may_prove_whole(call, answer):
             unmarked_ends.keep(forwarder, call, answer)
         else:
             unmarked_ends.release(forwarder, call, answer)
@@ -231,6 +229,9 @@
         fields["events_by_attempt"] = [run.events for run in call.runs]
         fields["ends_by_attempt"] = [run.end.value for run in call.runs]
         fields["repeats_by_attempt"] = [run.repeats for run in call.runs]
+    if call.end_checks:
+        fields["checks"] = [check.value for check in call.end_checks]
+        fields["not_asked"] = call.not_asked
     return fields
 
 
--- a/dunlinpoint/forward/state.py
+++ b/dunlinpoint/forward/state.py
@@ -52,7 +52,11 @@
 
 @attrs.define
 class Forwarder:
-    """State shared by all requests of this entry."""
+    """State shared by all requests of this entry.
+
+    ``stop_ms`` is the time at which it cuts the answers that are left, ``None`` unless
+    it stops.
+    """
 
     view: view.View
     clock: clock.Clock
@@ -89,6 +93,7 @@
     overloaded_groups: set = attrs.field(factory=set)
     member_order_key: tuple | None = None
     started_ms: int = 0
+    stop_ms: int | None = None
 
     @classmethod
     def from_config(
@@ -384,6 +389,8 @@
       with its connection, as one that a crash cuts short may do.
     - ``end_left_ms``: the time left until its deadline when its last answer ended.
     - ``unmarked``: its answer that has just ended with its connection.
+    - ``end_checks``: the checks of its last answer that ended with its connection.
+    - ``not_asked``: why nobody else was asked then, ``None`` if one was.
     - ``stream_head``: the head of its stream, once events were passed on.
     - ``unconfirmed``: such an answer that may be whole, while another is asked for.
     - ``confirm_until_ms``: until when the rest of such a stream is asked for.
@@ -429,6 +436,8 @@
     runs: list = attrs.field(factory=list)
     has_marked_end: bool = False
     end_left_ms: int | None = None
+    end_checks: list = attrs.field(factory=list)
+    not_asked: str | None = None
     stream_head: continuation.StreamHead | None = None
     unmarked: object | None = None
     unconfirmed: object | None = None
--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer, task
 
 from dunlinpoint import clock, http_heads
-from dunlinpoint.answers import completeness, continuation, life_check
+from dunlinpoint.answers import completeness, continuation, end_checks, life_check
 from dunlinpoint.config import document as config
 from dunlinpoint.forward import responses, unmarked_ends
 from dunlinpoint.routing import backpressure, pick
@@ -22,6 +22,7 @@
     picker.failed(pick.incarnation_key(MEMBER), NOW_MS)
     forwarder = types.SimpleNamespace(
         clock=types.SimpleNamespace(now=lambda: NOW_MS),
+        stop_ms=None,
         life_checks=types.SimpleNamespace(
             check=lambda member, limit_ms: defer.succeed(life_check.Evidence.ANSWERED)
         ),
@@ -39,10 +40,11 @@
     )
     call = types.SimpleNamespace(
         deadline_ms=NOW_MS * 2,
-        route=types.SimpleNamespace(kind=config.NON_IDEMPOTENT_KIND),
+        route=types.SimpleNamespace(kind=config.NON_IDEMPOTENT_KIND, max_attempts=1),
+        attempts=1,
         streaming=False,
         request_id=b"r",
-        events=types.SimpleNamespace(count=0),
+        events=types.SimpleNamespace(count=0, is_resumable=False),
     )
     unmarked_ends.judge(forwarder, call, answer)
     return picker.record(pick.incarnation_key(MEMBER)).failures
@@ -81,7 +83,15 @@
 def stream_of(evidence):
     """The unmarked stream of an endpoint of which *evidence* is known."""
     return unmarked_ends.UnmarkedAnswer(
-        MEMBER, None, http_heads.Framing.CLOSE, 0, False, 0, evidence
+        MEMBER,
+        None,
+        http_heads.Framing.CLOSE,
+        at_endpoint=0,
+        was_left_unread=False,
+        silence_ms=0,
+        ended_ms=NOW_MS,
+        asks_another=True,
+        evidence=evidence,
     )
 
 
@@ -89,12 +99,8 @@
     """A call whose stream may be asked for at two more endpoints."""
     route = types.SimpleNamespace(kind=config.STREAMING, resumable=True, max_attempts=3)
     runs = [continuation.StreamRun(4, continuation.RunEnd.IN_ORDER)]
-    fields = {
-        "unconfirmed": None,
-        "attempts": 1,
-        "started": True,
-        "runs": runs,
-    } | fields
+    defaults = {"unconfirmed": None, "attempts": 1, "started": True, "runs": runs}
+    fields = defaults | {"disconnected": False} | fields
     return types.SimpleNamespace(
         deadline_ms=NOW_MS + 4000,
         route=route,
@@ -116,25 +122,19 @@
 def test_an_answer_that_may_be_passed_on_stays_kept(kept, is_kept):
     # Guards against a whole stream that breaks because the endpoint that was asked for
     # the rest goes without a trace.
-    forwarder = types.SimpleNamespace(
-        lifecycle=types.SimpleNamespace(is_draining=lambda: False)
-    )
     call = resumable_call(unconfirmed=None if kept is None else stream_of(kept))
     answer = stream_of(life_check.Evidence.NONE)
-    assert unmarked_ends.may_prove_whole(forwarder, call, answer) == is_kept
+    assert unmarked_ends.may_prove_whole(call, answer) == is_kept
 
 
 @pytest.mark.parametrize("repeats", [0, 1])
 def test_only_a_run_that_may_be_the_rest_is_kept(repeats):
     # Guards against a part of a stream that looks whole because an endpoint that was
     # asked for the rest and sent none is heard of later.
-    forwarder = types.SimpleNamespace(
-        lifecycle=types.SimpleNamespace(is_draining=lambda: False)
-    )
     call = resumable_call()
     call.runs.append(continuation.StreamRun(0, continuation.RunEnd.IN_ORDER, repeats))
     answer = stream_of(life_check.Evidence.NONE)
-    assert unmarked_ends.may_prove_whole(forwarder, call, answer) == (repeats > 0)
+    assert unmarked_ends.may_prove_whole(call, answer) == (repeats > 0)
 
 
 @pytest.mark.parametrize(
@@ -156,7 +156,7 @@
 
     forwarder = types.SimpleNamespace(
         clock=types.SimpleNamespace(now=lambda: NOW_MS),
-        lifecycle=types.SimpleNamespace(is_draining=lambda: False),
+        stop_ms=None,
         life_checks=types.SimpleNamespace(
             check=lambda *args: defer.succeed(life_check.Evidence.REFUSED), heard=ask
         ),
@@ -185,9 +185,11 @@
     # nothing is heard of its endpoint any more.
     call = resumable_call(confirm_until_ms=None)
     answer = stream_of(life_check.Evidence.REFUSED)
-    forwarder = types.SimpleNamespace(clock=types.SimpleNamespace(now=lambda: NOW_MS))
+    forwarder = types.SimpleNamespace(
+        clock=types.SimpleNamespace(now=lambda: NOW_MS), stop_ms=None
+    )
     unmarked_ends.keep(forwarder, call, answer)
-    assert call.unconfirmed is answer and answer.hearing is None
+    assert call.unconfirmed is answer and answer.pending_check is None
 
 
 class Kept:
@@ -197,10 +199,14 @@
         self.reactor, self.probes = task.Clock(), 0
         ms_clock = clock.Clock(self.reactor)
         self.forwarder = types.SimpleNamespace(
-            clock=ms_clock, life_checks=life_check.LifeChecks(ms_clock, self.probe)
+            clock=ms_clock,
+            stop_ms=None,
+            life_checks=life_check.LifeChecks(ms_clock, self.probe),
+            view=types.SimpleNamespace(is_leaving=lambda endpoint_id: False),
         )
         self.call = resumable_call()
         answer = stream_of(life_check.Evidence.NONE)
+        answer.ended_ms = ms_clock.now()
         unmarked_ends.keep(self.forwarder, self.call, answer)
         self.advance(1)
 
@@ -228,7 +234,9 @@
 def test_an_answer_of_an_endpoint_is_not_waited_for_until_the_deadline():
     # Guards against a caller that abandons a silent stream before it ends.
     kept, ends = Kept(), []
-    unmarked_ends.hear(kept.forwarder, kept.call).addBoth(ends.append)
+    unmarked_ends.settle_kept(kept.forwarder, kept.call, "attempts").addBoth(
+        ends.append
+    )
     assert not ends
-    kept.advance(unmarked_ends.MAX_CHECK_MS / 1000)
+    kept.advance(end_checks.MAX_MS / 1000)
     assert ends == [None]
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -10,26 +10,12 @@
 from twisted.internet import defer
 
 from dunlinpoint import http_heads, logs
-from dunlinpoint.answers import completeness, continuation, life_check
+from dunlinpoint.answers import completeness, continuation, end_checks, life_check
 from dunlinpoint.forward import bodies, responses, routes
 from dunlinpoint.routing import pick
 
 log = logs.logger("entry")
 
-# Share of the remaining time that the check of an endpoint takes at most.
-CHECK_SHARE = 0.25
-# The same of a stream, of which no event waits for it.
-STREAM_CHECK_SHARE = 0.5
-# The longest check: callers abandon a stream that is silent for two seconds.
-MAX_CHECK_MS = 1500
-# The same while another endpoint may be asked, whose events wait for it.
-MAX_CHECK_BEFORE_RETRY_MS = 300
-# How long the rest of a stream is asked for that its endpoint has ended as complete.
-CONFIRM_LIMIT_MS = 1500
-# A process that stops may cut its streams first, and answer requests until its listener
-# is closed: Python's socketserver looks every 0.5 s whether to stop.
-SETTLE_MS = 600
-
 
 @attrs.define
 class UnmarkedAnswer:
@@ -41,10 +27,15 @@
     - ``was_left_unread``: whether it may have ended because it was not read.
     - ``silence_ms``: of a stream, the time from its last byte to its end; 0 of a plain
       answer, or if this entry did not read meanwhile.
+    - ``ended_ms``: when it ended, by the local clock.
+    - ``had_left``: whether its endpoint had announced its end by then.
+    - ``not_asked``: why no other endpoint is asked (``str``), as far as is known.
+    - ``asks_another``: whether another endpoint may be asked before it is decided on.
+    - ``checks``: the ``Check`` of each that was made.
     - ``evidence``: what is known by now of its endpoint.
     - ``was_leaving``: whether that had announced that it leaves.
-    - ``hearing``: a Deferred that fires once ``evidence`` does not change any more.
-    - ``hear_until_ms``: until when that is waited for if nobody else can be asked.
+    - ``pending_check``: a Deferred that fires once its endpoint's check has ended.
+    - ``check_until_ms``: until when its endpoint is checked, if nobody else is asked.
     """
 
     member: object
@@ -53,10 +44,15 @@
     at_endpoint: int
     was_left_unread: bool
     silence_ms: int
+    ended_ms: int = 0
+    had_left: bool = False
+    not_asked: str | None = None
+    asks_another: bool = False
+    checks: list = attrs.field(factory=list)
     evidence: life_check.Evidence = life_check.Evidence.NONE
     was_leaving: bool = False
-    hearing: defer.Deferred | None = None
-    hear_until_ms: int = 0
+    pending_check: defer.Deferred | None = None
+    check_until_ms: int = 0
 
     @classmethod
     def from_call(cls, call, member, now, plain=None):
@@ -71,127 +67,147 @@
             call.in_flight_at_endpoint,
             call.source.explains_cut(now),
             silence_ms,
+            now,
         )
 
     def was_cut(self):
         """Whether its endpoint may have cut it itself, as far as this entry saw."""
         return completeness.was_cut(self.was_left_unread, self.silence_ms)
 
-    def completeness(self, may_ask_another):
-        """The ``Completeness``, by whether another endpoint may be asked."""
+    def completeness(self, asks_another):
+        """The ``Completeness``, by whether another endpoint may still be asked."""
         if self.was_cut():
             return completeness.Completeness.INCOMPLETE
         life = self.evidence.life
         if self.plain is None:
-            return completeness.of_stream(life, may_ask_another)
+            return completeness.of_stream(life, asks_another)
         return completeness.of_plain(life, self.was_leaving)
 
-    def stop_hearing(self):
+    def end_check(self):
         """End the check of its endpoint, which else goes on until the deadline."""
-        if self.hearing is not None and not self.hearing.called:
-            self.hearing.callback(self.evidence)
+        if self.has_pending_check():
+            self.pending_check.callback(self.evidence)
+
+    def has_pending_check(self):
+        """Whether its endpoint is still being checked."""
+        return self.pending_check is not None and not self.pending_check.called
 
     def may_be_passed_on(self, call):
         """Whether it is passed on if *call* gets no better answer."""
         if call.started and self.plain is not None:
             return False
-        known = self.completeness(may_ask_another=False)
+        known = self.completeness(asks_another=False)
         return known is not completeness.Completeness.INCOMPLETE
 
 
-def may_ask_another(forwarder, call):
-    """Whether another endpoint may be asked for the answer to *call*, or its rest."""
-    return (
-        routes.is_repeatable(call.route)
-        and call.attempts < call.route.max_attempts
-        and call.events.is_resumable
-        and not forwarder.lifecycle.is_draining()
+def why_not_asked(forwarder, call):
+    """Why nobody else may be asked for the answer to *call*, ``None`` if one may."""
+    return end_checks.why_not_asked(
+        routes.is_repeatable(call.route),
+        call.route.max_attempts - call.attempts,
+        call.events.is_resumable,
+        time_left(forwarder, call).allows_asking(call.streaming),
     )
 
 
-def check_limit_ms(forwarder, call):
-    """How long the check of an endpoint may take before the answer is decided."""
-    remaining_ms = max(0, call.deadline_ms - forwarder.clock.now())
-    asks_another = may_ask_another(forwarder, call)
-    if asks_another:
-        return min(remaining_ms * CHECK_SHARE, MAX_CHECK_BEFORE_RETRY_MS)
-    share = STREAM_CHECK_SHARE if call.streaming else CHECK_SHARE
-    return min(remaining_ms * share, MAX_CHECK_MS)
+def time_left(forwarder, call):
+    """The ``TimeLeft`` for the checks of an answer to *call*."""
+    now = forwarder.clock.now()
+    return end_checks.TimeLeft.at(now, call.deadline_ms, forwarder.stop_ms)
 
 
 @defer.inlineCallbacks
 def judge(forwarder, call, answer):
-    """Check the endpoint of *answer*; a Deferred of the ``Completeness``."""
+    """Check the endpoint of *answer*; a Deferred of the ``Completeness``.
+
+    Where another endpoint may be asked, checks that take long are left for
+    :func:`settle_kept`: it may answer sooner.
+    """
     member = answer.member
-    began_ms = forwarder.clock.now()
-    yield find_evidence(forwarder, call, answer, began_ms)
-    known = answer.completeness(may_ask_another(forwarder, call))
+    left = time_left(forwarder, call)
+    answer.had_left = forwarder.view.has_left(member.endpoint_id)
+    answer.not_asked = why_not_asked(forwarder, call)
+    answer.asks_another = answer.not_asked is None
+    limit_ms = left.limit_ms(call.streaming)
+    answer.check_until_ms = answer.ended_ms + limit_ms
+    if answer.asks_another:
+        limit_ms = left.first_limit_ms()
+    answer.checks.append(end_checks.Check.FIRST)
+    answer.evidence = yield forwarder.life_checks.check(member, limit_ms)
+    answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
+    if not answer.asks_another:
+        yield check_again(forwarder, call, answer)
+    known = answer.completeness(answer.asks_another)
     forwarder.counters.incr(f"endpoint.unmarked_end.{known.value}")
     forwarder.counters.incr(f"endpoint.evidence.{answer.evidence.value}")
+    log_end(forwarder, call, answer, known)
+    record(forwarder, answer, known)
+    if known is completeness.Completeness.INCOMPLETE:
+        record_cut(call, answer)
+    return known
+
+
+def log_end(forwarder, call, answer, known):
+    """Log what is *known* of *answer*, and from what."""
+    call.end_checks, call.not_asked = answer.checks, answer.not_asked
     log.info(
         "unmarked_end",
         request=responses.header_text(call.request_id),
-        endpoint_id=member.endpoint_id,
+        endpoint_id=answer.member.endpoint_id,
         outcome=known.value,
         evidence=answer.evidence.value,
-        waited_ms=forwarder.clock.now() - began_ms,
+        waited_ms=forwarder.clock.now() - answer.ended_ms,
         announced_leave=answer.was_leaving,
         unread=answer.was_left_unread,
         silence_ms=answer.silence_ms,
         events=call.events.count,
         framing=answer.framing.value,
+        checks=[check.value for check in answer.checks],
+        not_asked=answer.not_asked,
     )
-    record(forwarder, answer, known)
-    if known is completeness.Completeness.INCOMPLETE:
-        record_cut(call, answer)
-    return known
 
 
 @defer.inlineCallbacks
-def find_evidence(forwarder, call, answer, began_ms):
-    """Find what shows whether the endpoint of *answer* lives on; a Deferred."""
+def check_again(forwarder, call, answer):
+    """Do the checks of *answer* that a stream gets only if nobody else can be asked."""
+    if answer.plain is not None or answer.was_cut():
+        return
     member, checks = answer.member, forwarder.life_checks
-    until_ms = began_ms + check_limit_ms(forwarder, call)
-    had_left = forwarder.view.has_left(member.endpoint_id)
-    answer.evidence = yield checks.check(member, until_ms - began_ms)
-    answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
-    left_ms = until_ms - forwarder.clock.now()
-    if waits_for_leave(forwarder, call, answer) and not had_left:
-        if (yield wait_for_leave(forwarder, member, began_ms, left_ms)):
-            answer.evidence = life_check.Evidence.DEREGISTERED
-    elif is_checked_twice(forwarder, call, answer) and left_ms > 0:
-        later = yield checks.check(member, left_ms, SETTLE_MS)
+    now = forwarder.clock.now()
+    limit_ms = min(answer.check_until_ms - now, time_left(forwarder, call).all_ms())
+    if end_checks.is_checked_twice(answer.evidence, limit_ms):
+        answer.checks.append(end_checks.Check.SECOND)
+        delay_ms = end_checks.second_delay_ms(now - answer.ended_ms)
+        later = yield checks.check(member, limit_ms, delay_ms)
         if later.life is life_check.Life.ENDED:
             answer.evidence = later
+    answer.was_leaving = forwarder.view.is_leaving(member.endpoint_id)
+    if end_checks.waits_for_leave(answer.evidence, answer.was_leaving, answer.had_left):
+        answer.checks.append(end_checks.Check.LEAVE)
+        limit_ms -= forwarder.clock.now() - now
+        if (yield wait_for_leave(forwarder, member, answer.ended_ms, limit_ms)):
+            answer.evidence = life_check.Evidence.DEREGISTERED
 
 
-def is_checked_twice(forwarder, call, answer):
-    """Whether only the life of its endpoint can show a stream to be whole.
-
-    A stopping entry has no time for a second check.
-    """
-    asks_for_rest = may_ask_another(forwarder, call) and forwarder.budget.has_spare(
-        call.service, forwarder.clock.now()
-    )
-    return (
-        answer.plain is None
-        and answer.evidence.life is life_check.Life.ALIVE
-        and not asks_for_rest
-        and not forwarder.lifecycle.is_draining()
-    )
-
-
-def waits_for_leave(forwarder, call, answer):
-    """Whether only the end that its endpoint announces can show a stream to be whole.
+@defer.inlineCallbacks
+def settle_kept(forwarder, call, not_asked):
+    """Do the checks that were left out while another endpoint was asked.
 
-    An endpoint that leaves may stop listening before that.
+    *not_asked* (``str``) tells why no further one is asked. A Deferred that fires once
+    it is known whether the answer that was kept, if there is one, is whole.
     """
-    return (
-        answer.plain is None
-        and answer.was_leaving
-        and answer.evidence.life is life_check.Life.ENDED
-        and not may_ask_another(forwarder, call)
-    )
+    answer = call.unconfirmed
+    if answer is None:
+        return
+    answer.not_asked = answer.not_asked or not_asked
+    limit_ms = time_left(forwarder, call).last_limit_ms()
+    until_ms = forwarder.clock.now() + limit_ms
+    answer.check_until_ms = max(answer.check_until_ms, until_ms)
+    yield wait_for_check(forwarder, answer)
+    if call.unconfirmed is answer and not call.disconnected:
+        yield check_again(forwarder, call, answer)
+        if answer.plain is None:
+            log_end(forwarder, call, answer, answer.completeness(asks_another=False))
 
 
 @defer.inlineCallbacks
@@ -238,19 +254,24 @@
     )
 
 
-def may_prove_whole(forwarder, call, answer):
+def may_prove_whole(call, answer):
     """Whether *answer*, which counts as broken, may still be found to be whole.
 
-    Nothing was heard of its endpoint before another one is asked. It takes the place of
-    an answer that is kept, and so not that of one that may be passed on.
+    It takes the place of an answer that is kept, and so not that of one that may be
+    passed on.
     """
     kept = call.unconfirmed
-    return (
-        answer.evidence is life_check.Evidence.NONE
-        and not answer.was_cut()
-        and (answer.plain is not None or continuation.is_rest(call.runs))
-        and (kept is None or not kept.may_be_passed_on(call))
-        and may_ask_another(forwarder, call)
+    if not answer.asks_another or answer.was_cut():
+        return False
+    if kept is not None and kept.may_be_passed_on(call):
+        return False
+    if answer.plain is None and not continuation.is_rest(call.runs):
+        return False
+    return answer.evidence is life_check.Evidence.NONE or (
+        answer.plain is None
+        and end_checks.waits_for_leave(
+            answer.evidence, answer.was_leaving, answer.had_left
+        )
     )
 
 
@@ -260,41 +281,40 @@
     call.unconfirmed = answer
     now = forwarder.clock.now()
     if answer.evidence.life is life_check.Life.ALIVE:
-        call.confirm_until_ms = now + CONFIRM_LIMIT_MS
+        call.confirm_until_ms = now + end_checks.CONFIRM_LIMIT_MS
         return
     call.confirm_until_ms = call.deadline_ms
     if answer.evidence is not life_check.Evidence.NONE:
         return
-    answer.hear_until_ms = now + MAX_CHECK_MS - MAX_CHECK_BEFORE_RETRY_MS
-    hearing = forwarder.life_checks.check(answer.member, max(0, call.deadline_ms - now))
-    hearing.addCallback(functools.partial(setattr, answer, "evidence"))
-    hearing.addErrback(_check_failed)
-    answer.hearing = hearing
+    answer.check_until_ms = answer.ended_ms + end_checks.MAX_MS
+    limit_ms = time_left(forwarder, call).all_ms()
+    answer.pending_check = forwarder.life_checks.check(answer.member, limit_ms)
+    answer.pending_check.addCallback(functools.partial(setattr, answer, "evidence"))
+    answer.pending_check.addErrback(_check_failed)
 
 
 def _check_failed(failure):
     log.error("look_failed", error=failure.getTraceback())
 
 
-def hear(forwarder, call):
-    """A Deferred that fires once it is known whether the answer of *call* is whole.
+def wait_for_check(forwarder, answer):
+    """A Deferred that fires once the pending check of *answer* has ended, if any.
 
-    That is the one that was kept, and it fires at the latest at its ``hear_until_ms``.
+    That is at the latest at its ``check_until_ms``.
     """
-    answer = call.unconfirmed
-    if answer is None or answer.hearing is None or answer.hearing.called:
+    if not answer.has_pending_check():
         return defer.succeed(None)
-    left_ms = max(0, answer.hear_until_ms - forwarder.clock.now())
-    timer = forwarder.clock.call_later(left_ms, answer.stop_hearing)
-    heard = defer.Deferred()
+    limit_ms = max(0, answer.check_until_ms - forwarder.clock.now())
+    timer = forwarder.clock.call_later(limit_ms, answer.end_check)
+    ended = defer.Deferred()
 
     def end(_result):
         if timer.active():
             timer.cancel()
-        heard.callback(None)
+        ended.callback(None)
 
-    answer.hearing.addBoth(end)
-    return heard
+    answer.pending_check.addBoth(end)
+    return ended
 
 
 def is_confirmation_over(call, now):
@@ -314,8 +334,8 @@
         if call.is_stream_unconfirmed():
             connection.close()
 
-    left_ms = max(0, call.confirm_until_ms - forwarder.clock.now())
-    return forwarder.clock.call_later(left_ms, close)
+    limit_ms = max(0, call.confirm_until_ms - forwarder.clock.now())
+    return forwarder.clock.call_later(limit_ms, close)
 
 
 def drop(forwarder, call):
@@ -327,6 +347,6 @@
 
 def release(forwarder, call, answer):
     """Discard *answer*, whose body no longer counts as held."""
-    answer.stop_hearing()
+    answer.end_check()
     if answer.plain is not None:
         bodies.release(forwarder, call, answer.plain)
