Streams: an empty run begins an answer only if it is the whole stream

What callers saw: nothing, not even a head, until they left.

Cause: a stream whose first run was reset before an event and whose second one was empty and marked had begun, with the head of the latter, before that run was refused as no rest; a third run then failed with an exception, as it had no head to be compared with.

Change: the answer begins with the first event, or with a run that ends the stream.

--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -185,10 +185,7 @@
             call.first_ms = now - call.arrived_ms
             forwarder.counters.observe_ms("first_event", call.first_ms)
         last_ms = call.last_event_ms = now
-        if not call.started:
-            call.started = True
-            call.stream_head = continuation.StreamHead.from_head(head)
-            responses.copy_head(request, head, None)
+        begin_stream(call, head)
         request.write(out)
 
     end = continuation.RunEnd.CUT
@@ -214,6 +211,14 @@
         raise close_as_broken(connection, "stream goes on at another event")
     if not call.events.count and not call.has_marked_end:
         raise close_as_broken(connection, "stream ended without an event")
+    if continuation.is_rest(call.runs):
+        # It may be a whole stream without an event.
+        begin_stream(call, head)
+
+
+def begin_stream(call, head):
+    """Begin the answer to *call*, a stream with *head*, if that has not begun."""
     if not call.started:
         call.started = True
-        responses.copy_head(request, head, None)
+        call.stream_head = continuation.StreamHead.from_head(head)
+        responses.copy_head(call.request, head, None)
--- a/tests/integration/test_parts_of_streams.py
+++ b/tests/integration/test_parts_of_streams.py
@@ -96,6 +96,12 @@
     return Case(f"empty-{end}-{attempts}", RESUMABLE, answer, attempts)
 
 
+def unsent_case(end, attempts):
+    """The case of a second run without an event, after a reset before the first one."""
+    answer = f"stream_chunks_0_empty-{end}"
+    return Case(f"unsent-{end}-{attempts}", RESUMABLE, answer, attempts)
+
+
 def killed_case(end, framing):
     """The case of a second run without an event, after the end of a process."""
     answer = f"stream_{framing}_{ends.CUT_EVENTS}_crash-empty-{end}"
@@ -114,7 +120,9 @@
 }
 EMPTY, KILLED_EMPTY, TWICE_EMPTY = "empty", "killed-empty", "twice-empty"
 CASES_BY_WAY[EMPTY] = [
-    empty_case(end, attempts) for end, attempts in itertools.product(EMPTY_ENDS, (2, 3))
+    case(end, attempts)
+    for case in (empty_case, unsent_case)
+    for end, attempts in itertools.product(EMPTY_ENDS, (2, 3))
 ]
 CASES_BY_WAY[KILLED_EMPTY] = [
     killed_case(*args) for args in itertools.product(EMPTY_ENDS, FRAMINGS)
@@ -297,3 +305,20 @@
     received, ran = plays.of(TWICE_EMPTY, UNENDED)
     unmarked.assert_complete(received, ends.ALL_EVENTS)
     assert len(ran) == len(set(ran)) == 3, ran
+
+
+@pytest.mark.parametrize("end", EMPTY_ENDS)
+def test_a_rest_without_an_event_is_no_answer_if_none_came_before(plays, end):
+    # Failure: the caller gets no answer at all, and its request hangs, because the head
+    # of an empty run was taken for that of its stream before the run was refused.
+    received, ran = plays.of(EMPTY, unsent_case(end, attempts=2))
+    unmarked.assert_refused(received)
+    assert len(set(ran)) == 2, ran
+
+
+@pytest.mark.parametrize("end", EMPTY_ENDS)
+def test_a_third_run_is_whole_if_the_first_two_sent_no_event(plays, end):
+    # Failure: the same, though a third endpoint sends the whole stream.
+    received, ran = plays.of(EMPTY, unsent_case(end, attempts=3))
+    unmarked.assert_complete(received, ends.ALL_EVENTS)
+    assert len(set(ran)) == 3, ran
