--- a/dunlinpoint/control/tests/core.py
+++ b/dunlinpoint/control/tests/core.py
@@ -104,6 +104,12 @@
     def is_cut(self, one, other):
         return any((one in half) != (other in half) for half in self.halves)
 
+    def make_reactor(self):
+        return Reactor(self.reactor)
+
+    def make_links(self, host):
+        return Links(self, host)
+
     def start(self, host, zone=None, bootstrap=False):
         """Start the instance at *host*, on the disk that it has or an empty one."""
         self.zone_by_host.setdefault(host, zone)
@@ -118,9 +124,9 @@
             [(founder, PORT) for founder in self.founders],
             bootstrap=bootstrap,
         )
-        reactor = self.reactor_by_host[host] = Reactor(self.reactor)
+        reactor = self.reactor_by_host[host] = self.make_reactor()
         state = server.State.from_config(settings, reactor, metrics.Counters(None))
-        state.links = Links(self, host)
+        state.links = self.make_links(host)
         state.peers.link_to = state.links.to
         self.state_by_host[host] = state
         self.handler_by_host[host] = server.Handler(state)
