Unmarked ends: a rest that only repeats gets both checks, and time is kept for the last one

Cause: 'may ask' taken for 'will' once more: nobody is asked after a run that ends its stream, and asking for the rest could use all the time that was left for the second check.

--- a/dunlinpoint/forward/bodies.py
+++ b/dunlinpoint/forward/bodies.py
@@ -204,7 +204,8 @@
     if not call.has_marked_end:
         forwarder.counters.incr("endpoint.unmarked_end.stream")
     if call.is_over:
-        raise close_as_broken(connection, "caller disconnected")
+        why = "caller disconnected" if call.disconnected else "deadline passed"
+        raise close_as_broken(connection, why)
     if call.events.partial:
         raise close_as_broken(connection, "stream ended within an event")
     if call.events.is_out_of_step:
--- a/dunlinpoint/forward/tests/test_unmarked_ends.py
+++ b/dunlinpoint/forward/tests/test_unmarked_ends.py
@@ -240,3 +240,39 @@
     assert not ends
     kept.advance(end_checks.MAX_MS / 1000)
     assert ends == [None]
+
+
+def test_a_rest_that_only_repeats_is_checked_twice():
+    # Guards against a part that looks whole, because its endpoint, which stops a moment
+    # later, was checked once only as if another one were asked after it.
+    found = iter([life_check.Evidence.ANSWERED, life_check.Evidence.REFUSED])
+    forwarder = types.SimpleNamespace(
+        clock=types.SimpleNamespace(now=lambda: NOW_MS),
+        stop_ms=None,
+        life_checks=types.SimpleNamespace(
+            check=lambda *args: defer.succeed(next(found))
+        ),
+        view=types.SimpleNamespace(
+            is_leaving=lambda endpoint_id: False, has_left=lambda endpoint_id: False
+        ),
+        counters=types.SimpleNamespace(incr=lambda name: None),
+        picker=pick.Picker("z1"),
+    )
+    call = resumable_call(attempts=2)
+    call.runs.append(continuation.StreamRun(0, continuation.RunEnd.IN_ORDER, repeats=1))
+    results = []
+    answer = stream_of(life_check.Evidence.NONE)
+    unmarked_ends.judge(forwarder, call, answer).addBoth(results.append)
+    assert results == [completeness.Completeness.INCOMPLETE]
+
+
+def test_the_rest_is_not_asked_for_until_the_deadline():
+    # Guards against a part that looks whole, because no time was left for the last
+    # check of its endpoint.
+    call = resumable_call(confirm_until_ms=None)
+    call.deadline_ms = NOW_MS + 1000
+    forwarder = types.SimpleNamespace(
+        clock=types.SimpleNamespace(now=lambda: NOW_MS), stop_ms=None
+    )
+    unmarked_ends.keep(forwarder, call, stream_of(life_check.Evidence.ANSWERED))
+    assert call.deadline_ms - call.confirm_until_ms == end_checks.MAX_LAST_MS
--- a/dunlinpoint/forward/unmarked_ends.py
+++ b/dunlinpoint/forward/unmarked_ends.py
@@ -127,7 +127,7 @@
     left = time_left(forwarder, call)
     answer.had_left = forwarder.view.has_left(member.endpoint_id)
     answer.not_asked = why_not_asked(forwarder, call)
-    answer.asks_another = answer.not_asked is None
+    answer.asks_another = answer.not_asked is None and not ends_stream(call, answer)
     limit_ms = left.limit_ms(call.streaming)
     answer.check_until_ms = answer.ended_ms + limit_ms
     if answer.asks_another:
@@ -147,6 +147,13 @@
     return known
 
 
+def ends_stream(call, answer):
+    """Whether *answer*, a run that only repeated an event, ends its stream."""
+    if answer.plain is not None:
+        return False
+    return not call.runs[-1].events and continuation.is_rest(call.runs)
+
+
 def log_end(forwarder, call, answer, known):
     """Log what is *known* of *answer*, and from what."""
     call.end_checks, call.not_asked = answer.checks, answer.not_asked
@@ -281,7 +288,10 @@
     call.unconfirmed = answer
     now = forwarder.clock.now()
     if answer.evidence.life is life_check.Life.ALIVE:
-        call.confirm_until_ms = now + end_checks.CONFIRM_LIMIT_MS
+        call.confirm_until_ms = min(
+            now + end_checks.CONFIRM_LIMIT_MS,
+            call.deadline_ms - end_checks.MAX_LAST_MS,
+        )
         return
     call.confirm_until_ms = call.deadline_ms
     if answer.evidence is not life_check.Evidence.NONE:
